--- /dev/null
+++ b/modules/base/millis.h
@@ -0,0 +1,45 @@
+#ifndef DOGWOODFALL_MODULES_BASE_MILLIS_H_
+#define DOGWOODFALL_MODULES_BASE_MILLIS_H_
+
+#include <cstdint>
+
+namespace dogwoodfall {
+
+/** A point in time or a length of time, in milliseconds.
+ *
+ * Points in time given to the core come from one clock of the process: the
+ * wall clock read at start plus the monotonic time since, so they never step
+ * back while the process lives.
+ */
+struct Millis {
+  int64_t count = 0;
+
+  friend constexpr Millis operator+(Millis a, Millis b) {
+    return {a.count + b.count};
+  }
+  friend constexpr Millis operator-(Millis a, Millis b) {
+    return {a.count - b.count};
+  }
+  friend constexpr bool operator==(Millis a, Millis b) {
+    return a.count == b.count;
+  }
+  friend constexpr bool operator!=(Millis a, Millis b) {
+    return a.count != b.count;
+  }
+  friend constexpr bool operator<(Millis a, Millis b) {
+    return a.count < b.count;
+  }
+  friend constexpr bool operator<=(Millis a, Millis b) {
+    return a.count <= b.count;
+  }
+  friend constexpr bool operator>(Millis a, Millis b) {
+    return a.count > b.count;
+  }
+  friend constexpr bool operator>=(Millis a, Millis b) {
+    return a.count >= b.count;
+  }
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_BASE_MILLIS_H_
--- /dev/null
+++ b/modules/core/claims/claim_book.cc
@@ -0,0 +1,287 @@
+#include "core/claims/claim_book.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+
+#include "base/hash.h"
+#include "records/journal_head.h"
+
+namespace dogwoodfall {
+namespace {
+
+StoreTransaction OpenTransaction(const ClaimBook& book) {
+  StoreTransaction transaction;
+  const std::string key = JournalHeadKey(book.journal);
+  transaction.compares.push_back({key, 0});
+  transaction.puts.push_back({key, Encode(JournalHead{false, book.floor})});
+  return transaction;
+}
+
+StoreTransaction AppendTransaction(const ClaimBook& book) {
+  StoreTransaction transaction;
+  const std::string key = JournalSegmentKey(book.journal, book.next_segment);
+  transaction.compares.push_back(
+      {JournalHeadKey(book.journal), book.head_revision});
+  transaction.compares.push_back({key, 0});
+  transaction.puts.push_back({key, Encode(JournalSegment{book.in_flight})});
+  return transaction;
+}
+
+/** Numbers of own segments all of whose claims are older than a time. */
+std::vector<uint64_t> OldSegments(const ClaimBook& book, Millis oldest_kept) {
+  std::vector<uint64_t> old;
+  for (const auto& [number, newest] : book.segments) {
+    if (newest < oldest_kept)
+      old.push_back(number);
+  }
+  return old;
+}
+
+StoreTransaction PurgeTransaction(ClaimBook& book,
+                                  const std::vector<uint64_t>& old) {
+  StoreTransaction transaction;
+  const std::string head = JournalHeadKey(book.journal);
+  for (const uint64_t number : old) {
+    book.floor = std::max(book.floor, book.segments.at(number) + Millis{1});
+    transaction.deletes.push_back(JournalSegmentKey(book.journal, number));
+  }
+  transaction.compares.push_back({head, book.head_revision});
+  transaction.puts.push_back({head, Encode(JournalHead{false, book.floor})});
+  return transaction;
+}
+
+/** Ends the use of a journal that was sealed; a later one may be opened. */
+void CloseJournal(ClaimBook& book, ClaimResults& results) {
+  for (const Claim& claim : book.in_flight)
+    results.undecided.push_back(SubmissionKey(claim.key));
+  for (const Claim& claim : book.waiting)
+    results.undecided.push_back(SubmissionKey(claim.key));
+  book.in_flight.clear();
+  book.waiting.clear();
+  book.segments.clear();
+  book.phase = JournalPhase::kClosed;
+  book.serving.assign(book.serving.size(), false);
+  book.own_newest.assign(book.own_newest.size(), Millis{});
+  ++book.journal.generation;
+  book.next_segment = 1;
+  book.next_table_read = Millis{};
+}
+
+void FinishAppend(ClaimBook& book, ClaimResults& results) {
+  Millis newest;
+  for (const Claim& claim : book.in_flight) {
+    const SubmissionKey key(claim.key);
+    newest = std::max(newest, claim.stamp);
+    Millis& slot_newest = book.own_newest[SlotOf(book, key)];
+    slot_newest = std::max(slot_newest, claim.stamp);
+    results.claimed.push_back(key);
+  }
+  book.segments[book.next_segment] = newest;
+  ++book.next_segment;
+  book.in_flight.clear();
+}
+
+const StoreItem* FindItem(const StoreReply& reply, const std::string& key) {
+  for (const StoreItem& item : reply.items) {
+    if (item.key == key)
+      return &item;
+  }
+  return nullptr;
+}
+
+/** Rebuilds what is known of the own segments. */
+void LoadSegments(ClaimBook& book, const StoreReply& reply) {
+  book.segments.clear();
+  for (uint64_t number = 1; number < book.next_segment; ++number) {
+    const StoreItem* item =
+        FindItem(reply, JournalSegmentKey(book.journal, number));
+    if (item == nullptr)
+      continue;
+    const Result<JournalSegment> segment = DecodeJournalSegment(item->value);
+    Millis newest;
+    if (segment.ok()) {
+      for (const Claim& claim : segment.value().claims)
+        newest = std::max(newest, claim.stamp);
+    }
+    book.segments[number] = newest;
+  }
+}
+
+/** Learns from the whole journal, read after a call that did not succeed. */
+void TakeReadBack(ClaimBook& book,
+                  const StoreReply& reply,
+                  ClaimResults& results) {
+  const StoreItem* head = FindItem(reply, JournalHeadKey(book.journal));
+  const bool is_written =
+      FindItem(reply, JournalSegmentKey(book.journal, book.next_segment)) !=
+      nullptr;
+  if (is_written && !book.in_flight.empty())
+    FinishAppend(book, results);
+  const Result<JournalHead> decoded =
+      head == nullptr ? Result<JournalHead>(Error{})
+                      : DecodeJournalHead(head->value);
+  if (!decoded.ok() || decoded.value().sealed) {
+    CloseJournal(book, results);
+    return;
+  }
+  LoadSegments(book, reply);
+  book.head_revision = head->mod_revision;
+  book.phase = JournalPhase::kOpen;
+}
+
+bool MayCall(const ClaimBook& book, Millis now) {
+  return book.call == JournalCall::kNone && now >= book.retry_at &&
+         !book.store_restored;
+}
+
+WantedCall ReadBackCall(ClaimBook& book) {
+  book.call = JournalCall::kReadBack;
+  return {StorePurpose::kClaim, StoreRead{JournalPrefix(book.journal), true}};
+}
+
+WantedCall AppendCall(ClaimBook& book, const ClaimLimits& limits) {
+  if (book.in_flight.empty()) {
+    const size_t count = std::min(limits.max_group, book.waiting.size());
+    const auto end = book.waiting.begin() + static_cast<ptrdiff_t>(count);
+    book.in_flight.assign(book.waiting.begin(), end);
+    book.waiting.erase(book.waiting.begin(), end);
+  }
+  book.call = JournalCall::kAppend;
+  return {StorePurpose::kClaim, AppendTransaction(book)};
+}
+
+}  // namespace
+
+ClaimBook OpenClaimBook(const DaemonRef& self, const ClaimLimits& limits) {
+  ClaimBook book;
+  book.self = self;
+  book.journal = {self, 1};
+  book.serving.assign(limits.slots, false);
+  book.own_newest.assign(limits.slots, Millis{});
+  return book;
+}
+
+uint32_t SlotOf(const ClaimBook& book, const SubmissionKey& key) {
+  return static_cast<uint32_t>(StableHash(key.value) % book.serving.size());
+}
+
+ClaimLookup LookUp(const ClaimBook& book,
+                   const SubmissionKey& key,
+                   Millis stamp) {
+  const uint32_t slot = SlotOf(book, key);
+  if (book.serving[slot]) {
+    const auto before = book.inherited.find(key);
+    if (before != book.inherited.end())
+      return {ClaimAnswer::kClaimedBefore, before->second};
+    if (stamp < book.floor)
+      return {ClaimAnswer::kTooOld, {}};
+    return {ClaimAnswer::kUnclaimed, book.self};
+  }
+  if (!book.table_known || slot >= book.table.slots.size())
+    return {ClaimAnswer::kUndecided, {}};
+  const JournalRef& owner = book.table.slots[slot].owner;
+  if (IsNone(owner) || owner.daemon == book.self)
+    return {ClaimAnswer::kUndecided, {}};
+  return {ClaimAnswer::kElsewhere, owner.daemon};
+}
+
+bool QueueClaim(ClaimBook& book,
+                const SubmissionKey& key,
+                Millis stamp,
+                const ClaimLimits& limits) {
+  if (book.phase != JournalPhase::kOpen || book.store_restored ||
+      book.waiting.size() >= limits.max_waiting)
+    return false;
+  book.waiting.push_back({key.value, stamp});
+  return true;
+}
+
+std::optional<WantedCall> NextJournalCall(ClaimBook& book,
+                                          const ClaimLimits& limits,
+                                          Millis now) {
+  if (!MayCall(book, now))
+    return std::nullopt;
+  if (book.phase == JournalPhase::kClosed) {
+    book.call = JournalCall::kOpen;
+    book.phase = JournalPhase::kOpening;
+    return WantedCall{StorePurpose::kClaim, OpenTransaction(book)};
+  }
+  if (book.phase == JournalPhase::kOpening)
+    return ReadBackCall(book);
+  if (!book.in_flight.empty() || !book.waiting.empty())
+    return AppendCall(book, limits);
+  const std::vector<uint64_t> old =
+      OldSegments(book, now - limits.window - limits.clock_skew);
+  if (old.empty())
+    return std::nullopt;
+  book.call = JournalCall::kPurge;
+  const StoreTransaction purge = PurgeTransaction(book, old);
+  for (const uint64_t number : old)
+    book.segments.erase(number);
+  return WantedCall{StorePurpose::kClaim, purge};
+}
+
+ClaimResults TakeJournalReply(ClaimBook& book,
+                              const StoreReply& reply,
+                              const ClaimLimits& limits,
+                              Millis now) {
+  ClaimResults results;
+  const JournalCall call = book.call;
+  book.call = JournalCall::kNone;
+  if (reply.outcome == StoreOutcome::kUnknown || book.store_restored) {
+    book.retry_at = now + limits.retry_after;
+    // The head may or may not have changed: it is read before the next use.
+    if (call == JournalCall::kPurge)
+      book.phase = JournalPhase::kOpening;
+    return results;
+  }
+  if (call == JournalCall::kReadBack) {
+    if (reply.items.empty() && book.in_flight.empty() && book.segments.empty())
+      book.phase = JournalPhase::kClosed;
+    else
+      TakeReadBack(book, reply, results);
+    return results;
+  }
+  if (reply.outcome == StoreOutcome::kCompareFailed) {
+    book.phase = JournalPhase::kOpening;
+    return results;
+  }
+  if (call == JournalCall::kOpen || call == JournalCall::kPurge) {
+    book.head_revision = reply.revision;
+    book.phase = JournalPhase::kOpen;
+  }
+  if (call == JournalCall::kOpen)
+    book.next_table_read = Millis{};
+  if (call == JournalCall::kAppend)
+    FinishAppend(book, results);
+  return results;
+}
+
+void NoteStoreRevision(ClaimBook& book,
+                       uint64_t revision,
+                       uint64_t known_at_call) {
+  if (revision == 0)
+    return;
+  if (revision < known_at_call)
+    book.store_restored = true;
+  book.store_revision = std::max(book.store_revision, revision);
+}
+
+void ForgetOldClaims(ClaimBook& book, const ClaimLimits& limits, Millis now) {
+  const Millis oldest_kept = now - limits.window - limits.clock_skew;
+  while (!book.inherited_by_stamp.empty() &&
+         book.inherited_by_stamp.begin()->first < oldest_kept) {
+    const auto [stamp, key] = *book.inherited_by_stamp.begin();
+    book.floor = std::max(book.floor, stamp + Millis{1});
+    book.inherited.erase(key);
+    book.inherited_by_stamp.erase(book.inherited_by_stamp.begin());
+  }
+}
+
+bool HasNoOpenClaims(const ClaimBook& book) {
+  return book.waiting.empty() && book.in_flight.empty() &&
+         book.call == JournalCall::kNone;
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/claims/ownership.cc
@@ -0,0 +1,393 @@
+#include "core/claims/ownership.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/hash.h"
+#include "records/journal_head.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Ends the job, whether or not it succeeded. */
+void EndJob(ClaimBook& book, Millis next_read) {
+  book.job = OwnershipJob{};
+  book.next_table_read = next_read;
+}
+
+/** Pause before the next try, different for each daemon and time, so that
+ * daemons that raced each other don't do so again.
+ */
+Millis RetryPause(const ClaimBook& book,
+                  const ClaimLimits& limits,
+                  Millis now) {
+  const uint64_t hash =
+      StableHash(book.self.id.value + std::to_string(now.count));
+  const int64_t spread = std::max<int64_t>(limits.retry_after.count, 1);
+  return limits.retry_after +
+         Millis{static_cast<int64_t>(hash % static_cast<uint64_t>(spread))};
+}
+
+SlotTable EmptyTable(const ClaimBook& book) {
+  SlotTable table;
+  table.slots.resize(book.serving.size());
+  return table;
+}
+
+bool IsOwn(const ClaimBook& book, const JournalRef& owner) {
+  return owner == book.journal;
+}
+
+/** True when nobody serves the slot any more. */
+bool IsFree(const ClaimBook& book,
+            const JournalRef& owner,
+            const OwnershipView& view) {
+  if (IsNone(owner))
+    return true;
+  // An own journal that is not in use any more was sealed, or is of no use.
+  if (owner.daemon == book.self)
+    return !IsOwn(book, owner);
+  return view.is_gone(owner.daemon);
+}
+
+/** Plans which free slots to take and which journals that needs. */
+void PlanTakeover(ClaimBook& book, const OwnershipView& view) {
+  std::set<JournalRef> to_seal;
+  std::set<JournalRef> to_read;
+  for (uint32_t slot = 0; slot < book.table.slots.size(); ++slot) {
+    const SlotEntry& entry = book.table.slots[slot];
+    const bool lost_to_restart =
+        IsOwn(book, entry.owner) && !book.serving[slot];
+    if (!lost_to_restart && (IsOwn(book, entry.owner) ||
+                             !IsFree(book, entry.owner, view) ||
+                             view.preferred_owner(slot) != book.self.id))
+      continue;
+    book.job.wanted.push_back(slot);
+    if (!IsNone(entry.owner) && !IsOwn(book, entry.owner))
+      to_seal.insert(entry.owner);
+    for (const FormerOwner& former : entry.former)
+      to_read.insert(former.journal);
+  }
+  to_read.insert(to_seal.begin(), to_seal.end());
+  book.job.to_seal.assign(to_seal.begin(), to_seal.end());
+  book.job.to_read.assign(to_read.begin(), to_read.end());
+}
+
+/** Plans which own slots to give away. Claims must not be under way then. */
+void PlanRelease(ClaimBook& book, const OwnershipView& view) {
+  if (!HasNoOpenClaims(book))
+    return;
+  for (uint32_t slot = 0; slot < book.table.slots.size(); ++slot) {
+    if (book.serving[slot] &&
+        (view.releasing_all || view.preferred_owner(slot) != book.self.id))
+      book.job.released.push_back(slot);
+  }
+  for (const uint32_t slot : book.job.released)
+    book.serving[slot] = false;
+}
+
+Millis NewestIn(const ClaimBook& book,
+                const std::vector<Claim>& claims,
+                uint32_t slot) {
+  Millis newest;
+  for (const Claim& claim : claims) {
+    if (SlotOf(book, SubmissionKey(claim.key)) == slot)
+      newest = std::max(newest, claim.stamp);
+  }
+  return newest;
+}
+
+void AddFormer(SlotEntry& entry, const JournalRef& journal, Millis newest) {
+  for (FormerOwner& former : entry.former) {
+    if (former.journal == journal) {
+      former.newest = std::max(former.newest, newest);
+      return;
+    }
+  }
+  entry.former.push_back({journal, newest});
+}
+
+/** Drops journals whose claims are all older than the window. */
+void TrimFormer(SlotTable& table, Millis oldest_kept) {
+  for (SlotEntry& entry : table.slots) {
+    for (const FormerOwner& former : entry.former) {
+      if (former.newest < oldest_kept)
+        table.floor = std::max(table.floor, former.newest + Millis{1});
+    }
+    entry.former.erase(
+        std::remove_if(entry.former.begin(), entry.former.end(),
+                       [oldest_kept](const FormerOwner& former) {
+                         return former.newest < oldest_kept;
+                       }),
+        entry.former.end());
+  }
+}
+
+std::set<JournalRef> JournalsOf(const SlotTable& table) {
+  std::set<JournalRef> journals;
+  for (const SlotEntry& entry : table.slots) {
+    if (!IsNone(entry.owner))
+      journals.insert(entry.owner);
+    for (const FormerOwner& former : entry.former)
+      journals.insert(former.journal);
+  }
+  return journals;
+}
+
+/** Journals that no slot refers to any more and whose owner is gone. */
+std::vector<JournalRef> UnusedJournals(const ClaimBook& book,
+                                       const OwnershipView& view) {
+  std::vector<JournalRef> unused;
+  const std::set<JournalRef> kept = JournalsOf(book.job.new_table);
+  for (const JournalRef& journal : JournalsOf(book.table)) {
+    if (kept.count(journal) == 0 && view.is_gone(journal.daemon))
+      unused.push_back(journal);
+  }
+  return unused;
+}
+
+void BuildNewTable(ClaimBook& book,
+                   const OwnershipView& view,
+                   const ClaimLimits& limits,
+                   Millis now) {
+  SlotTable table = book.table;
+  for (const uint32_t slot : book.job.wanted) {
+    SlotEntry& entry = table.slots[slot];
+    if (!IsNone(entry.owner) && !IsOwn(book, entry.owner))
+      AddFormer(entry, entry.owner,
+                NewestIn(book, book.job.claims[entry.owner], slot));
+    entry.owner = book.journal;
+  }
+  for (const uint32_t slot : book.job.released) {
+    AddFormer(table.slots[slot], book.journal, book.own_newest[slot]);
+    table.slots[slot].owner = JournalRef{};
+  }
+  TrimFormer(table, now - limits.window - limits.clock_skew);
+  book.job.new_table = std::move(table);
+  book.job.new_text = Encode(book.job.new_table);
+  book.job.unused = UnusedJournals(book, view);
+}
+
+StoreTransaction TableTransaction(const ClaimBook& book) {
+  StoreTransaction transaction;
+  transaction.compares.push_back({kSlotTableKey, book.table_revision});
+  transaction.puts.push_back({kSlotTableKey, book.job.new_text});
+  for (const JournalRef& journal : book.job.unused)
+    transaction.deletes.push_back(JournalPrefix(journal));
+  return transaction;
+}
+
+/** Adds the claims of a slot's former owners to the inherited ones. */
+void Inherit(ClaimBook& book) {
+  const std::set<uint32_t> wanted(book.job.wanted.begin(),
+                                  book.job.wanted.end());
+  for (const auto& [journal, claims] : book.job.claims) {
+    for (const Claim& claim : claims) {
+      const SubmissionKey key(claim.key);
+      if (wanted.count(SlotOf(book, key)) == 0 ||
+          journal.daemon == book.self)
+        continue;
+      if (book.inherited.emplace(key, journal.daemon).second)
+        book.inherited_by_stamp.emplace(claim.stamp, key);
+    }
+  }
+  book.floor = std::max({book.floor, book.job.floor, book.job.new_table.floor});
+  for (const uint32_t slot : book.job.wanted)
+    book.serving[slot] = true;
+}
+
+void AdoptNewTable(ClaimBook& book,
+                   uint64_t revision,
+                   const ClaimLimits& limits,
+                   Millis now) {
+  Inherit(book);
+  book.table = book.job.new_table;
+  book.table_revision = revision;
+  EndJob(book, now + limits.table_period);
+}
+
+/** Chooses the step after a journal was sealed or read. */
+void ContinueJob(ClaimBook& book,
+                 const OwnershipView& view,
+                 const ClaimLimits& limits,
+                 Millis now) {
+  if (!book.job.to_seal.empty()) {
+    book.job.stage = OwnershipStage::kReadingHead;
+  } else if (!book.job.to_read.empty()) {
+    book.job.stage = OwnershipStage::kReadingJournal;
+  } else {
+    BuildNewTable(book, view, limits, now);
+    book.job.stage = OwnershipStage::kWritingTable;
+  }
+}
+
+/** Takes over the table as it stands in the store. */
+bool LoadTable(ClaimBook& book, const StoreReply& reply) {
+  SlotTable table = EmptyTable(book);
+  uint64_t revision = 0;
+  if (!reply.items.empty()) {
+    Result<SlotTable> decoded = DecodeSlotTable(reply.items.front().value);
+    if (!decoded.ok() || decoded.value().slots.size() != book.serving.size())
+      return false;
+    table = decoded.Take();
+    revision = reply.items.front().mod_revision;
+  }
+  book.table = std::move(table);
+  book.table_revision = revision;
+  book.table_known = true;
+  for (uint32_t slot = 0; slot < book.serving.size(); ++slot) {
+    if (!IsOwn(book, book.table.slots[slot].owner))
+      book.serving[slot] = false;
+  }
+  return true;
+}
+
+void TakeTable(ClaimBook& book,
+               const StoreReply& reply,
+               const OwnershipView& view,
+               const ClaimLimits& limits,
+               Millis now) {
+  const bool confirming = book.job.stage == OwnershipStage::kConfirming;
+  if (confirming && !reply.items.empty() &&
+      reply.items.front().value == book.job.new_text) {
+    AdoptNewTable(book, reply.items.front().mod_revision, limits, now);
+    return;
+  }
+  if (!LoadTable(book, reply)) {
+    EndJob(book, now + limits.table_period);
+    return;
+  }
+  book.job = OwnershipJob{};
+  if (book.phase == JournalPhase::kOpen && !view.releasing_all)
+    PlanTakeover(book, view);
+  if (book.job.wanted.empty())
+    PlanRelease(book, view);
+  if (book.job.wanted.empty() && book.job.released.empty())
+    EndJob(book, now + limits.table_period);
+  else
+    ContinueJob(book, view, limits, now);
+}
+
+StoreTransaction SealTransaction(const JournalRef& journal,
+                                 uint64_t head_revision,
+                                 Millis floor) {
+  StoreTransaction transaction;
+  const std::string key = JournalHeadKey(journal);
+  transaction.compares.push_back({key, head_revision});
+  transaction.puts.push_back({key, Encode(JournalHead{true, floor})});
+  return transaction;
+}
+
+/** Reads claims and floor out of a whole journal. */
+void TakeJournal(ClaimBook& book, const StoreReply& reply) {
+  const JournalRef journal = book.job.to_read.back();
+  book.job.to_read.pop_back();
+  std::vector<Claim>& claims = book.job.claims[journal];
+  for (const StoreItem& item : reply.items) {
+    if (item.key == JournalHeadKey(journal)) {
+      const Result<JournalHead> head = DecodeJournalHead(item.value);
+      if (head.ok())
+        book.job.floor = std::max(book.job.floor, head.value().floor);
+      continue;
+    }
+    const Result<JournalSegment> segment = DecodeJournalSegment(item.value);
+    if (segment.ok()) {
+      claims.insert(claims.end(), segment.value().claims.begin(),
+                    segment.value().claims.end());
+    }
+  }
+}
+
+}  // namespace
+
+std::optional<WantedCall> NextOwnershipCall(ClaimBook& book,
+                                            const ClaimLimits& limits,
+                                            Millis now) {
+  if (book.store_restored)
+    return std::nullopt;
+  OwnershipJob& job = book.job;
+  switch (job.stage) {
+    case OwnershipStage::kIdle:
+      if (now < book.next_table_read &&
+          book.heard_table_revision <= book.table_revision)
+        return std::nullopt;
+      job.stage = OwnershipStage::kReadingTable;
+      // One read is due for each revision that was heard of.
+      book.heard_table_revision = 0;
+      book.next_table_read = now + limits.table_period;
+      [[fallthrough]];
+    case OwnershipStage::kReadingTable:
+    case OwnershipStage::kConfirming:
+      return WantedCall{StorePurpose::kOwnership,
+                        StoreRead{kSlotTableKey, false}};
+    case OwnershipStage::kReadingHead:
+      return WantedCall{
+          StorePurpose::kOwnership,
+          StoreRead{JournalHeadKey(job.to_seal.back()), false}};
+    case OwnershipStage::kSealing:
+      return WantedCall{StorePurpose::kOwnership,
+                        SealTransaction(job.to_seal.back(),
+                                        job.head_revision, job.head_floor)};
+    case OwnershipStage::kReadingJournal:
+      return WantedCall{StorePurpose::kOwnership,
+                        StoreRead{JournalPrefix(job.to_read.back()), true}};
+    case OwnershipStage::kWritingTable:
+      return WantedCall{StorePurpose::kOwnership, TableTransaction(book)};
+  }
+  return std::nullopt;
+}
+
+void TakeOwnershipReply(ClaimBook& book,
+                        const StoreReply& reply,
+                        const OwnershipView& view,
+                        const ClaimLimits& limits,
+                        Millis now) {
+  OwnershipJob& job = book.job;
+  if (reply.outcome == StoreOutcome::kUnknown &&
+      job.stage == OwnershipStage::kWritingTable) {
+    job.stage = OwnershipStage::kConfirming;
+    return;
+  }
+  if (reply.outcome != StoreOutcome::kDone) {
+    if (job.stage != OwnershipStage::kConfirming)
+      EndJob(book, now + RetryPause(book, limits, now));
+    return;
+  }
+  switch (job.stage) {
+    case OwnershipStage::kIdle:
+      return;
+    case OwnershipStage::kReadingTable:
+    case OwnershipStage::kConfirming:
+      TakeTable(book, reply, view, limits, now);
+      return;
+    case OwnershipStage::kReadingHead: {
+      const bool exists = !reply.items.empty();
+      const Result<JournalHead> head =
+          exists ? DecodeJournalHead(reply.items.front().value)
+                 : Result<JournalHead>(JournalHead{});
+      if (head.ok() && head.value().sealed) {
+        job.to_seal.pop_back();
+        ContinueJob(book, view, limits, now);
+        return;
+      }
+      job.head_revision = exists ? reply.items.front().mod_revision : 0;
+      job.head_floor = head.ok() ? head.value().floor : Millis{};
+      job.stage = OwnershipStage::kSealing;
+      return;
+    }
+    case OwnershipStage::kSealing:
+      job.to_seal.pop_back();
+      ContinueJob(book, view, limits, now);
+      return;
+    case OwnershipStage::kReadingJournal:
+      TakeJournal(book, reply);
+      ContinueJob(book, view, limits, now);
+      return;
+    case OwnershipStage::kWritingTable:
+      AdoptNewTable(book, reply.revision, limits, now);
+      return;
+  }
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/dispatch/fair_queue.cc
@@ -0,0 +1,76 @@
+#include "core/dispatch/fair_queue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodfall {
+
+bool Push(FairQueue& queue, QueuedTask task) {
+  const TaskKey key = KeyOf(task);
+  if (queue.index.count(key) > 0)
+    return false;
+  CustomerQueue& customer = queue.customers[task.customer];
+  // A customer that comes back after a pause gets no credit for it.
+  if (customer.tasks.empty())
+    customer.virtual_time_ms =
+        std::max(customer.virtual_time_ms, queue.virtual_now_ms);
+  const QueueRank rank{
+      task.remaining_work.count + kAgeing * task.queued_at.count,
+      -task.expected_run_time.count, queue.next_number++};
+  queue.index.emplace(key, QueuePlace{task.customer, rank});
+  customer.tasks.emplace(rank, std::move(task));
+  return true;
+}
+
+std::optional<QueuedTask> Remove(FairQueue& queue, const TaskKey& key) {
+  const auto indexed = queue.index.find(key);
+  if (indexed == queue.index.end())
+    return std::nullopt;
+  CustomerQueue& customer = queue.customers.at(indexed->second.customer);
+  const auto found = customer.tasks.find(indexed->second.rank);
+  QueuedTask task = std::move(found->second);
+  customer.tasks.erase(found);
+  queue.index.erase(indexed);
+  return task;
+}
+
+bool Contains(const FairQueue& queue, const TaskKey& key) {
+  return queue.index.count(key) > 0;
+}
+
+size_t SizeOf(const FairQueue& queue) {
+  return queue.index.size();
+}
+
+size_t SizeOf(const FairQueue& queue, const CustomerId& customer) {
+  const auto found = queue.customers.find(customer);
+  return found == queue.customers.end() ? 0 : found->second.tasks.size();
+}
+
+void Charge(FairQueue& queue,
+            const CustomerId& customer,
+            Millis expected_run_time,
+            uint32_t weight) {
+  CustomerQueue& entry = queue.customers[customer];
+  queue.virtual_now_ms =
+      std::max(queue.virtual_now_ms, entry.virtual_time_ms);
+  entry.virtual_time_ms +=
+      static_cast<double>(std::max<int64_t>(expected_run_time.count, 1)) /
+      std::max(weight, 1U);
+}
+
+std::vector<CustomerId> ServingOrder(const FairQueue& queue) {
+  std::vector<std::pair<double, CustomerId>> waiting;
+  for (const auto& [id, customer] : queue.customers) {
+    if (!customer.tasks.empty())
+      waiting.emplace_back(customer.virtual_time_ms, id);
+  }
+  std::sort(waiting.begin(), waiting.end());
+  std::vector<CustomerId> order;
+  order.reserve(waiting.size());
+  for (auto& entry : waiting)
+    order.push_back(std::move(entry.second));
+  return order;
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/dispatch/queued_task.h
@@ -0,0 +1,49 @@
+#ifndef DOGWOODFALL_MODULES_CORE_DISPATCH_QUEUED_TASK_H_
+#define DOGWOODFALL_MODULES_CORE_DISPATCH_QUEUED_TASK_H_
+
+#include <cstdint>
+#include <tuple>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "core/ledger/submission_id.h"
+#include "model/daemon_ref.h"
+#include "model/task_spec.h"
+#include "model/waste.h"
+
+namespace dogwoodfall {
+
+/** Name of a task across submissions. */
+struct TaskKey {
+  SubmissionKey submission;
+  TaskId task;
+
+  friend bool operator<(const TaskKey& a, const TaskKey& b) {
+    return std::tie(a.submission, a.task) < std::tie(b.submission, b.task);
+  }
+};
+
+/** A task that waits for a slot of an endpoint, or runs on one. */
+struct QueuedTask {
+  SubmissionId submission;
+  CustomerId customer;
+  TaskSpec task;
+  /** The daemon life that gets the report. */
+  DaemonRef home;
+  Attempt first_attempt{1};
+  /** The attempt number the next start uses. */
+  Attempt next_attempt{1};
+  Millis deadline;
+  /** Work of its job that is left; less goes first. */
+  Millis remaining_work;
+  Millis expected_run_time;
+  Millis queued_at;
+  Waste waste;
+};
+
+/** The key of a task. */
+TaskKey KeyOf(const QueuedTask& task);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_DISPATCH_QUEUED_TASK_H_
--- /dev/null
+++ b/modules/core/limits/token_bucket.cc
@@ -0,0 +1,27 @@
+#include "core/limits/token_bucket.h"
+
+#include <algorithm>
+
+namespace dogwoodfall {
+
+bool TakeToken(TokenBucket& bucket,
+               double per_second,
+               double burst,
+               Millis now) {
+  constexpr double kMillisPerSecond = 1000.0;
+  if (!bucket.is_started) {
+    bucket.is_started = true;
+    bucket.tokens = burst;
+    bucket.filled_at = now;
+  }
+  const double elapsed =
+      static_cast<double>((now - bucket.filled_at).count) / kMillisPerSecond;
+  bucket.tokens = std::min(burst, bucket.tokens + elapsed * per_second);
+  bucket.filled_at = now;
+  if (bucket.tokens < 1.0)
+    return false;
+  bucket.tokens -= 1.0;
+  return true;
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/node/peer_flow.cc
@@ -0,0 +1,201 @@
+#include "core/node/peer_flow.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "config/configuration_text.h"
+#include "core/node/drain_flow.h"
+#include "core/node/home_flow.h"
+#include "core/node/node_events.h"
+#include "core/node/request_flow.h"
+#include "core/node/scheduler_flow.h"
+
+namespace dogwoodfall {
+namespace {
+
+void TakeMessage(Node& node,
+                 Millis now,
+                 const DaemonRef& from,
+                 const PeerMessage& message,
+                 Actions& actions) {
+  if (const auto* answer = std::get_if<ForwardAnswer>(&message)) {
+    TakeForwardAnswer(node, now, from, *answer, actions);
+  } else if (const auto* submit = std::get_if<SubmitForward>(&message)) {
+    const Waiter waiter{PeerWaiter{from, submit->forward}, std::nullopt};
+    HandleRequest(node, now, waiter, *submit, actions);
+  } else if (const auto* status = std::get_if<StatusForward>(&message)) {
+    const Waiter waiter{PeerWaiter{from, status->forward}, std::nullopt};
+    HandleRequest(node, now, waiter, *status, actions);
+  } else if (const auto* cancel = std::get_if<CancelForward>(&message)) {
+    const Waiter waiter{PeerWaiter{from, cancel->forward}, std::nullopt};
+    HandleRequest(node, now, waiter, *cancel, actions);
+  } else if (const auto* batch = std::get_if<TaskBatch>(&message)) {
+    TakeBatch(node, now, from, *batch, actions);
+  } else if (const auto* reports = std::get_if<TaskReports>(&message)) {
+    for (const TaskReport& report : reports->reports)
+      TakeReport(node, now, from, report, actions);
+  } else if (const auto* cancels = std::get_if<TaskCancels>(&message)) {
+    TakeCancels(node, now, from, *cancels, actions);
+  } else if (const auto* handover = std::get_if<LedgerHandover>(&message)) {
+    TakeHandover(node, now, from, *handover, actions);
+  } else if (const auto* taken = std::get_if<LedgerHandoverTaken>(&message)) {
+    TakeHandoverConfirmation(node, from, *taken);
+  } else if (const auto* notice = std::get_if<HomeNotice>(&message)) {
+    node.successors[notice->home] = notice->successor;
+  } else if (std::holds_alternative<ConfigurationRequest>(message)) {
+    if (node.configuration.revision > 0) {
+      Send(node.sessions, from, ConfigurationNotice{node.configuration_text},
+           node.settings.sessions, now, actions);
+    }
+  } else if (const auto* lists = std::get_if<ConfigurationNotice>(&message)) {
+    TakeConfiguration(node, lists->text, actions);
+    Pump(node, now, actions);
+  }
+}
+
+/** Reacts to what a heartbeat says besides that its sender lives. */
+void TakeNews(Node& node,
+              Millis now,
+              const Heartbeat& heartbeat,
+              Actions& actions) {
+  for (const EndpointId& endpoint : heartbeat.leaving_endpoints)
+    MarkLeaving(node.membership, endpoint);
+  if (heartbeat.table_revision > node.claims.table_revision)
+    node.claims.heard_table_revision = heartbeat.table_revision;
+  NoteStoreRevision(node.claims, heartbeat.store_revision, 0);
+  if (heartbeat.revision > node.configuration.revision) {
+    Send(node.sessions, heartbeat.from,
+         ConfigurationRequest{node.configuration.revision},
+         node.settings.sessions, now, actions);
+  }
+}
+
+}  // namespace
+
+Heartbeat MakeHeartbeat(Node& node, Millis now) {
+  Heartbeat heartbeat;
+  heartbeat.from = node.settings.self;
+  heartbeat.zone = node.settings.zone;
+  heartbeat.number = ++node.heartbeat_number;
+  heartbeat.revision = node.configuration.revision;
+  heartbeat.table_revision = node.claims.table_revision;
+  heartbeat.store_revision = node.claims.store_revision;
+  heartbeat.can_claim = node.claims.phase == JournalPhase::kOpen;
+  heartbeat.free_slots = FreeSlots(node.dispatch.pool, now);
+  heartbeat.queued_tasks =
+      static_cast<uint32_t>(SizeOf(node.dispatch.queue));
+  heartbeat.draining = node.drain.phase != DrainPhase::kServing;
+  for (const auto& [id, known] : node.membership.endpoints) {
+    if (known.leaving && known.listed)
+      heartbeat.leaving_endpoints.push_back(id);
+  }
+  for (const auto& [id, plan] : node.configuration.customers) {
+    const auto queued =
+        static_cast<uint32_t>(SizeOf(node.dispatch.queue, id));
+    const uint32_t running = RunningOf(node.dispatch, id);
+    if (queued + running > 0)
+      heartbeat.demands.push_back({id, running, queued});
+  }
+  return heartbeat;
+}
+
+void SendHeartbeats(Node& node, Millis now, Actions& actions) {
+  const Heartbeat heartbeat = MakeHeartbeat(node, now);
+  for (const auto& [id, known] : node.membership.daemons) {
+    if (known.listed)
+      actions.push_back(SendHeartbeat{id, heartbeat});
+  }
+}
+
+void SettleEndedLife(Node& node,
+                     Millis now,
+                     const DaemonRef& ended,
+                     Actions& actions) {
+  LogEvent event;
+  event.name = "daemon_life_ended";
+  event.fields = {{"daemon", ended.id.value},
+                  {"incarnation", std::to_string(ended.incarnation.value)}};
+  actions.push_back(std::move(event));
+  node.claims.next_table_read = Millis{};
+  DropTasksOf(node, ended, actions);
+  SettleTasksOf(node, now, ended, actions);
+  RerouteFrom(node, now, ended, actions);
+  UpdateOwnedEndpoints(node, now);
+  Pump(node, now, actions);
+}
+
+void FindEndedLives(Node& node, Millis now, Actions& actions) {
+  std::vector<DaemonRef> ended;
+  for (const auto& [id, known] : node.membership.daemons) {
+    if (!known.incarnation)
+      continue;
+    const DaemonRef daemon{id, *known.incarnation};
+    if (node.membership.ended.count(daemon) == 0 &&
+        IsGone(node.membership, daemon, node.settings.membership, now))
+      ended.push_back(daemon);
+  }
+  for (const DaemonRef& daemon : ended) {
+    node.membership.ended.insert(daemon);
+    node.sessions.sessions.erase(daemon.id);
+    SettleEndedLife(node, now, daemon, actions);
+  }
+}
+
+void TakeConfiguration(Node& node, const std::string& text, Actions& actions) {
+  ParsedConfiguration parsed = ParseConfiguration(text);
+  LogEvent event;
+  if (const auto* faults =
+          std::get_if<std::vector<ConfigurationFault>>(&parsed)) {
+    event.name = "configuration_refused";
+    event.fields = {{"faults", std::to_string(faults->size())},
+                    {"first", faults->front().path}};
+    actions.push_back(std::move(event));
+    return;
+  }
+  auto& configuration = std::get<Configuration>(parsed);
+  if (configuration.revision <= node.configuration.revision)
+    return;
+  event.name = "configuration_in_force";
+  event.fields = {{"revision", std::to_string(configuration.revision)}};
+  actions.push_back(std::move(event));
+  node.configuration = std::move(configuration);
+  node.configuration_text = text;
+}
+
+void OnPeerFrame(Node& node,
+                 Millis now,
+                 const PeerFrame& frame,
+                 Actions& actions) {
+  const std::optional<PeerMessage> message =
+      Receive(node.sessions, frame, now);
+  if (message)
+    TakeMessage(node, now, frame.from, *message, actions);
+}
+
+void OnHeartbeat(Node& node,
+                 Millis now,
+                 const Heartbeat& heartbeat,
+                 Actions& actions) {
+  std::optional<DaemonRef> replaced;
+  const HeartbeatEffect effect =
+      ApplyHeartbeat(node.membership, heartbeat, now, replaced);
+  if (effect == HeartbeatEffect::kForeign) {
+    ++node.counters.foreign_heartbeats;
+    return;
+  }
+  if (effect == HeartbeatEffect::kOld)
+    return;
+  if (effect == HeartbeatEffect::kNewLife) {
+    StartSession(node.sessions, heartbeat.from);
+    if (replaced)
+      SettleEndedLife(node, now, *replaced, actions);
+    UpdateOwnedEndpoints(node, now);
+  }
+  TakeNews(node, now, heartbeat, actions);
+  Pump(node, now, actions);
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/node/request_flow.cc
@@ -0,0 +1,393 @@
+#include "core/node/request_flow.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/node/home_flow.h"
+#include "core/node/store_flow.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Daemons that may pass a request on, one after another. */
+constexpr uint32_t kMostHops = 4;
+
+/** Where a request is to be handled. */
+enum class RouteKind : uint8_t {
+  kHere,
+  kPeer,
+  /** Claims of the id are decided here. */
+  kClaimHere,
+  /** The answer is known: the home is gone, or the id too old. */
+  kFinal,
+  /** Nobody can say now. */
+  kUndecided,
+};
+
+struct Route {
+  RouteKind kind = RouteKind::kUndecided;
+  DaemonRef peer;
+  ResultCode code = ResultCode::kHomeUnreachable;
+  /** The process life that claimed a chosen id; none when not known. */
+  DaemonRef claimant;
+};
+
+const CustomerId& CustomerOf(const SubmissionRequest& request) {
+  if (const auto* submit = std::get_if<SubmitForward>(&request))
+    return submit->submission.customer;
+  if (const auto* status = std::get_if<StatusForward>(&request))
+    return status->customer;
+  return std::get<CancelForward>(request).customer;
+}
+
+const SubmissionId& IdOf(const SubmissionRequest& request) {
+  if (const auto* submit = std::get_if<SubmitForward>(&request))
+    return submit->submission.id;
+  if (const auto* status = std::get_if<StatusForward>(&request))
+    return status->submission;
+  return std::get<CancelForward>(request).submission;
+}
+
+DaemonRef& ClaimantOf(SubmissionRequest& request) {
+  return std::visit(
+      [](auto& message) -> DaemonRef& { return message.claimant; }, request);
+}
+
+uint32_t& HopsOf(SubmissionRequest& request) {
+  return std::visit([](auto& message) -> uint32_t& { return message.hops; },
+                    request);
+}
+
+bool HasHandedOver(const Node& node) {
+  return node.drain.phase > DrainPhase::kFinishing &&
+         !node.drain.successor.id.value.empty();
+}
+
+bool KnowsHome(const Node& node, const DaemonRef& home) {
+  if (HasHandedOver(node))
+    return false;
+  return home == node.settings.self ||
+         node.ledger.adopted_homes.count(home) > 0;
+}
+
+/** The daemon that knows a home's submissions as far as is known here. */
+DaemonRef FollowSuccessors(const Node& node, DaemonRef home) {
+  for (uint32_t step = 0; step < kMostHops; ++step) {
+    if (home == node.settings.self && HasHandedOver(node))
+      return node.drain.successor;
+    if (KnowsHome(node, home))
+      return home;
+    const auto next = node.successors.find(home);
+    if (next == node.successors.end())
+      return home;
+    home = next->second;
+  }
+  return home;
+}
+
+Route RouteToHome(Node& node, const DaemonRef& home, Millis now) {
+  const DaemonRef target = FollowSuccessors(node, home);
+  Route route;
+  if (KnowsHome(node, target)) {
+    route.kind = RouteKind::kHere;
+    return route;
+  }
+  if (IsReachable(node.membership, target, node.settings.membership, now)) {
+    route.kind = RouteKind::kPeer;
+    route.peer = target;
+    return route;
+  }
+  if (!IsGone(node.membership, target, node.settings.membership, now))
+    return route;
+  if (node.without_note.count(target) == 0) {
+    node.notes_wanted.insert(target);
+    return route;
+  }
+  route.kind = RouteKind::kFinal;
+  route.code = ResultCode::kHomeGone;
+  return route;
+}
+
+Route RouteChosen(Node& node,
+                  const SubmissionKey& key,
+                  Millis stamp,
+                  const DaemonRef& claimant,
+                  Millis now) {
+  Route route;
+  if (!claimant.id.value.empty()) {
+    route = RouteToHome(node, claimant, now);
+    route.claimant = claimant;
+    return route;
+  }
+  // What this daemon has in its ledger it knows, whoever owns the slot now.
+  if (FindRecord(node.ledger, key) != nullptr && !HasHandedOver(node)) {
+    route.kind = RouteKind::kHere;
+    return route;
+  }
+  const ClaimLookup lookup = LookUp(node.claims, key, stamp);
+  switch (lookup.answer) {
+    case ClaimAnswer::kUnclaimed:
+      route.kind = RouteKind::kClaimHere;
+      return route;
+    case ClaimAnswer::kClaimedBefore:
+      route = RouteToHome(node, lookup.daemon, now);
+      route.claimant = lookup.daemon;
+      return route;
+    case ClaimAnswer::kElsewhere:
+      if (IsReachable(node.membership, lookup.daemon, node.settings.membership,
+                      now)) {
+        route.kind = RouteKind::kPeer;
+        route.peer = lookup.daemon;
+      }
+      return route;
+    case ClaimAnswer::kUndecided:
+      route.code = ResultCode::kClaimUndecided;
+      return route;
+    case ClaimAnswer::kTooOld:
+      route.kind = RouteKind::kFinal;
+      route.code = ResultCode::kIdTooOld;
+      return route;
+  }
+  return route;
+}
+
+void Forward(Node& node,
+             Millis now,
+             const Waiter& waiter,
+             const DaemonRef& to,
+             SubmissionRequest request,
+             Actions& actions) {
+  const ForwardId id(++node.last_forward);
+  std::visit([&id](auto& message) { message.forward = id; }, request);
+  PeerMessage message = std::visit(
+      [](const auto& typed) -> PeerMessage { return typed; }, request);
+  const SubmissionId submission = IdOf(request);
+  const bool sent = Send(node.sessions, to, std::move(message),
+                         node.settings.sessions, now, actions);
+  if (!sent) {
+    Deliver(node, now, waiter,
+            PendingAnswer(submission, ResultCode::kHomeUnreachable,
+                          StartState::kMayHaveStarted,
+                          node.settings.retry_pause),
+            actions);
+    return;
+  }
+  ++node.counters.requests_forwarded;
+  node.forwards[id] = PendingForward{waiter, to, std::move(request), now};
+}
+
+/** A peer that takes work, for a submission without id; none when there is
+ * no such peer.
+ */
+DaemonRef PeerForNewWork(const Node& node, Millis now) {
+  for (const DaemonRef& peer :
+       ReachablePeers(node.membership, node.settings.membership, now)) {
+    const KnownDaemon& known = node.membership.daemons.at(peer.id);
+    if (!known.latest.draining && known.latest.revision > 0 &&
+        HasSession(node.sessions, peer))
+      return peer;
+  }
+  return {};
+}
+
+/** Handles a submission that has no id: it can't have been sent before. */
+void HandleWithoutId(Node& node,
+                     Millis now,
+                     const Waiter& waiter,
+                     SubmitForward request,
+                     Actions& actions) {
+  if (node.drain.phase != DrainPhase::kServing && request.hops < kMostHops) {
+    const DaemonRef peer = PeerForNewWork(node, now);
+    if (!peer.id.value.empty()) {
+      ++request.hops;
+      Forward(node, now, waiter, peer, std::move(request), actions);
+      return;
+    }
+  }
+  if (HasHandedOver(node)) {
+    Deliver(node, now, waiter,
+            RefusedAnswer({}, ResultCode::kDraining, node.settings.retry_pause),
+            actions);
+    return;
+  }
+  request.submission.id =
+      MintId(node.ledger, node.settings.self, node.settings.zone, now);
+  HandleAtHome(node, now, waiter, request, actions);
+}
+
+void FollowRoute(Node& node,
+                 Millis now,
+                 const Waiter& waiter,
+                 const Route& route,
+                 SubmissionRequest request,
+                 Actions& actions) {
+  uint32_t& hops = HopsOf(request);
+  ClaimantOf(request) = route.claimant;
+  switch (route.kind) {
+    case RouteKind::kHere:
+      HandleAtHome(node, now, waiter, request, actions);
+      return;
+    case RouteKind::kClaimHere:
+      HandleAtClaimOwner(node, now, waiter, request, actions);
+      return;
+    case RouteKind::kPeer:
+      if (hops < kMostHops) {
+        ++hops;
+        Forward(node, now, waiter, route.peer, std::move(request), actions);
+        return;
+      }
+      break;
+    case RouteKind::kFinal:
+      Deliver(node, now, waiter,
+              FailedAnswer(IdOf(request), route.code,
+                           StartState::kMayHaveStarted),
+              actions);
+      return;
+    case RouteKind::kUndecided:
+      break;
+  }
+  Deliver(node, now, waiter,
+          PendingAnswer(IdOf(request), route.code, StartState::kMayHaveStarted,
+                        node.settings.retry_pause),
+          actions);
+}
+
+}  // namespace
+
+void HandleRequest(Node& node,
+                   Millis now,
+                   const Waiter& waiter,
+                   SubmissionRequest request,
+                   Actions& actions) {
+  const SubmissionId id = IdOf(request);
+  if (id.value.empty() && std::holds_alternative<SubmitForward>(request)) {
+    HandleWithoutId(node, now, waiter,
+                    std::move(std::get<SubmitForward>(request)), actions);
+    return;
+  }
+  const Result<ParsedId> parsed = ParseSubmissionId(id);
+  if (!parsed.ok()) {
+    Deliver(node, now, waiter, RefusedAnswer(id, parsed.error().code), actions);
+    return;
+  }
+  Route route;
+  if (const auto* minted = std::get_if<MintedId>(&parsed.value())) {
+    route = RouteToHome(node, minted->home, now);
+  } else {
+    const auto& chosen = std::get<CallerChosenId>(parsed.value());
+    route = RouteChosen(node, KeyOf(CustomerOf(request), id),
+                        chosen.stamped_at, ClaimantOf(request), now);
+  }
+  FollowRoute(node, now, waiter, route, std::move(request), actions);
+  ReadWantedNotes(node, actions);
+}
+
+void Deliver(Node& node,
+             Millis now,
+             const Waiter& waiter,
+             const Answer& answer,
+             Actions& actions) {
+  if (const auto* caller = std::get_if<CallerToken>(&waiter.to)) {
+    AnswerCaller action;
+    action.caller = *caller;
+    action.answer = answer;
+    if (node.drain.phase == DrainPhase::kServing) {
+      action.spare_id =
+          MintId(node.ledger, node.settings.self, node.settings.zone, now);
+    }
+    actions.push_back(std::move(action));
+    return;
+  }
+  const auto& peer = std::get<PeerWaiter>(waiter.to);
+  // A peer that has ended has no caller left to answer.
+  Send(node.sessions, peer.peer, ForwardAnswer{peer.forward, answer},
+       node.settings.sessions, now, actions);
+}
+
+void RerouteFrom(Node& node,
+                 Millis now,
+                 const DaemonRef& ended,
+                 Actions& actions) {
+  std::vector<ForwardId> affected;
+  for (const auto& [id, forward] : node.forwards) {
+    if (forward.to == ended)
+      affected.push_back(id);
+  }
+  std::sort(affected.begin(), affected.end());
+  for (const ForwardId& id : affected) {
+    PendingForward forward = std::move(node.forwards.at(id));
+    node.forwards.erase(id);
+    const bool without_id = IdOf(forward.request).value.empty();
+    if (without_id) {
+      // The peer may have started it under an id that nobody knows.
+      Deliver(node, now, forward.waiter,
+              FailedAnswer({}, ResultCode::kDaemonLost,
+                           StartState::kMayHaveStarted),
+              actions);
+      continue;
+    }
+    HandleRequest(node, now, forward.waiter, std::move(forward.request),
+                  actions);
+  }
+}
+
+void ExpireForwards(Node& node, Millis now, Actions& actions) {
+  std::vector<ForwardId> expired;
+  for (const auto& [id, forward] : node.forwards) {
+    if (now - forward.sent_at >= node.settings.forward_patience &&
+        !IsReachable(node.membership, forward.to, node.settings.membership,
+                     now))
+      expired.push_back(id);
+  }
+  std::sort(expired.begin(), expired.end());
+  for (const ForwardId& id : expired) {
+    const PendingForward forward = std::move(node.forwards.at(id));
+    node.forwards.erase(id);
+    Deliver(node, now, forward.waiter,
+            PendingAnswer(IdOf(forward.request), ResultCode::kHomeUnreachable,
+                          StartState::kMayHaveStarted,
+                          node.settings.retry_pause),
+            actions);
+  }
+}
+
+void ExpirePolls(Node& node, Millis now, Actions& actions) {
+  while (!node.polls.empty() && node.polls.begin()->first <= now) {
+    const SubmissionKey key = node.polls.begin()->second;
+    node.polls.erase(node.polls.begin());
+    SubmissionRecord* record = FindRecord(node.ledger, key);
+    if (record == nullptr)
+      continue;
+    std::vector<Waiter> kept;
+    std::vector<Waiter> due;
+    for (const Waiter& waiter : record->waiters) {
+      const bool is_due = waiter.answer_by && *waiter.answer_by <= now;
+      (is_due ? due : kept).push_back(waiter);
+    }
+    record->waiters = std::move(kept);
+    const Answer answer =
+        PendingAnswer(record->id, ResultCode::kStillRunning,
+                      StartState::kMayHaveStarted, node.settings.retry_pause);
+    for (const Waiter& waiter : due)
+      Deliver(node, now, waiter, answer, actions);
+  }
+}
+
+void TakeForwardAnswer(Node& node,
+                       Millis now,
+                       const DaemonRef& from,
+                       const ForwardAnswer& message,
+                       Actions& actions) {
+  const auto found = node.forwards.find(message.forward);
+  if (found == node.forwards.end() || found->second.to != from) {
+    ++node.counters.unmatched_peer_answers;
+    ++node.counters.waste.dropped_answers;
+    return;
+  }
+  const Waiter waiter = found->second.waiter;
+  node.forwards.erase(found);
+  Deliver(node, now, waiter, message.answer, actions);
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/node/scheduler_flow.cc
@@ -0,0 +1,552 @@
+#include "core/node/scheduler_flow.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/node/admission.h"
+#include "core/node/home_flow.h"
+#include "core/routing/ownership.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Tasks of a customer looked at for one that fits a free endpoint. */
+constexpr size_t kLookAhead = 8;
+/** Part of a second's starts that may be made at once. */
+constexpr double kStartBurst = 0.1;
+
+JobAtHome JobOf(const QueuedTask& task) {
+  return {task.home, KeyOf(task.customer, task.submission)};
+}
+
+TaskReport ReportFor(const QueuedTask& task, ResultCode code, StartState state) {
+  TaskReport report;
+  report.submission = task.submission;
+  report.customer = task.customer;
+  report.outcome.task = task.task.id;
+  report.outcome.code = code;
+  report.outcome.state = state;
+  report.first_attempt = task.first_attempt;
+  report.last_attempt = Attempt(
+      std::max(task.first_attempt.value, task.next_attempt.value - 1));
+  report.waste = task.waste;
+  return report;
+}
+
+/** Forgets an open task of another home's job and sends its reports when they
+ * are due: with the last task, or at once when the job can't be complete.
+ */
+void CloseShare(Node& node,
+                Millis now,
+                const JobAtHome& job,
+                const TaskReport* report,
+                Actions& actions) {
+  const auto found = node.dispatch.shares.find(job);
+  if (found == node.dispatch.shares.end())
+    return;
+  JobShare& share = found->second;
+  --share.open_tasks;
+  bool is_due = share.open_tasks == 0;
+  if (report != nullptr) {
+    share.reports.push_back(*report);
+    is_due = is_due || report->outcome.code != ResultCode::kOk;
+  }
+  if (is_due && !share.reports.empty()) {
+    Send(node.sessions, job.first, TaskReports{std::move(share.reports)},
+         node.settings.sessions, now, actions);
+    share.reports.clear();
+  }
+  if (share.open_tasks == 0)
+    node.dispatch.shares.erase(found);
+}
+
+/** Tells the home of a task how it ended. */
+void Report(Node& node,
+            Millis now,
+            const QueuedTask& task,
+            const TaskReport& report,
+            Actions& actions) {
+  if (task.home == node.settings.self)
+    TakeReport(node, now, node.settings.self, report, actions);
+  else
+    CloseShare(node, now, JobOf(task), &report, actions);
+}
+
+/** True when a limit of the customer's plan holds its next start back. */
+bool IsHeldBack(Node& node,
+                const CustomerId& customer,
+                const PlanLimits& limits,
+                Millis now) {
+  const uint32_t running = RunningOf(node.dispatch, customer);
+  return running >= ShareOfTasksAtOnce(node, customer, limits, now);
+}
+
+void Start(Node& node,
+           Millis now,
+           QueuedTask task,
+           PooledEndpoint& endpoint,
+           const PlanLimits& limits,
+           Actions& actions) {
+  Charge(node.dispatch.queue, task.customer, task.expected_run_time,
+         limits.weight);
+  RunningTask running;
+  running.endpoint = endpoint.member.id;
+  running.attempt = task.next_attempt;
+  running.started_at = now;
+  running.lease_until =
+      std::min(task.deadline, now + node.settings.longest_lease);
+  task.next_attempt = Attempt(task.next_attempt.value + 1);
+  StartTask action;
+  action.endpoint = running.endpoint;
+  action.submission = task.submission;
+  action.customer = task.customer;
+  action.task = task.task;
+  action.attempt = running.attempt;
+  action.lease_length = running.lease_until - now;
+  running.task = std::move(task);
+  action.lease = AddRunning(node.dispatch, std::move(running));
+  ++node.counters.starts;
+  actions.push_back(std::move(action));
+}
+
+/** The next task of a customer that a free endpoint can take. Tasks whose
+ * deadline has passed are added to expired.
+ */
+const QueuedTask* FindStartable(Node& node,
+                                Millis now,
+                                const CustomerQueue& customer,
+                                const PlanLimits& limits,
+                                PooledEndpoint*& endpoint,
+                                std::vector<TaskKey>& expired) {
+  size_t looked_at = 0;
+  for (const auto& [rank, task] : customer.tasks) {
+    if (task.deadline <= now) {
+      expired.push_back(KeyOf(task));
+      continue;
+    }
+    endpoint = ChooseEndpoint(node.dispatch.pool, limits, task.task, now);
+    if (endpoint != nullptr)
+      return &task;
+    if (++looked_at >= kLookAhead)
+      return nullptr;
+  }
+  return nullptr;
+}
+
+void ReportExpired(Node& node,
+                   Millis now,
+                   const std::vector<TaskKey>& expired,
+                   Actions& actions) {
+  for (const TaskKey& key : expired) {
+    const std::optional<QueuedTask> task = Remove(node.dispatch.queue, key);
+    if (task) {
+      Report(node, now, *task,
+             ReportFor(*task, ResultCode::kDeadlineExceeded,
+                       StartState::kNotStarted),
+             actions);
+    }
+  }
+}
+
+/** Starts one task. Returns false when none can be started. */
+bool StartNext(Node& node, Millis now, Actions& actions) {
+  if (SizeOf(node.dispatch.queue) == 0 ||
+      FreeSlots(node.dispatch.pool, now) == 0)
+    return false;
+  std::vector<TaskKey> expired;
+  bool started = false;
+  for (const CustomerId& customer : ServingOrder(node.dispatch.queue)) {
+    const PlanLimits* limits = FindLimits(node.configuration, customer);
+    if (limits == nullptr || IsHeldBack(node, customer, *limits, now))
+      continue;
+    PooledEndpoint* endpoint = nullptr;
+    const QueuedTask* task = FindStartable(
+        node, now, node.dispatch.queue.customers.at(customer), *limits,
+        endpoint, expired);
+    if (task == nullptr)
+      continue;
+    const double rate = ShareOfStarts(node, customer, *limits, now);
+    if (!TakeToken(node.dispatch.start_buckets[customer], rate,
+                   std::max(1.0, rate * kStartBurst), now))
+      continue;
+    std::optional<QueuedTask> taken =
+        Remove(node.dispatch.queue, KeyOf(*task));
+    Start(node, now, std::move(*taken), *endpoint, *limits, actions);
+    started = true;
+    break;
+  }
+  ReportExpired(node, now, expired, actions);
+  return started || !expired.empty();
+}
+
+/** True when a zone has an endpoint that could run the task. */
+bool ZoneFits(const Node& node,
+              const ZoneId& zone,
+              const PlanLimits& limits,
+              const TaskSpec& task) {
+  return std::any_of(
+      node.membership.endpoints.begin(), node.membership.endpoints.end(),
+      [&](const auto& entry) {
+        const KnownEndpoint& known = entry.second;
+        return known.member.zone == zone && known.listed && !known.leaving &&
+               task.declared_memory_mb <= known.member.memory_mb &&
+               MayUse(limits, entry.first);
+      });
+}
+
+/** A peer with free slots, and how many tasks it may be sent. */
+struct Room {
+  DaemonRef peer;
+  ZoneId zone;
+  uint32_t slots = 0;
+};
+
+/** Peers with room, those of this zone first, most room first. */
+std::vector<Room> FindRoom(const Node& node, Millis now) {
+  std::vector<Room> rooms;
+  for (const DaemonRef& peer :
+       ReachablePeers(node.membership, node.settings.membership, now)) {
+    const KnownDaemon& known = node.membership.daemons.at(peer.id);
+    const uint32_t taken = known.latest.queued_tasks + known.sent_since;
+    if (known.latest.draining || known.latest.revision == 0 ||
+        known.latest.free_slots <= taken || !HasSession(node.sessions, peer))
+      continue;
+    rooms.push_back({peer, known.member.zone, known.latest.free_slots - taken});
+  }
+  std::sort(rooms.begin(), rooms.end(), [&node](const Room& a, const Room& b) {
+    const bool a_near = a.zone == node.settings.zone;
+    const bool b_near = b.zone == node.settings.zone;
+    if (a_near != b_near)
+      return a_near;
+    return a.slots != b.slots ? a.slots > b.slots : a.peer < b.peer;
+  });
+  return rooms;
+}
+
+/** Chooses tasks of own submissions that a peer is to start. */
+std::vector<TaskKey> ChooseForPeer(const Node& node, const Room& room) {
+  std::vector<TaskKey> chosen;
+  for (const CustomerId& id : ServingOrder(node.dispatch.queue)) {
+    const PlanLimits* limits = FindLimits(node.configuration, id);
+    if (limits == nullptr)
+      continue;
+    for (const auto& [rank, task] :
+         node.dispatch.queue.customers.at(id).tasks) {
+      if (chosen.size() >= room.slots)
+        return chosen;
+      if (task.home == node.settings.self &&
+          ZoneFits(node, room.zone, *limits, task.task))
+        chosen.push_back(KeyOf(task));
+    }
+  }
+  return chosen;
+}
+
+TaskAssignment AssignmentFor(const QueuedTask& task, Millis now) {
+  TaskAssignment assignment;
+  assignment.submission = task.submission;
+  assignment.customer = task.customer;
+  assignment.task = task.task;
+  assignment.first_attempt = task.next_attempt;
+  assignment.time_left = task.deadline - now;
+  assignment.remaining_work = task.remaining_work;
+  return assignment;
+}
+
+/** Sends tasks to a peer in one message and notes that it holds them. */
+void SendBatch(Node& node,
+               Millis now,
+               const Room& room,
+               const std::vector<TaskKey>& keys,
+               Actions& actions) {
+  TaskBatch batch;
+  std::vector<QueuedTask> taken;
+  for (const TaskKey& key : keys) {
+    taken.push_back(*Remove(node.dispatch.queue, key));
+    batch.tasks.push_back(AssignmentFor(taken.back(), now));
+  }
+  if (!Send(node.sessions, room.peer, std::move(batch), node.settings.sessions,
+            now, actions)) {
+    for (QueuedTask& task : taken)
+      Push(node.dispatch.queue, std::move(task));
+    return;
+  }
+  for (const QueuedTask& task : taken) {
+    SubmissionRecord* record =
+        FindRecord(node.ledger, KeyOf(task.customer, task.submission));
+    TaskRecord& entry = record->tasks[record->task_index.at(task.task.id)];
+    entry.holder = room.peer;
+    entry.first_attempt = task.next_attempt;
+    record->waste.Add(task.waste);
+  }
+  ++node.counters.task_batches;
+  node.counters.tasks_forwarded += taken.size();
+  node.membership.daemons.at(room.peer.id).sent_since +=
+      static_cast<uint32_t>(taken.size());
+}
+
+void PassOn(Node& node, Millis now, Actions& actions) {
+  if (SizeOf(node.dispatch.queue) == 0)
+    return;
+  for (const Room& room : FindRoom(node, now)) {
+    const std::vector<TaskKey> keys = ChooseForPeer(node, room);
+    if (!keys.empty())
+      SendBatch(node, now, room, keys, actions);
+  }
+}
+
+/** Takes a start that certainly did not run: tries again, or reports it. */
+void TakeNotStarted(Node& node, Millis now, QueuedTask task, Actions& actions) {
+  const uint32_t tries = task.next_attempt.value - task.first_attempt.value;
+  if (tries >= node.settings.max_tries) {
+    Report(node, now, task,
+           ReportFor(task, ResultCode::kNoEndpointReached,
+                     StartState::kNotStarted),
+           actions);
+    return;
+  }
+  Push(node.dispatch.queue, std::move(task));
+}
+
+void TakeRun(Node& node,
+             Millis now,
+             const RunningTask& running,
+             const EndpointEvent& event,
+             PooledEndpoint* endpoint,
+             Actions& actions) {
+  const bool succeeded = event.kind == EndpointEventKind::kSucceeded;
+  const Millis run_time = now - running.started_at;
+  if (endpoint != nullptr && succeeded) {
+    LearnRun(node.dispatch.run_times, running.task.customer,
+             running.task.task.kind, run_time, endpoint->slowness);
+    NoteSuccess(*endpoint, run_time, running.task.expected_run_time);
+  } else if (endpoint != nullptr) {
+    NoteFailure(node.dispatch.pool, *endpoint, node.settings.ejection, now);
+  }
+  TaskReport report = ReportFor(
+      running.task, succeeded ? ResultCode::kOk : ResultCode::kTaskFailed,
+      StartState::kStarted);
+  report.outcome.endpoint = running.endpoint;
+  report.outcome.run_time = run_time;
+  if (succeeded)
+    report.outcome.output = event.output;
+  Report(node, now, running.task, report, actions);
+}
+
+/** True when the answer is to the start whose lease it came back on. */
+bool MatchesStart(const RunningTask& running, const EndpointEvent& event) {
+  const bool has_echo = event.kind == EndpointEventKind::kSucceeded ||
+                        event.kind == EndpointEventKind::kFailed;
+  if (!has_echo)
+    return running.endpoint == event.endpoint;
+  return running.endpoint == event.endpoint &&
+         running.task.task.id == event.task &&
+         running.attempt == event.attempt;
+}
+
+PooledEndpoint* FindPooled(Node& node, const EndpointId& id) {
+  const auto found = node.dispatch.pool.endpoints.find(id);
+  return found == node.dispatch.pool.endpoints.end() ? nullptr
+                                                     : &found->second;
+}
+
+}  // namespace
+
+void Pump(Node& node, Millis now, Actions& actions) {
+  if (node.is_pumping)
+    return;
+  node.is_pumping = true;
+  while (StartNext(node, now, actions)) {
+  }
+  PassOn(node, now, actions);
+  node.is_pumping = false;
+}
+
+Withdrawal Withdraw(Node& node, const TaskKey& key, Actions& actions) {
+  if (Remove(node.dispatch.queue, key))
+    return Withdrawal::kFromQueue;
+  const auto indexed = node.dispatch.running_index.find(key);
+  if (indexed == node.dispatch.running_index.end())
+    return Withdrawal::kNotHere;
+  RunningTask& running = node.dispatch.running.at(indexed->second);
+  if (running.is_unwanted)
+    return Withdrawal::kNotHere;
+  running.is_unwanted = true;
+  ++node.counters.waste.stops;
+  actions.push_back(StopTask{running.endpoint, running.task.submission,
+                             running.task.task.id, running.attempt,
+                             indexed->second});
+  return Withdrawal::kStopped;
+}
+
+void TakeBatch(Node& node,
+               Millis now,
+               const DaemonRef& home,
+               const TaskBatch& batch,
+               Actions& actions) {
+  for (const TaskAssignment& assignment : batch.tasks) {
+    QueuedTask task;
+    task.submission = assignment.submission;
+    task.customer = assignment.customer;
+    task.task = assignment.task;
+    task.home = home;
+    task.first_attempt = assignment.first_attempt;
+    task.next_attempt = assignment.first_attempt;
+    task.deadline = now + assignment.time_left;
+    task.remaining_work = assignment.remaining_work;
+    task.expected_run_time = ExpectedRunTime(
+        node.dispatch.run_times, assignment.customer, assignment.task);
+    task.queued_at = now;
+    const JobAtHome job = JobOf(task);
+    // The same task is only assigned again once it was reported.
+    if (node.dispatch.running_index.count(KeyOf(task)) == 0 &&
+        Push(node.dispatch.queue, std::move(task)))
+      ++node.dispatch.shares[job].open_tasks;
+  }
+  if (node.drain.phase != DrainPhase::kServing)
+    ReturnQueuedTasks(node, now, actions);
+  Pump(node, now, actions);
+}
+
+void TakeCancels(Node& node,
+                 Millis now,
+                 const DaemonRef& home,
+                 const TaskCancels& cancels,
+                 Actions& actions) {
+  const SubmissionKey submission = KeyOf(cancels.customer, cancels.submission);
+  for (const TaskId& task : cancels.tasks) {
+    const Withdrawal withdrawal = Withdraw(node, {submission, task}, actions);
+    if (withdrawal == Withdrawal::kFromQueue)
+      CloseShare(node, now, {home, submission}, nullptr, actions);
+  }
+  Pump(node, now, actions);
+}
+
+void TakeEndpointEvent(Node& node,
+                       Millis now,
+                       const EndpointEvent& event,
+                       Actions& actions) {
+  const auto found = node.dispatch.running.find(event.lease);
+  if (found == node.dispatch.running.end() ||
+      !MatchesStart(found->second, event)) {
+    ++node.counters.unmatched_endpoint_answers;
+    ++node.counters.waste.dropped_answers;
+    return;
+  }
+  if (event.leaving)
+    MarkLeaving(node.membership, event.endpoint);
+  RunningTask running = TakeRunning(node.dispatch, event.lease);
+  PooledEndpoint* endpoint = FindPooled(node, running.endpoint);
+  if (endpoint != nullptr && event.leaving)
+    endpoint->member.leaving = true;
+  if (running.is_unwanted) {
+    ++node.counters.waste.dropped_answers;
+    CloseShare(node, now, JobOf(running.task), nullptr, actions);
+    Pump(node, now, actions);
+    return;
+  }
+  switch (event.kind) {
+    case EndpointEventKind::kSucceeded:
+    case EndpointEventKind::kFailed:
+      TakeRun(node, now, running, event, endpoint, actions);
+      break;
+    case EndpointEventKind::kRefused:
+    case EndpointEventKind::kNotConnected: {
+      const bool refused = event.kind == EndpointEventKind::kRefused;
+      uint32_t& own = refused ? running.task.waste.refused_starts
+                              : running.task.waste.failed_connections;
+      uint32_t& all = refused ? node.counters.waste.refused_starts
+                              : node.counters.waste.failed_connections;
+      ++own;
+      ++all;
+      if (endpoint != nullptr)
+        NoteFailure(node.dispatch.pool, *endpoint, node.settings.ejection, now);
+      TakeNotStarted(node, now, std::move(running.task), actions);
+      break;
+    }
+    case EndpointEventKind::kLost:
+      if (endpoint != nullptr)
+        NoteFailure(node.dispatch.pool, *endpoint, node.settings.ejection, now);
+      Report(node, now, running.task,
+             ReportFor(running.task, ResultCode::kEndpointLost,
+                       StartState::kMayHaveStarted),
+             actions);
+      break;
+  }
+  Pump(node, now, actions);
+}
+
+void ExpireLeases(Node& node, Millis now, Actions& actions) {
+  std::vector<LeaseId> expired;
+  for (const auto& [lease, running] : node.dispatch.running) {
+    if (running.lease_until <= now)
+      expired.push_back(lease);
+  }
+  for (const LeaseId& lease : expired) {
+    const RunningTask running = TakeRunning(node.dispatch, lease);
+    PooledEndpoint* endpoint = FindPooled(node, running.endpoint);
+    if (endpoint != nullptr)
+      NoteFailure(node.dispatch.pool, *endpoint, node.settings.ejection, now);
+    if (running.is_unwanted) {
+      CloseShare(node, now, JobOf(running.task), nullptr, actions);
+      continue;
+    }
+    ++node.counters.waste.stops;
+    actions.push_back(StopTask{running.endpoint, running.task.submission,
+                               running.task.task.id, running.attempt, lease});
+    TaskReport report = ReportFor(running.task, ResultCode::kLeaseExpired,
+                                  StartState::kMayHaveStarted);
+    ++report.waste.stops;
+    Report(node, now, running.task, report, actions);
+  }
+}
+
+void ReturnQueuedTasks(Node& node, Millis now, Actions& actions) {
+  std::vector<TaskKey> foreign;
+  for (const auto& [id, customer] : node.dispatch.queue.customers) {
+    for (const auto& [rank, task] : customer.tasks) {
+      if (task.home != node.settings.self)
+        foreign.push_back(KeyOf(task));
+    }
+  }
+  for (const TaskKey& key : foreign) {
+    QueuedTask task = *Remove(node.dispatch.queue, key);
+    ++task.waste.bounced_forwards;
+    ++node.counters.waste.bounced_forwards;
+    Report(node, now, task,
+           ReportFor(task, ResultCode::kDraining, StartState::kNotStarted),
+           actions);
+  }
+}
+
+void DropTasksOf(Node& node, const DaemonRef& ended, Actions& actions) {
+  std::vector<TaskKey> dropped;
+  for (const auto& [id, customer] : node.dispatch.queue.customers) {
+    for (const auto& [rank, task] : customer.tasks) {
+      if (task.home == ended)
+        dropped.push_back(KeyOf(task));
+    }
+  }
+  for (const auto& [lease, running] : node.dispatch.running) {
+    if (running.task.home == ended)
+      dropped.push_back(KeyOf(running.task));
+  }
+  for (const TaskKey& key : dropped)
+    Withdraw(node, key, actions);
+  for (auto share = node.dispatch.shares.begin();
+       share != node.dispatch.shares.end();) {
+    share = share->first.first == ended ? node.dispatch.shares.erase(share)
+                                        : std::next(share);
+  }
+}
+
+void UpdateOwnedEndpoints(Node& node, Millis now) {
+  const bool draining = node.drain.phase != DrainPhase::kServing;
+  SetOwned(node.dispatch.pool,
+           OwnedEndpoints(node.membership, draining, node.settings.membership,
+                          now));
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/node/store_flow.cc
@@ -0,0 +1,192 @@
+#include "core/node/store_flow.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/configuration_text.h"
+#include "core/claims/ownership.h"
+#include "core/node/home_flow.h"
+#include "core/node/node_events.h"
+#include "core/node/peer_flow.h"
+#include "core/node/scheduler_flow.h"
+#include "core/routing/rendezvous.h"
+#include "records/stop_note.h"
+
+namespace dogwoodfall {
+namespace {
+
+void Call(Node& node,
+          StoreCallKind kind,
+          WantedCall wanted,
+          const DaemonRef& home,
+          Actions& actions) {
+  const StoreToken token(++node.last_store_token);
+  node.store_calls[token] = {kind, node.claims.store_revision, home};
+  actions.push_back(
+      CallStore{token, wanted.purpose, std::move(wanted.request)});
+}
+
+/** The daemons that may own slots, this one included. */
+std::vector<Candidate> SlotOwners(const Node& node, Millis now) {
+  std::vector<Candidate> candidates;
+  if (node.drain.phase == DrainPhase::kServing)
+    candidates.push_back({node.settings.self.id, node.membership.own_weight});
+  for (const DaemonRef& peer :
+       ReachablePeers(node.membership, node.settings.membership, now)) {
+    const KnownDaemon& known = node.membership.daemons.at(peer.id);
+    if (known.latest.can_claim && !known.latest.draining)
+      candidates.push_back({peer.id, known.member.weight});
+  }
+  return candidates;
+}
+
+OwnershipView ViewOf(const Node& node, Millis now) {
+  OwnershipView view;
+  view.is_gone = [&node, now](const DaemonRef& daemon) {
+    return IsGone(node.membership, daemon, node.settings.membership, now);
+  };
+  view.preferred_owner = [&node, candidates = SlotOwners(node, now)](
+                             uint32_t slot) {
+    if (candidates.empty())
+      return node.settings.self.id;
+    return ChooseByRendezvous(candidates, "slot" + std::to_string(slot)).id;
+  };
+  view.releasing_all = node.drain.phase == DrainPhase::kLeavingNotes;
+  return view;
+}
+
+void TakeConfigurationReply(Node& node,
+                            Millis now,
+                            const StoreReply& reply,
+                            Actions& actions) {
+  node.configuration_call_out = false;
+  if (reply.outcome != StoreOutcome::kDone || reply.items.empty())
+    return;
+  TakeConfiguration(node, reply.items.front().value, actions);
+  Pump(node, now, actions);
+}
+
+void TakeStopNote(Node& node, const DaemonRef& home, const StoreReply& reply) {
+  if (reply.outcome != StoreOutcome::kDone)
+    return;
+  if (reply.items.empty()) {
+    node.without_note.insert(home);
+    return;
+  }
+  const Result<StopNote> note = DecodeStopNote(reply.items.front().value);
+  if (note.ok())
+    node.successors[home] = note.value().successor;
+  else
+    node.without_note.insert(home);
+}
+
+void TakeReply(Node& node,
+               Millis now,
+               const OpenStoreCall& call,
+               const StoreReply& reply,
+               Actions& actions) {
+  switch (call.kind) {
+    case StoreCallKind::kConfiguration:
+      TakeConfigurationReply(node, now, reply, actions);
+      return;
+    case StoreCallKind::kJournal: {
+      const ClaimResults results =
+          TakeJournalReply(node.claims, reply, node.settings.claims, now);
+      TakeClaimed(node, now, results.claimed, actions);
+      GiveUpClaims(node, now, results.undecided, actions);
+      return;
+    }
+    case StoreCallKind::kOwnership:
+      node.ownership_call_out = false;
+      TakeOwnershipReply(node.claims, reply, ViewOf(node, now),
+                         node.settings.claims, now);
+      node.ledger.chosen_floor =
+          std::max(node.ledger.chosen_floor, node.claims.floor);
+      return;
+    case StoreCallKind::kReadStopNote:
+      TakeStopNote(node, call.home, reply);
+      return;
+    case StoreCallKind::kWriteStopNote:
+      node.drain.note_written = reply.outcome == StoreOutcome::kDone;
+      return;
+  }
+}
+
+/** Says loudly, once, that the store went back in time. */
+void LogRestored(Node& node,
+                 const StoreReply& reply,
+                 bool was_restored,
+                 Actions& actions) {
+  if (was_restored || !node.claims.store_restored)
+    return;
+  LogEvent event;
+  event.name = "store_restored_to_older_state";
+  event.fields = {
+      {"revision", std::to_string(reply.revision)},
+      {"revision_seen", std::to_string(node.claims.store_revision)}};
+  actions.push_back(std::move(event));
+}
+
+}  // namespace
+
+void MakeStoreCalls(Node& node, Millis now, Actions& actions) {
+  if (!node.configuration_call_out && now >= node.next_configuration_read) {
+    node.configuration_call_out = true;
+    node.next_configuration_read = now + node.settings.configuration_period;
+    Call(node, StoreCallKind::kConfiguration,
+         {StorePurpose::kConfiguration, StoreRead{kConfigurationKey, false}},
+         {}, actions);
+  }
+  std::optional<WantedCall> journal =
+      NextJournalCall(node.claims, node.settings.claims, now);
+  if (journal)
+    Call(node, StoreCallKind::kJournal, std::move(*journal), {}, actions);
+  if (!node.ownership_call_out) {
+    std::optional<WantedCall> ownership =
+        NextOwnershipCall(node.claims, node.settings.claims, now);
+    if (ownership) {
+      node.ownership_call_out = true;
+      Call(node, StoreCallKind::kOwnership, std::move(*ownership), {}, actions);
+    }
+  }
+}
+
+void ReadWantedNotes(Node& node, Actions& actions) {
+  for (const DaemonRef& home : node.notes_wanted) {
+    Call(node, StoreCallKind::kReadStopNote,
+         {StorePurpose::kStopNote, StoreRead{StopNoteKey(home), false}}, home,
+         actions);
+  }
+  node.notes_wanted.clear();
+}
+
+void WriteStopNote(Node& node, Actions& actions) {
+  StoreTransaction transaction;
+  const std::string text = Encode(StopNote{node.drain.successor});
+  transaction.puts.push_back({StopNoteKey(node.settings.self), text});
+  for (const DaemonRef& home : node.ledger.adopted_homes)
+    transaction.puts.push_back({StopNoteKey(home), text});
+  Call(node, StoreCallKind::kWriteStopNote,
+       {StorePurpose::kStopNote, std::move(transaction)}, {}, actions);
+}
+
+void OnStoreReply(Node& node,
+                  Millis now,
+                  StoreToken token,
+                  const StoreReply& reply,
+                  Actions& actions) {
+  const auto found = node.store_calls.find(token);
+  if (found == node.store_calls.end())
+    return;
+  const OpenStoreCall call = found->second;
+  node.store_calls.erase(found);
+  const bool was_restored = node.claims.store_restored;
+  if (reply.outcome != StoreOutcome::kUnknown)
+    NoteStoreRevision(node.claims, reply.revision, call.known_revision);
+  LogRestored(node, reply, was_restored, actions);
+  TakeReply(node, now, call, reply, actions);
+  MakeStoreCalls(node, now, actions);
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/peers/peer_session.cc
@@ -0,0 +1,112 @@
+#include "core/peers/peer_session.h"
+
+#include <utility>
+
+namespace dogwoodfall {
+namespace {
+
+PeerFrame FrameFor(const PeerSessions& sessions, PeerSession& session) {
+  PeerFrame frame;
+  frame.from = sessions.self;
+  frame.to = session.peer;
+  frame.acknowledged = session.received_up_to;
+  session.acknowledgement_due = false;
+  return frame;
+}
+
+void SendAgain(PeerSessions& sessions,
+               PeerSession& session,
+               const SessionLimits& limits,
+               Millis now,
+               Actions& actions) {
+  size_t count = 0;
+  for (const UnacknowledgedMessage& waiting : session.unacknowledged) {
+    if (++count > limits.resend_batch)
+      break;
+    PeerFrame frame = FrameFor(sessions, session);
+    frame.sequence = waiting.sequence;
+    frame.message = waiting.message;
+    actions.push_back(SendFrame{std::move(frame)});
+    ++sessions.repeats;
+  }
+  session.sent_at = now;
+}
+
+}  // namespace
+
+void StartSession(PeerSessions& sessions, const DaemonRef& peer) {
+  PeerSession session;
+  session.peer = peer;
+  sessions.sessions[peer.id] = std::move(session);
+}
+
+bool HasSession(const PeerSessions& sessions, const DaemonRef& peer) {
+  const auto found = sessions.sessions.find(peer.id);
+  return found != sessions.sessions.end() && found->second.peer == peer;
+}
+
+bool Send(PeerSessions& sessions,
+          const DaemonRef& peer,
+          PeerMessage message,
+          const SessionLimits& limits,
+          Millis now,
+          Actions& actions) {
+  if (!HasSession(sessions, peer))
+    return false;
+  PeerSession& session = sessions.sessions.at(peer.id);
+  if (session.unacknowledged.size() >= limits.max_unacknowledged)
+    return false;
+  if (session.unacknowledged.empty())
+    session.sent_at = now;
+  ++session.last_sent;
+  PeerFrame frame = FrameFor(sessions, session);
+  frame.sequence = session.last_sent;
+  frame.message = message;
+  session.unacknowledged.push_back({session.last_sent, std::move(message)});
+  actions.push_back(SendFrame{std::move(frame)});
+  return true;
+}
+
+std::optional<PeerMessage> Receive(PeerSessions& sessions,
+                                   const PeerFrame& frame,
+                                   Millis now) {
+  if (frame.to != sessions.self || !HasSession(sessions, frame.from)) {
+    ++sessions.foreign;
+    return std::nullopt;
+  }
+  PeerSession& session = sessions.sessions.at(frame.from.id);
+  if (frame.acknowledged > session.last_sent) {
+    ++sessions.foreign;
+    return std::nullopt;
+  }
+  while (!session.unacknowledged.empty() &&
+         session.unacknowledged.front().sequence <= frame.acknowledged) {
+    session.unacknowledged.pop_front();
+    session.sent_at = now;
+  }
+  if (frame.sequence == 0 || !frame.message)
+    return std::nullopt;
+  session.acknowledgement_due = true;
+  if (frame.sequence != session.received_up_to + 1) {
+    sessions.duplicates += frame.sequence <= session.received_up_to ? 1 : 0;
+    return std::nullopt;
+  }
+  session.received_up_to = frame.sequence;
+  return frame.message;
+}
+
+void SendDue(PeerSessions& sessions,
+             const SessionLimits& limits,
+             Millis now,
+             Actions& actions) {
+  for (auto& [id, session] : sessions.sessions) {
+    const bool resend = !session.unacknowledged.empty() &&
+                        now - session.sent_at >= limits.resend_after;
+    if (resend)
+      SendAgain(sessions, session, limits, now, actions);
+    else if (session.acknowledgement_due)
+      actions.push_back(SendFrame{FrameFor(sessions, session)});
+  }
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/model/daemon_member.h
@@ -0,0 +1,27 @@
+#ifndef DOGWOODFALL_MODULES_MODEL_DAEMON_MEMBER_H_
+#define DOGWOODFALL_MODULES_MODEL_DAEMON_MEMBER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+
+namespace dogwoodfall {
+
+/** A daemon as the platform's list shows it. */
+struct DaemonMember {
+  DaemonId id;
+  ZoneId zone;
+  /** IP number of the instance. */
+  std::string ip;
+  uint16_t peer_tcp_port = 0;
+  uint16_t peer_udp_port = 0;
+  /** Share of work relative to other daemons, from the instance's size. */
+  uint32_t weight = 1;
+  /** True when the platform is about to take it away. */
+  bool leaving = false;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_MODEL_DAEMON_MEMBER_H_
--- /dev/null
+++ b/modules/model/endpoint_member.h
@@ -0,0 +1,29 @@
+#ifndef DOGWOODFALL_MODULES_MODEL_ENDPOINT_MEMBER_H_
+#define DOGWOODFALL_MODULES_MODEL_ENDPOINT_MEMBER_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/ids.h"
+
+namespace dogwoodfall {
+
+/** An endpoint as the platform's list shows it. */
+struct EndpointMember {
+  EndpointId id;
+  ZoneId zone;
+  RackId rack;
+  /** IP number of the endpoint. */
+  std::string ip;
+  uint16_t port = 0;
+  /** Tasks it runs at the same time. */
+  uint32_t slots = 8;
+  /** Memory of the endpoint, in MB. */
+  int64_t memory_mb = 0;
+  /** True when it is about to leave and gets no more work. */
+  bool leaving = false;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_MODEL_ENDPOINT_MEMBER_H_
--- /dev/null
+++ b/modules/model/peer_frame.h
@@ -0,0 +1,30 @@
+#ifndef DOGWOODFALL_MODULES_MODEL_PEER_FRAME_H_
+#define DOGWOODFALL_MODULES_MODEL_PEER_FRAME_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "base/ids.h"
+#include "model/daemon_ref.h"
+#include "model/peer_message.h"
+
+namespace dogwoodfall {
+
+/** A message between two process lives, with what makes its delivery happen
+ * exactly once while both live.
+ *
+ * @see core/peers/peer_session.h
+ */
+struct PeerFrame {
+  DaemonRef from;
+  DaemonRef to;
+  /** Number of the message, counting upwards from 1; 0 when there is none. */
+  uint64_t sequence = 0;
+  /** Highest number up to which the sender has received everything. */
+  uint64_t acknowledged = 0;
+  std::optional<PeerMessage> message;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_MODEL_PEER_FRAME_H_
--- /dev/null
+++ b/modules/model/peer_message.h
@@ -0,0 +1,134 @@
+#ifndef DOGWOODFALL_MODULES_MODEL_PEER_MESSAGE_H_
+#define DOGWOODFALL_MODULES_MODEL_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "model/answer.h"
+#include "model/daemon_ref.h"
+#include "model/submission.h"
+#include "model/task_assignment.h"
+#include "model/task_report.h"
+
+namespace dogwoodfall {
+
+/** A caller's submission, passed on to the home of its id. */
+struct SubmitForward {
+  ForwardId forward;
+  Submission submission;
+  /** For a chosen id whose claim is written: the process life that claimed it
+   * and alone may start it; none otherwise.
+   */
+  DaemonRef claimant;
+  /** Daemons that have passed it on so far. */
+  uint32_t hops = 0;
+};
+
+/** A caller's question for the state of a submission. */
+struct StatusForward {
+  ForwardId forward;
+  CustomerId customer;
+  SubmissionId submission;
+  /** How long to wait for the end before answering. */
+  Millis wait;
+  /** @see SubmitForward::claimant */
+  DaemonRef claimant;
+  uint32_t hops = 0;
+};
+
+/** A caller's wish to cancel a submission. */
+struct CancelForward {
+  ForwardId forward;
+  CustomerId customer;
+  SubmissionId submission;
+  /** @see SubmitForward::claimant */
+  DaemonRef claimant;
+  uint32_t hops = 0;
+};
+
+/** Answer to a forwarded request. */
+struct ForwardAnswer {
+  ForwardId forward;
+  Answer answer;
+};
+
+/** Tasks for the receiver to start, in one message per job. */
+struct TaskBatch {
+  std::vector<TaskAssignment> tasks;
+};
+
+/** What became of tasks of one home, in one message. */
+struct TaskReports {
+  std::vector<TaskReport> reports;
+};
+
+/** Tasks of one submission that are no longer wanted. */
+struct TaskCancels {
+  CustomerId customer;
+  SubmissionId submission;
+  std::vector<TaskId> tasks;
+};
+
+/** A submission that ended, as it is handed to a successor. */
+struct KnownSubmission {
+  SubmissionId id;
+  CustomerId customer;
+  uint64_t fingerprint = 0;
+  Answer answer;
+};
+
+/** Submissions that the sender, which is stopping, hands to the receiver. */
+struct LedgerHandover {
+  /** Whose submissions these were. */
+  DaemonRef home;
+  /** Ids of the home minted before this time are not known any more. */
+  Millis floor;
+  /** Chosen ids with a time below this one are not known any more. */
+  Millis chosen_floor;
+  std::vector<KnownSubmission> submissions;
+  /** True in the last message for this home. */
+  bool last = false;
+};
+
+/** The receiver has taken over the submissions of a home. */
+struct LedgerHandoverTaken {
+  DaemonRef home;
+};
+
+/** Submissions of a home that ended are known by a successor. */
+struct HomeNotice {
+  DaemonRef home;
+  DaemonRef successor;
+};
+
+/** Asks for the lists in force at the receiver. */
+struct ConfigurationRequest {
+  uint64_t revision_known = 0;
+};
+
+/** The lists in force at the sender, as they stand in the store. */
+struct ConfigurationNotice {
+  std::string text;
+};
+
+/** Everything that daemons send each other over TCP. */
+using PeerMessage = std::variant<SubmitForward,
+                                 StatusForward,
+                                 CancelForward,
+                                 ForwardAnswer,
+                                 TaskBatch,
+                                 TaskReports,
+                                 TaskCancels,
+                                 LedgerHandover,
+                                 LedgerHandoverTaken,
+                                 HomeNotice,
+                                 ConfigurationRequest,
+                                 ConfigurationNotice>;
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_MODEL_PEER_MESSAGE_H_
--- /dev/null
+++ b/modules/model/waste.h
@@ -0,0 +1,39 @@
+#ifndef DOGWOODFALL_MODULES_MODEL_WASTE_H_
+#define DOGWOODFALL_MODULES_MODEL_WASTE_H_
+
+#include <cstdint>
+
+namespace dogwoodfall {
+
+/** Messages to endpoints, peers or the store that led to nothing the caller
+ * got, by cause.
+ */
+struct Waste {
+  uint32_t refused_starts = 0;
+  uint32_t failed_connections = 0;
+  uint32_t bounced_forwards = 0;
+  uint32_t repeats = 0;
+  uint32_t dropped_answers = 0;
+  uint32_t stops = 0;
+
+  /** Sum over all causes. */
+  uint32_t Total() const {
+    return this->refused_starts + this->failed_connections +
+           this->bounced_forwards + this->repeats + this->dropped_answers +
+           this->stops;
+  }
+
+  /** Adds another count to this one. */
+  void Add(const Waste& other) {
+    this->refused_starts += other.refused_starts;
+    this->failed_connections += other.failed_connections;
+    this->bounced_forwards += other.bounced_forwards;
+    this->repeats += other.repeats;
+    this->dropped_answers += other.dropped_answers;
+    this->stops += other.stops;
+  }
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_MODEL_WASTE_H_
--- /dev/null
+++ b/modules/records/records.cc
@@ -0,0 +1,143 @@
+#include "records/records.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+namespace dogwoodfall {
+namespace {
+
+using Json = nlohmann::json;
+
+Json ToJson(const DaemonRef& daemon) {
+  return {{"daemon", daemon.id.value},
+          {"incarnation", daemon.incarnation.value}};
+}
+
+DaemonRef DaemonRefFrom(const Json& json) {
+  return {DaemonId(json.at("daemon").get<std::string>()),
+          Incarnation(json.at("incarnation").get<uint64_t>())};
+}
+
+Json ToJson(const JournalRef& journal) {
+  Json json = ToJson(journal.daemon);
+  json["generation"] = journal.generation;
+  return json;
+}
+
+JournalRef JournalRefFrom(const Json& json) {
+  return {DaemonRefFrom(json), json.at("generation").get<uint64_t>()};
+}
+
+Json ToJson(const SlotEntry& slot) {
+  Json json = {{"owner", ToJson(slot.owner)}, {"former", Json::array()}};
+  for (const FormerOwner& former : slot.former) {
+    json["former"].push_back({{"journal", ToJson(former.journal)},
+                              {"newest_ms", former.newest.count}});
+  }
+  return json;
+}
+
+SlotEntry SlotEntryFrom(const Json& json) {
+  SlotEntry slot;
+  slot.owner = JournalRefFrom(json.at("owner"));
+  for (const Json& former : json.at("former")) {
+    slot.former.push_back({JournalRefFrom(former.at("journal")),
+                           {former.at("newest_ms").get<int64_t>()}});
+  }
+  return slot;
+}
+
+/** Parses a text and builds a value from it, with errors as results. */
+template <typename Value, typename Build>
+Result<Value> Decode(const std::string& text, const char* what, Build build) {
+  const Json json = Json::parse(text, nullptr, false);
+  try {
+    return Result<Value>(build(json));
+  } catch (const Json::exception& exception) {
+    return Error{ResultCode::kInternal,
+                 std::string(what) + ": " + exception.what()};
+  }
+}
+
+}  // namespace
+
+bool IsNone(const JournalRef& journal) {
+  return journal.daemon.id.value.empty();
+}
+
+std::string JournalPrefix(const JournalRef& journal) {
+  return "dogwoodfall/journal/" + journal.daemon.id.value + "/" +
+         std::to_string(journal.daemon.incarnation.value) + "-" +
+         std::to_string(journal.generation) + "/";
+}
+
+std::string JournalHeadKey(const JournalRef& journal) {
+  return JournalPrefix(journal) + "head";
+}
+
+std::string JournalSegmentKey(const JournalRef& journal, uint64_t number) {
+  return JournalPrefix(journal) + "segment/" + std::to_string(number);
+}
+
+std::string Encode(const JournalHead& head) {
+  return Json{{"sealed", head.sealed}, {"floor_ms", head.floor.count}}.dump();
+}
+
+Result<JournalHead> DecodeJournalHead(const std::string& text) {
+  return Decode<JournalHead>(text, "journal head", [](const Json& json) {
+    return JournalHead{json.at("sealed").get<bool>(),
+                       {json.at("floor_ms").get<int64_t>()}};
+  });
+}
+
+std::string Encode(const JournalSegment& segment) {
+  Json claims = Json::array();
+  for (const Claim& claim : segment.claims)
+    claims.push_back({claim.key, claim.stamp.count});
+  return claims.dump();
+}
+
+Result<JournalSegment> DecodeJournalSegment(const std::string& text) {
+  return Decode<JournalSegment>(text, "journal segment", [](const Json& json) {
+    JournalSegment segment;
+    for (const Json& claim : json) {
+      segment.claims.push_back(
+          {claim.at(0).get<std::string>(), {claim.at(1).get<int64_t>()}});
+    }
+    return segment;
+  });
+}
+
+std::string Encode(const SlotTable& table) {
+  Json slots = Json::array();
+  for (const SlotEntry& slot : table.slots)
+    slots.push_back(ToJson(slot));
+  return Json{{"floor_ms", table.floor.count}, {"slots", slots}}.dump();
+}
+
+Result<SlotTable> DecodeSlotTable(const std::string& text) {
+  return Decode<SlotTable>(text, "slot table", [](const Json& json) {
+    SlotTable table;
+    table.floor = {json.at("floor_ms").get<int64_t>()};
+    for (const Json& slot : json.at("slots"))
+      table.slots.push_back(SlotEntryFrom(slot));
+    return table;
+  });
+}
+
+std::string StopNoteKey(const DaemonRef& stopped) {
+  return "dogwoodfall/stopped/" + stopped.id.value + "/" +
+         std::to_string(stopped.incarnation.value);
+}
+
+std::string Encode(const StopNote& note) {
+  return ToJson(note.successor).dump();
+}
+
+Result<StopNote> DecodeStopNote(const std::string& text) {
+  return Decode<StopNote>(text, "stop note", [](const Json& json) {
+    return StopNote{DaemonRefFrom(json)};
+  });
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/records/stop_note.h
@@ -0,0 +1,27 @@
+#ifndef DOGWOODFALL_MODULES_RECORDS_STOP_NOTE_H_
+#define DOGWOODFALL_MODULES_RECORDS_STOP_NOTE_H_
+
+#include <string>
+
+#include "base/result.h"
+#include "model/daemon_ref.h"
+
+namespace dogwoodfall {
+
+/** Left by a daemon that stopped: who knows its submissions now. */
+struct StopNote {
+  DaemonRef successor;
+};
+
+/** Key of the note of a process life. */
+std::string StopNoteKey(const DaemonRef& stopped);
+
+/** The text of a note. */
+std::string Encode(const StopNote& note);
+
+/** Reads a note; fails with kInternal. */
+Result<StopNote> DecodeStopNote(const std::string& text);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_RECORDS_STOP_NOTE_H_
