--- /dev/null
+++ b/apps/ctl/daemon_commands.cc
@@ -0,0 +1,62 @@
+#include <iostream>
+#include <string>
+
+#include "ctl/blocking_calls.h"
+#include "ctl/commands.h"
+#include "ctl/exit_code.h"
+
+namespace dogwoodfall {
+namespace {
+
+namespace options = boost::program_options;
+using Values = options::variables_map;
+
+constexpr Millis kTimeout{5'000};
+constexpr int kStatusOk = 200;
+
+Command DaemonCommand(const std::string& name,
+                      const std::string& summary,
+                      const std::string& method,
+                      const std::string& path) {
+  Command command{name, summary, options::options_description("options"), {}};
+  command.options.add_options()("help", "show this text")(
+      "format", options::value<std::string>()->default_value("json"),
+      "json or table")("daemon", options::value<std::string>()->required(),
+                       "IP:PORT of an operators' listener")(
+      "module", options::value<std::string>()->default_value(""),
+      "only this part of the state");
+  command.run = [method, path](const Values& values) {
+    const Result<HttpAddress> address =
+        ParseAddress(values["daemon"].as<std::string>());
+    if (!address.ok()) {
+      std::cerr << address.error().detail << "\n";
+      return static_cast<int>(kExitUsage);
+    }
+    const std::string module = values["module"].as<std::string>();
+    const HttpAnswer answer =
+        CallHttp(address.value(), method,
+                 module.empty() ? path : path + "/" + module, "", kTimeout);
+    if (answer.outcome != HttpOutcome::kAnswered) {
+      std::cerr << "the daemon can't be reached\n";
+      return static_cast<int>(kExitUnreachable);
+    }
+    PrintJson(answer.body, values["format"].as<std::string>());
+    return static_cast<int>(answer.status == kStatusOk ? kExitOk
+                                                       : kExitNotDone);
+  };
+  return command;
+}
+
+}  // namespace
+
+std::vector<Command> DaemonCommands() {
+  return {DaemonCommand("state", "dump the state of a daemon", "GET", "/state"),
+          DaemonCommand("ready", "ask whether a daemon takes requests", "GET",
+                        "/ready"),
+          DaemonCommand("metrics", "print the metrics of a daemon", "GET",
+                        "/metrics"),
+          DaemonCommand("drain", "begin the planned stop of a daemon", "POST",
+                        "/drain")};
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/apps/ctl/submission_commands.cc
@@ -0,0 +1,136 @@
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "ctl/blocking_calls.h"
+#include "ctl/commands.h"
+#include "ctl/exit_code.h"
+
+namespace dogwoodfall {
+namespace {
+
+namespace options = boost::program_options;
+using Values = options::variables_map;
+
+constexpr Millis kTimeout{700'000};
+
+std::string Text(const Values& values, const char* key) {
+  return values.count(key) > 0 ? values[key].as<std::string>() : std::string();
+}
+
+options::options_description BaseOptions() {
+  options::options_description description("options");
+  description.add_options()("help", "show this text")(
+      "format", options::value<std::string>()->default_value("json"),
+      "json or table")("callers", options::value<std::string>()->required(),
+                       "IP:PORT of a callers' listener");
+  return description;
+}
+
+/** The exit code for an answer's status. */
+int ExitFor(const HttpAnswer& answer) {
+  const nlohmann::json json =
+      nlohmann::json::parse(answer.body, nullptr, false);
+  if (!json.is_object())
+    return kExitNotDone;
+  const std::string status = json.value("status", "complete");
+  if (status == "pending")
+    return kExitPending;
+  return status == "complete" ? kExitOk : kExitNotDone;
+}
+
+int Call(const Values& values,
+         const std::string& method,
+         const std::string& path,
+         const std::string& body) {
+  const Result<HttpAddress> address = ParseAddress(Text(values, "callers"));
+  if (!address.ok()) {
+    std::cerr << address.error().detail << "\n";
+    return kExitUsage;
+  }
+  const HttpAnswer answer =
+      CallHttp(address.value(), method, path, body, kTimeout);
+  if (answer.outcome != HttpOutcome::kAnswered) {
+    std::cerr << (answer.outcome == HttpOutcome::kNotSent
+                      ? "not sent: the daemon can't be reached\n"
+                      : "no answer: it may have started; resubmit with the "
+                        "same id\n");
+    return answer.outcome == HttpOutcome::kNotSent ? kExitUnreachable
+                                                   : kExitOutcomeUnknown;
+  }
+  PrintJson(answer.body, Text(values, "format"));
+  return ExitFor(answer);
+}
+
+Command SubmitCommand() {
+  Command command{"submit",
+                  "submit a job or a request and wait for its answer",
+                  BaseOptions(),
+                  {}};
+  command.options.add_options()("file",
+                                options::value<std::string>()->required(),
+                                "JSON of the submission, - for standard input")(
+      "single", options::bool_switch(), "it is a single request");
+  command.run = [](const Values& values) {
+    const Result<std::string> body = ReadWholeFile(Text(values, "file"));
+    if (!body.ok()) {
+      std::cerr << body.error().detail << "\n";
+      return static_cast<int>(kExitBadInput);
+    }
+    const bool single = values["single"].as<bool>();
+    return Call(values, "POST", single ? "/v1/requests" : "/v1/jobs",
+                body.value());
+  };
+  return command;
+}
+
+Command MintCommand() {
+  Command command{"mint", "get an id for a submission", BaseOptions(), {}};
+  command.run = [](const Values& values) {
+    return Call(values, "POST", "/v1/ids", "");
+  };
+  return command;
+}
+
+void AddIdOptions(Command& command) {
+  command.options.add_options()("id", options::value<std::string>()->required(),
+                                "id of the submission")(
+      "customer", options::value<std::string>()->required(),
+      "customer that submitted it");
+}
+
+Command StatusCommand() {
+  Command command{
+      "status", "ask for the state of a submission", BaseOptions(), {}};
+  AddIdOptions(command);
+  command.options.add_options()("wait-ms",
+                                options::value<int>()->default_value(0),
+                                "how long to wait for its end, in ms");
+  command.run = [](const Values& values) {
+    return Call(values, "GET",
+                "/v1/submissions/" + Text(values, "id") +
+                    "?customer=" + Text(values, "customer") +
+                    "&wait_ms=" + std::to_string(values["wait-ms"].as<int>()),
+                "");
+  };
+  return command;
+}
+
+Command CancelCommand() {
+  Command command{"cancel", "cancel a submission", BaseOptions(), {}};
+  AddIdOptions(command);
+  command.run = [](const Values& values) {
+    return Call(values, "POST",
+                "/v1/submissions/" + Text(values, "id") + "/cancel",
+                nlohmann::json{{"customer", Text(values, "customer")}}.dump());
+  };
+  return command;
+}
+
+}  // namespace
+
+std::vector<Command> SubmissionCommands() {
+  return {SubmitCommand(), MintCommand(), StatusCommand(), CancelCommand()};
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/adapters/callers/caller_json.cc
@@ -0,0 +1,296 @@
+#include "adapters/callers/caller_json.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace dogwoodfall {
+namespace {
+
+using Json = nlohmann::json;
+using Keys = std::vector<std::string>;
+
+constexpr int kDeepestNesting = 8;
+
+Error Fault(ResultCode code, const std::string& path, const std::string& text) {
+  return {code, path + ": " + text};
+}
+
+/** Parses an object that is not nested deeper than the interface needs. */
+Result<Json> ParseObject(const std::string& body) {
+  bool too_deep = false;
+  const auto limit = [&too_deep](int depth, Json::parse_event_t, Json&) {
+    too_deep = too_deep || depth > kDeepestNesting;
+    return !too_deep;
+  };
+  Json json = Json::parse(body, limit, false);
+  if (too_deep || json.is_discarded() || !json.is_object())
+    return Fault(ResultCode::kMalformedRequest, "/", "not a JSON object");
+  return json;
+}
+
+std::optional<Error> CheckKeys(const Json& json,
+                               const std::string& path,
+                               const Keys& known) {
+  for (const auto& [key, value] : json.items()) {
+    if (std::find(known.begin(), known.end(), key) == known.end())
+      return Fault(ResultCode::kUnknownField, path + "/" + key,
+                   "no such field");
+  }
+  return std::nullopt;
+}
+
+Result<std::string> ReadText(const Json& json,
+                             const std::string& path,
+                             const char* key,
+                             size_t longest,
+                             bool may_be_empty) {
+  const std::string here = path + "/" + key;
+  if (!json.contains(key)) {
+    if (may_be_empty)
+      return std::string();
+    return Fault(ResultCode::kMalformedRequest, here, "is missing");
+  }
+  if (!json[key].is_string())
+    return Fault(ResultCode::kMalformedRequest, here, "is not a text");
+  std::string text = json[key].get<std::string>();
+  if (text.size() > longest || (text.empty() && !may_be_empty)) {
+    return Fault(ResultCode::kValueOutOfRange, here,
+                 "has a length outside 1 to " + std::to_string(longest));
+  }
+  return text;
+}
+
+Result<int64_t> ReadNumber(const Json& json,
+                           const std::string& path,
+                           const char* key,
+                           int64_t least,
+                           int64_t most) {
+  const std::string here = path + "/" + key;
+  if (!json.contains(key))
+    return Fault(ResultCode::kMalformedRequest, here, "is missing");
+  const Json& value = json[key];
+  if (!value.is_number())
+    return Fault(ResultCode::kMalformedRequest, here, "is not a number");
+  const bool in_range =
+      value.is_number_integer() &&
+      (value.is_number_unsigned()
+           ? value.get<uint64_t>() <= static_cast<uint64_t>(most) &&
+                 static_cast<int64_t>(value.get<uint64_t>()) >= least
+           : value.get<int64_t>() >= least && value.get<int64_t>() <= most);
+  if (!in_range) {
+    return Fault(ResultCode::kValueOutOfRange, here,
+                 "is not a whole number from " + std::to_string(least) +
+                     " to " + std::to_string(most));
+  }
+  return value.get<int64_t>();
+}
+
+Result<bool> ReadBool(const Json& json,
+                      const std::string& path,
+                      const char* key) {
+  if (!json.contains(key))
+    return false;
+  if (!json[key].is_boolean())
+    return Fault(ResultCode::kMalformedRequest, path + "/" + key,
+                 "is not true or false");
+  return json[key].get<bool>();
+}
+
+Result<TaskSpec> ReadTask(const Json& json,
+                          const std::string& path,
+                          const CallerLimits& limits) {
+  if (!json.is_object())
+    return Fault(ResultCode::kMalformedRequest, path, "is not an object");
+  if (auto fault = CheckKeys(
+          json, path,
+          {"id", "kind", "run_ms", "memory_mb", "payload", "idempotent"}))
+    return *fault;
+  Result<std::string> id =
+      ReadText(json, path, "id", limits.longest_text, false);
+  Result<std::string> kind =
+      ReadText(json, path, "kind", limits.longest_text, false);
+  const Result<int64_t> run_time =
+      ReadNumber(json, path, "run_ms", 1, limits.longest_run_time.count);
+  const Result<int64_t> memory =
+      ReadNumber(json, path, "memory_mb", 0, limits.most_memory_mb);
+  Result<std::string> payload =
+      ReadText(json, path, "payload", limits.longest_payload, true);
+  const Result<bool> idempotent = ReadBool(json, path, "idempotent");
+  for (const Result<std::string>* text : {&id, &kind, &payload}) {
+    if (!text->ok())
+      return text->error();
+  }
+  for (const Result<int64_t>* number : {&run_time, &memory}) {
+    if (!number->ok())
+      return number->error();
+  }
+  if (!idempotent.ok())
+    return idempotent.error();
+  TaskSpec task;
+  task.id = TaskId(id.Take());
+  task.kind = kind.Take();
+  task.declared_run_time = {run_time.value()};
+  task.declared_memory_mb = memory.value();
+  task.payload = payload.Take();
+  task.idempotent = idempotent.value();
+  return task;
+}
+
+/** Reads what jobs and single requests have in common. */
+Result<Submission> ReadCommon(const Json& json, const CallerLimits& limits) {
+  Result<std::string> customer =
+      ReadText(json, "", "customer", limits.longest_text, false);
+  Result<std::string> id =
+      ReadText(json, "", "id", 2 * limits.longest_text, true);
+  const Result<int64_t> deadline =
+      ReadNumber(json, "", "deadline_ms", 1, limits.longest_deadline.count);
+  if (!customer.ok())
+    return customer.error();
+  if (!id.ok())
+    return id.error();
+  if (!deadline.ok())
+    return deadline.error();
+  Submission submission;
+  submission.customer = CustomerId(customer.Take());
+  submission.id = SubmissionId(id.Take());
+  submission.time_allowed = {deadline.value()};
+  return submission;
+}
+
+Json ToJson(const TaskOutcome& outcome) {
+  return {{"task", outcome.task.value},
+          {"output", outcome.output},
+          {"endpoint", outcome.endpoint.value},
+          {"run_ms", outcome.run_time.count}};
+}
+
+Json ToJson(const Waste& waste) {
+  return {{"total", waste.Total()},
+          {"refused_starts", waste.refused_starts},
+          {"failed_connections", waste.failed_connections},
+          {"bounced_forwards", waste.bounced_forwards},
+          {"repeats", waste.repeats},
+          {"dropped_answers", waste.dropped_answers},
+          {"stops", waste.stops}};
+}
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+}  // namespace
+
+Result<Submission> ParseJob(const std::string& body,
+                            const CallerLimits& limits) {
+  const Result<Json> parsed = ParseObject(body);
+  if (!parsed.ok())
+    return parsed.error();
+  const Json& json = parsed.value();
+  if (auto fault =
+          CheckKeys(json, "", {"customer", "id", "deadline_ms", "tasks"}))
+    return *fault;
+  Result<Submission> common = ReadCommon(json, limits);
+  if (!common.ok())
+    return common;
+  if (!json.contains("tasks") || !json["tasks"].is_array())
+    return Fault(ResultCode::kMalformedRequest, "/tasks", "is not a list");
+  const Json& tasks = json["tasks"];
+  if (tasks.empty())
+    return Fault(ResultCode::kNoTasks, "/tasks", "has no task");
+  if (tasks.size() > limits.max_tasks) {
+    return Fault(ResultCode::kTooManyTasks, "/tasks",
+                 "has more than " + std::to_string(limits.max_tasks));
+  }
+  Submission submission = common.Take();
+  std::set<TaskId> ids;
+  for (size_t i = 0; i < tasks.size(); ++i) {
+    const std::string path = "/tasks/" + std::to_string(i);
+    Result<TaskSpec> task = ReadTask(tasks[i], path, limits);
+    if (!task.ok())
+      return task.error();
+    if (!ids.insert(task.value().id).second)
+      return Fault(ResultCode::kDuplicateTaskId, path + "/id", "is used twice");
+    submission.tasks.push_back(task.Take());
+  }
+  return submission;
+}
+
+Result<Submission> ParseRequest(const std::string& body,
+                                const CallerLimits& limits) {
+  const Result<Json> parsed = ParseObject(body);
+  if (!parsed.ok())
+    return parsed.error();
+  const Json& json = parsed.value();
+  if (auto fault =
+          CheckKeys(json, "", {"customer", "id", "deadline_ms", "task"}))
+    return *fault;
+  Result<Submission> common = ReadCommon(json, limits);
+  if (!common.ok())
+    return common;
+  if (!json.contains("task"))
+    return Fault(ResultCode::kMalformedRequest, "/task", "is missing");
+  Result<TaskSpec> task = ReadTask(json["task"], "/task", limits);
+  if (!task.ok())
+    return task.error();
+  Submission submission = common.Take();
+  submission.single_request = true;
+  submission.tasks.push_back(task.Take());
+  return submission;
+}
+
+Result<CustomerId> ParseCustomer(const std::string& body,
+                                 const CallerLimits& limits) {
+  const Result<Json> parsed = ParseObject(body);
+  if (!parsed.ok())
+    return parsed.error();
+  if (auto fault = CheckKeys(parsed.value(), "", {"customer"}))
+    return *fault;
+  Result<std::string> customer =
+      ReadText(parsed.value(), "", "customer", limits.longest_text, false);
+  if (!customer.ok())
+    return customer.error();
+  return CustomerId(customer.Take());
+}
+
+std::string FormatAnswer(const Answer& answer, const SubmissionId& spare_id) {
+  const ResultCodeRow& row = RowOf(answer.code);
+  Json json = {{"id", answer.id.value},
+               {"status", NameOf(answer.status)},
+               {"code", static_cast<int>(row.code)},
+               {"code_name", row.name},
+               {"state", NameOf(answer.state)},
+               {"starts", answer.starts},
+               {"response_ms", answer.response_time.count},
+               {"ideal_ms", answer.ideal_time.count},
+               {"wasted", ToJson(answer.waste)}};
+  if (answer.retry_after > Millis{})
+    json["retry_after_ms"] = answer.retry_after.count;
+  if (!spare_id.value.empty())
+    json["spare_id"] = spare_id.value;
+  if (answer.status == AnswerStatus::kComplete) {
+    json["tasks"] = Json::array();
+    for (const TaskOutcome& outcome : answer.outcomes)
+      json["tasks"].push_back(ToJson(outcome));
+  }
+  return Dump(json);
+}
+
+std::string FormatRefusal(ResultCode code, const std::string& detail) {
+  const ResultCodeRow& row = RowOf(code);
+  return Dump({{"id", ""},
+               {"status", NameOf(AnswerStatus::kRefused)},
+               {"code", static_cast<int>(row.code)},
+               {"code_name", row.name},
+               {"state", NameOf(StartState::kNotStarted)},
+               {"detail", detail}});
+}
+
+std::string FormatMinted(const SubmissionId& id) {
+  return Dump({{"id", id.value}});
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/adapters/http/http_client.h
@@ -0,0 +1,98 @@
+#ifndef DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_H_
+#define DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "base/millis.h"
+
+struct event_base;
+
+namespace dogwoodfall {
+
+/** How a request to an outside system ended. */
+enum class HttpOutcome : uint8_t {
+  /** There is a status and a body. */
+  kAnswered = 0,
+  /** Not one byte of the request left; the other side has not seen it. */
+  kNotSent = 1,
+  /** Bytes left, but no whole answer came back. */
+  kLost = 2,
+};
+
+/** Answer to a request, or why there is none. */
+struct HttpAnswer {
+  HttpOutcome outcome = HttpOutcome::kLost;
+  int status = 0;
+  std::string body;
+};
+
+/** Address of an HTTP server. */
+struct HttpAddress {
+  std::string ip;
+  uint16_t port = 0;
+
+  friend bool operator<(const HttpAddress& a, const HttpAddress& b) {
+    return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
+  }
+};
+
+class HttpClientConnection;
+
+/** HTTP requests on the event loop over kept connections (evhttp). Each
+ * connection carries one request at a time; nothing is ever sent twice.
+ */
+class HttpClient {
+ public:
+  /** Called exactly once for each request that is not cancelled by the end of
+   * the client.
+   */
+  using Callback = std::function<void(const HttpAnswer&)>;
+
+  /** @param base the event loop; must live as long as the client */
+  explicit HttpClient(event_base* base);
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient();
+
+  /** Sends a request.
+   *
+   * @param timeout time without progress after which it counts as lost
+   */
+  void Send(const HttpAddress& address,
+            const std::string& method,
+            const std::string& path,
+            const std::string& body,
+            Millis timeout,
+            Callback callback);
+
+  /** Connections to all servers, in use or kept. */
+  size_t Connections() const;
+
+  /** Connections to one server that carry a request. */
+  size_t BusyConnections(const HttpAddress& address) const;
+
+ private:
+  friend class HttpClientConnection;
+
+  void Finish(HttpClientConnection* connection, const HttpAnswer& answer);
+  void DropRetired();
+
+  event_base* base;
+  std::map<HttpAddress, std::vector<std::unique_ptr<HttpClientConnection>>>
+      idle;
+  std::map<HttpClientConnection*, std::unique_ptr<HttpClientConnection>> busy;
+  /** Connections that failed; freed once evhttp has returned. */
+  std::vector<std::unique_ptr<HttpClientConnection>> retired;
+  bool drop_scheduled = false;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_H_
--- /dev/null
+++ b/modules/adapters/http/http_client_connection.cc
@@ -0,0 +1,102 @@
+#include "adapters/http/http_client_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <cassert>
+#include <utility>
+
+namespace dogwoodfall {
+namespace {
+
+constexpr int64_t kMillisPerSecond = 1000;
+constexpr int64_t kMicrosPerMilli = 1000;
+constexpr ev_ssize_t kMaxAnswerBytes = 16'000'000;
+
+evhttp_cmd_type CommandOf(const std::string& method) {
+  return method == "GET" ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
+}
+
+std::string BodyOf(evhttp_request* request) {
+  evbuffer* buffer = evhttp_request_get_input_buffer(request);
+  const size_t size = evbuffer_get_length(buffer);
+  std::string body(size, '\0');
+  evbuffer_copyout(buffer, body.data(), size);
+  return body;
+}
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(event_base* base,
+                                           HttpClient& client,
+                                           const HttpAddress& address)
+    : client(client), address(address) {
+  this->connection = evhttp_connection_base_new(
+      base, nullptr, address.ip.c_str(), address.port);
+  assert(this->connection != nullptr);
+  // A request that evhttp sent again by itself could start a task twice.
+  evhttp_connection_set_retries(this->connection, 0);
+  evhttp_connection_set_max_body_size(this->connection, kMaxAnswerBytes);
+  bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
+  evbuffer_add_cb(bufferevent_get_output(stream),
+                  &HttpClientConnection::OnWritten, this);
+}
+
+HttpClientConnection::~HttpClientConnection() {
+  evhttp_connection_free(this->connection);
+}
+
+void HttpClientConnection::Send(const std::string& method,
+                                const std::string& path,
+                                const std::string& body,
+                                Millis timeout,
+                                HttpClient::Callback callback) {
+  assert(this->callback == nullptr);
+  this->callback = std::move(callback);
+  this->bytes_written = 0;
+  const timeval limit = {timeout.count / kMillisPerSecond,
+                         (timeout.count % kMillisPerSecond) * kMicrosPerMilli};
+  evhttp_connection_set_timeout_tv(this->connection, &limit);
+  evhttp_request* request =
+      evhttp_request_new(&HttpClientConnection::OnAnswer, this);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  const std::string host =
+      this->address.ip + ":" + std::to_string(this->address.port);
+  evhttp_add_header(headers, "Host", host.c_str());
+  evhttp_add_header(headers, "Content-Type", "application/json");
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+               body.size());
+  if (evhttp_make_request(this->connection, request, CommandOf(method),
+                          path.c_str()) != 0)
+    this->client.Finish(this, {HttpOutcome::kNotSent, 0, {}});
+}
+
+void HttpClientConnection::OnAnswer(evhttp_request* request, void* argument) {
+  auto* self = static_cast<HttpClientConnection*>(argument);
+  // evhttp_make_request may have failed and reported that already.
+  if (self->callback == nullptr)
+    return;
+  HttpAnswer answer;
+  const int status =
+      request == nullptr ? 0 : evhttp_request_get_response_code(request);
+  if (status != 0) {
+    answer.outcome = HttpOutcome::kAnswered;
+    answer.status = status;
+    answer.body = BodyOf(request);
+  } else {
+    answer.outcome =
+        self->bytes_written == 0 ? HttpOutcome::kNotSent : HttpOutcome::kLost;
+  }
+  self->client.Finish(self, answer);
+}
+
+void HttpClientConnection::OnWritten(evbuffer*,
+                                     const evbuffer_cb_info* info,
+                                     void* argument) {
+  static_cast<HttpClientConnection*>(argument)->bytes_written +=
+      info->n_deleted;
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/adapters/http/http_client_connection.h
@@ -0,0 +1,57 @@
+#ifndef DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_CONNECTION_H_
+#define DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_CONNECTION_H_
+
+#include <cstddef>
+#include <string>
+
+#include "adapters/http/http_client.h"
+#include "base/millis.h"
+
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event_base;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace dogwoodfall {
+
+/** One kept connection; carries one request at a time. */
+class HttpClientConnection {
+ public:
+  /** @param client must live as long as the connection */
+  HttpClientConnection(event_base* base,
+                       HttpClient& client,
+                       const HttpAddress& address);
+  HttpClientConnection(const HttpClientConnection&) = delete;
+  HttpClientConnection& operator=(const HttpClientConnection&) = delete;
+  ~HttpClientConnection();
+
+  /** Sends a request; the connection must not carry one. */
+  void Send(const std::string& method,
+            const std::string& path,
+            const std::string& body,
+            Millis timeout,
+            HttpClient::Callback callback);
+
+  /** The server it is for. */
+  const HttpAddress& Address() const { return this->address; }
+
+  /** Hands out the callback of the request that ended. */
+  HttpClient::Callback TakeCallback() { return std::move(this->callback); }
+
+ private:
+  static void OnAnswer(evhttp_request* request, void* self);
+  static void OnWritten(evbuffer* buffer,
+                        const evbuffer_cb_info* info,
+                        void* self);
+
+  HttpClient& client;
+  HttpAddress address;
+  evhttp_connection* connection = nullptr;
+  HttpClient::Callback callback;
+  size_t bytes_written = 0;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/modules/adapters/peers/peer_codec.cc
@@ -0,0 +1,214 @@
+#include "adapters/peers/peer_codec.h"
+
+#include <cereal/types/common.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/variant.hpp>
+#include <utility>
+
+#include "adapters/peers/bounded_archive.h"
+
+namespace dogwoodfall {
+
+template <class Archive, typename Tag, typename Value>
+void serialize(Archive& archive, StrongId<Tag, Value>& id) {
+  archive(id.value);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Millis& millis) {
+  archive(millis.count);
+}
+
+template <class Archive>
+void serialize(Archive& archive, DaemonRef& daemon) {
+  archive(daemon.id, daemon.incarnation);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskSpec& task) {
+  archive(task.id, task.kind, task.declared_run_time, task.declared_memory_mb,
+          task.payload, task.idempotent);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Submission& submission) {
+  archive(submission.id, submission.customer, submission.time_allowed,
+          submission.single_request, submission.tasks);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Waste& waste) {
+  archive(waste.refused_starts, waste.failed_connections,
+          waste.bounced_forwards, waste.repeats, waste.dropped_answers,
+          waste.stops);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskOutcome& outcome) {
+  archive(outcome.task, outcome.code, outcome.state, outcome.output,
+          outcome.endpoint, outcome.run_time);
+  if (outcome.state > StartState::kStarted)
+    throw cereal::Exception("not a start state");
+}
+
+template <class Archive>
+void serialize(Archive& archive, Answer& answer) {
+  archive(answer.id, answer.status, answer.code, answer.state,
+          answer.retry_after, answer.outcomes, answer.starts, answer.waste,
+          answer.response_time, answer.ideal_time);
+  if (answer.state > StartState::kStarted ||
+      answer.status > AnswerStatus::kPending)
+    throw cereal::Exception("not a state of an answer");
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskAssignment& assignment) {
+  archive(assignment.submission, assignment.customer, assignment.task,
+          assignment.first_attempt, assignment.time_left,
+          assignment.remaining_work);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskReport& report) {
+  archive(report.submission, report.customer, report.outcome,
+          report.first_attempt, report.last_attempt, report.waste);
+}
+
+template <class Archive>
+void serialize(Archive& archive, SubmitForward& message) {
+  archive(message.forward, message.submission, message.claimant, message.hops);
+}
+
+template <class Archive>
+void serialize(Archive& archive, StatusForward& message) {
+  archive(message.forward, message.customer, message.submission, message.wait,
+          message.claimant, message.hops);
+}
+
+template <class Archive>
+void serialize(Archive& archive, CancelForward& message) {
+  archive(message.forward, message.customer, message.submission,
+          message.claimant, message.hops);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ForwardAnswer& message) {
+  archive(message.forward, message.answer);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskBatch& message) {
+  archive(message.tasks);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskReports& message) {
+  archive(message.reports);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskCancels& message) {
+  archive(message.customer, message.submission, message.tasks);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KnownSubmission& known) {
+  archive(known.id, known.customer, known.fingerprint, known.answer);
+}
+
+template <class Archive>
+void serialize(Archive& archive, LedgerHandover& message) {
+  archive(message.home, message.floor, message.chosen_floor,
+          message.submissions, message.last);
+}
+
+template <class Archive>
+void serialize(Archive& archive, LedgerHandoverTaken& message) {
+  archive(message.home);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HomeNotice& message) {
+  archive(message.home, message.successor);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ConfigurationRequest& message) {
+  archive(message.revision_known);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ConfigurationNotice& message) {
+  archive(message.text);
+}
+
+template <class Archive>
+void serialize(Archive& archive, PeerFrame& frame) {
+  archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
+          frame.message);
+}
+
+template <class Archive>
+void serialize(Archive& archive, CustomerDemand& demand) {
+  archive(demand.customer, demand.running, demand.queued);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Heartbeat& heartbeat) {
+  archive(heartbeat.from, heartbeat.zone, heartbeat.number, heartbeat.revision,
+          heartbeat.table_revision, heartbeat.store_revision,
+          heartbeat.can_claim, heartbeat.free_slots, heartbeat.queued_tasks,
+          heartbeat.draining, heartbeat.leaving_endpoints, heartbeat.demands);
+}
+
+namespace {
+
+/** First bytes of everything sent between daemons. */
+constexpr uint32_t kMagic = 0x46574f44;
+
+template <typename Value>
+std::string Encode(const Value& value) {
+  std::string bytes;
+  BoundedOutputArchive archive(bytes);
+  archive(kMagic, kPeerProtocolVersion, value);
+  return bytes;
+}
+
+template <typename Value>
+std::optional<Value> Decode(std::string_view bytes) {
+  BoundedInputArchive archive(bytes);
+  uint32_t magic = 0;
+  uint16_t version = 0;
+  Value value;
+  try {
+    archive(magic, version);
+    if (magic != kMagic || version != kPeerProtocolVersion)
+      return std::nullopt;
+    archive(value);
+  } catch (const cereal::Exception&) {
+    return std::nullopt;
+  }
+  if (archive.BytesLeft() > 0)
+    return std::nullopt;
+  return value;
+}
+
+}  // namespace
+
+std::string EncodeFrame(const PeerFrame& frame) {
+  return Encode(frame);
+}
+
+std::optional<PeerFrame> DecodeFrame(std::string_view bytes) {
+  return Decode<PeerFrame>(bytes);
+}
+
+std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
+  return Encode(heartbeat);
+}
+
+std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
+  return Decode<Heartbeat>(bytes);
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/adapters/peers/peer_network.cc
@@ -0,0 +1,341 @@
+#include "adapters/peers/peer_network.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+#include "adapters/peers/peer_codec.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr size_t kLengthBytes = 4;
+constexpr size_t kMaxDatagramBytes = 60'000;
+constexpr int kBacklog = 128;
+/** Datagrams read before the loop goes on with other work. */
+constexpr int kDatagramsAtOnce = 256;
+
+std::optional<sockaddr_in> AddressOf(const std::string& ip, uint16_t port) {
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  if (inet_pton(AF_INET, ip.c_str(), &address.sin_addr) != 1)
+    return std::nullopt;
+  return address;
+}
+
+sockaddr* AsSockaddr(sockaddr_in& address) {
+  return reinterpret_cast<sockaddr*>(&address);
+}
+
+void SendSoon(bufferevent* stream) {
+  const int on = 1;
+  setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof(on));
+}
+
+}  // namespace
+
+PeerNetwork::PeerNetwork(event_base* base,
+                         const PeerNetworkLimits& limits,
+                         FrameHandler on_frame,
+                         HeartbeatHandler on_heartbeat)
+    : base(base),
+      limits(limits),
+      on_frame(std::move(on_frame)),
+      on_heartbeat(std::move(on_heartbeat)) {}
+
+Result<std::unique_ptr<PeerNetwork>> PeerNetwork::Create(
+    event_base* base,
+    const std::string& ip,
+    uint16_t tcp_port,
+    uint16_t udp_port,
+    const PeerNetworkLimits& limits,
+    FrameHandler on_frame,
+    HeartbeatHandler on_heartbeat) {
+  std::unique_ptr<PeerNetwork> created(new PeerNetwork(
+      base, limits, std::move(on_frame), std::move(on_heartbeat)));
+  const Result<bool> listening = created->Listen(ip, tcp_port, udp_port);
+  if (!listening.ok())
+    return listening.error();
+  return created;
+}
+
+Result<bool> PeerNetwork::Listen(const std::string& ip,
+                                 uint16_t tcp_port,
+                                 uint16_t udp_port) {
+  std::optional<sockaddr_in> tcp = AddressOf(ip, tcp_port);
+  std::optional<sockaddr_in> udp = AddressOf(ip, udp_port);
+  if (!tcp || !udp)
+    return Error{ResultCode::kConnectionFailed, "not an IP number: " + ip};
+  this->listener = evconnlistener_new_bind(
+      this->base, &PeerNetwork::OnAccept, this,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      kBacklog, AsSockaddr(*tcp), sizeof(*tcp));
+  if (this->listener == nullptr) {
+    return Error{ResultCode::kConnectionFailed,
+                 "can't listen on TCP " + ip + ":" + std::to_string(tcp_port)};
+  }
+  this->datagram_socket =
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (bind(this->datagram_socket, AsSockaddr(*udp), sizeof(*udp)) != 0) {
+    return Error{ResultCode::kConnectionFailed,
+                 "can't listen on UDP " + ip + ":" + std::to_string(udp_port)};
+  }
+  this->datagram_event =
+      event_new(this->base, this->datagram_socket, EV_READ | EV_PERSIST,
+                &PeerNetwork::OnDatagram, this);
+  event_add(this->datagram_event, nullptr);
+  return true;
+}
+
+PeerNetwork::~PeerNetwork() {
+  for (const auto& [id, stream] : this->outbound)
+    bufferevent_free(stream);
+  for (bufferevent* stream : this->inbound)
+    bufferevent_free(stream);
+  if (this->datagram_event != nullptr)
+    event_free(this->datagram_event);
+  if (this->datagram_socket >= 0)
+    close(this->datagram_socket);
+  if (this->listener != nullptr)
+    evconnlistener_free(this->listener);
+}
+
+void PeerNetwork::SetMembers(const std::vector<DaemonMember>& members) {
+  std::map<DaemonId, DaemonMember> updated;
+  for (const DaemonMember& member : members)
+    updated[member.id] = member;
+  for (auto link = this->outbound.begin(); link != this->outbound.end();) {
+    const auto before = this->members.find(link->first);
+    const auto after = updated.find(link->first);
+    const bool kept =
+        after != updated.end() && before->second.ip == after->second.ip &&
+        before->second.peer_tcp_port == after->second.peer_tcp_port;
+    if (!kept)
+      bufferevent_free(link->second);
+    link = kept ? std::next(link) : this->outbound.erase(link);
+  }
+  this->members = std::move(updated);
+}
+
+void PeerNetwork::SendFrame(const PeerFrame& frame) {
+  const std::string bytes = EncodeFrame(frame);
+  if (bytes.size() > this->limits.max_frame_bytes) {
+    ++this->counters.dropped_too_large;
+    return;
+  }
+  bufferevent* stream = this->OutboundTo(frame.to.id);
+  if (stream == nullptr)
+    return;
+  evbuffer* output = bufferevent_get_output(stream);
+  if (evbuffer_get_length(output) + bytes.size() >
+      this->limits.max_waiting_bytes) {
+    ++this->counters.dropped_full;
+    return;
+  }
+  const uint32_t length = htonl(static_cast<uint32_t>(bytes.size()));
+  evbuffer_add(output, &length, sizeof(length));
+  evbuffer_add(output, bytes.data(), bytes.size());
+  ++this->counters.frames_sent;
+  this->counters.bytes_sent += bytes.size() + kLengthBytes;
+}
+
+void PeerNetwork::SendHeartbeat(const DaemonId& to,
+                                const Heartbeat& heartbeat) {
+  const auto member = this->members.find(to);
+  if (member == this->members.end())
+    return;
+  std::optional<sockaddr_in> address =
+      AddressOf(member->second.ip, member->second.peer_udp_port);
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  if (!address || bytes.size() > kMaxDatagramBytes) {
+    ++this->counters.dropped_too_large;
+    return;
+  }
+  sendto(this->datagram_socket, bytes.data(), bytes.size(), 0,
+         AsSockaddr(*address), sizeof(*address));
+  ++this->counters.datagrams_sent;
+  this->counters.bytes_sent += bytes.size();
+}
+
+bufferevent* PeerNetwork::OutboundTo(const DaemonId& peer) {
+  const auto found = this->outbound.find(peer);
+  if (found != this->outbound.end())
+    return found->second;
+  const auto member = this->members.find(peer);
+  if (member == this->members.end())
+    return nullptr;
+  std::optional<sockaddr_in> address =
+      AddressOf(member->second.ip, member->second.peer_tcp_port);
+  if (!address)
+    return nullptr;
+  bufferevent* stream =
+      bufferevent_socket_new(this->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(stream, &PeerNetwork::OnOutboundData, nullptr,
+                    &PeerNetwork::OnOutboundEvent, this);
+  bufferevent_enable(stream, EV_READ | EV_WRITE);
+  // The failure may be reported from inside the call.
+  this->outbound[peer] = stream;
+  if (bufferevent_socket_connect(stream, AsSockaddr(*address),
+                                 sizeof(*address)) != 0) {
+    this->CloseOutbound(stream);
+    return nullptr;
+  }
+  const auto opened = this->outbound.find(peer);
+  return opened == this->outbound.end() ? nullptr : opened->second;
+}
+
+void PeerNetwork::CloseOutbound(bufferevent* stream) {
+  for (auto link = this->outbound.begin(); link != this->outbound.end();
+       ++link) {
+    if (link->second != stream)
+      continue;
+    this->outbound.erase(link);
+    bufferevent_free(stream);
+    return;
+  }
+}
+
+void PeerNetwork::CloseInbound(bufferevent* stream) {
+  if (this->inbound.erase(stream) > 0)
+    bufferevent_free(stream);
+}
+
+bool PeerNetwork::IsMemberAddress(const sockaddr* address,
+                                  bool with_port) const {
+  if (address->sa_family != AF_INET)
+    return false;
+  const auto* internet = reinterpret_cast<const sockaddr_in*>(address);
+  std::array<char, INET_ADDRSTRLEN> text = {};
+  inet_ntop(AF_INET, &internet->sin_addr, text.data(), text.size());
+  const uint16_t port = ntohs(internet->sin_port);
+  for (const auto& [id, member] : this->members) {
+    if (member.ip == text.data() &&
+        (!with_port || member.peer_udp_port == port))
+      return true;
+  }
+  return false;
+}
+
+void PeerNetwork::OnAccept(evconnlistener*,
+                           int socket,
+                           sockaddr* address,
+                           int,
+                           void* argument) {
+  auto* self = static_cast<PeerNetwork*>(argument);
+  if (!self->IsMemberAddress(address, false) ||
+      self->inbound.size() >= self->limits.max_connections) {
+    ++self->counters.dropped_foreign;
+    close(socket);
+    return;
+  }
+  bufferevent* stream = bufferevent_socket_new(
+      self->base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(stream, &PeerNetwork::OnInboundData, nullptr,
+                    &PeerNetwork::OnInboundEvent, self);
+  bufferevent_setwatermark(stream, EV_READ, 0,
+                           self->limits.max_frame_bytes + kLengthBytes);
+  bufferevent_enable(stream, EV_READ);
+  self->inbound.insert(stream);
+}
+
+bool PeerNetwork::ReadFrame(bufferevent* stream) {
+  evbuffer* input = bufferevent_get_input(stream);
+  uint32_t length = 0;
+  if (evbuffer_copyout(input, &length, sizeof(length)) !=
+      static_cast<ev_ssize_t>(sizeof(length)))
+    return false;
+  length = ntohl(length);
+  if (length > this->limits.max_frame_bytes) {
+    ++this->counters.dropped_too_large;
+    this->CloseInbound(stream);
+    return false;
+  }
+  if (evbuffer_get_length(input) < kLengthBytes + length)
+    return false;
+  evbuffer_drain(input, kLengthBytes);
+  std::string bytes(length, '\0');
+  evbuffer_remove(input, bytes.data(), length);
+  this->counters.bytes_received += length + kLengthBytes;
+  const std::optional<PeerFrame> frame = DecodeFrame(bytes);
+  if (!frame) {
+    // What follows unreadable bytes can't be trusted to be a frame.
+    ++this->counters.dropped_bad;
+    this->CloseInbound(stream);
+    return false;
+  }
+  ++this->counters.frames_received;
+  this->on_frame(*frame);
+  return this->inbound.count(stream) > 0;
+}
+
+void PeerNetwork::OnInboundData(bufferevent* stream, void* argument) {
+  auto* self = static_cast<PeerNetwork*>(argument);
+  while (self->ReadFrame(stream)) {
+  }
+}
+
+void PeerNetwork::OnInboundEvent(bufferevent* stream,
+                                 short what,
+                                 void* argument) {
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    static_cast<PeerNetwork*>(argument)->CloseInbound(stream);
+}
+
+void PeerNetwork::OnOutboundData(bufferevent* stream, void*) {
+  // Nothing is ever sent back on an outbound link.
+  evbuffer* input = bufferevent_get_input(stream);
+  evbuffer_drain(input, evbuffer_get_length(input));
+}
+
+void PeerNetwork::OnOutboundEvent(bufferevent* stream,
+                                  short what,
+                                  void* argument) {
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    SendSoon(stream);
+  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    static_cast<PeerNetwork*>(argument)->CloseOutbound(stream);
+}
+
+void PeerNetwork::OnDatagram(int socket, short, void* argument) {
+  auto* self = static_cast<PeerNetwork*>(argument);
+  std::array<char, kMaxDatagramBytes> buffer = {};
+  for (int i = 0; i < kDatagramsAtOnce; ++i) {
+    sockaddr_in from = {};
+    socklen_t length = sizeof(from);
+    const ssize_t size = recvfrom(socket, buffer.data(), buffer.size(),
+                                  MSG_TRUNC, AsSockaddr(from), &length);
+    if (size < 0)
+      return;
+    if (!self->IsMemberAddress(AsSockaddr(from), true)) {
+      ++self->counters.dropped_foreign;
+      continue;
+    }
+    if (static_cast<size_t>(size) > buffer.size()) {
+      ++self->counters.dropped_too_large;
+      continue;
+    }
+    const std::optional<Heartbeat> heartbeat = DecodeHeartbeat(
+        std::string_view(buffer.data(), static_cast<size_t>(size)));
+    if (!heartbeat) {
+      ++self->counters.dropped_bad;
+      continue;
+    }
+    ++self->counters.datagrams_received;
+    self->counters.bytes_received += static_cast<uint64_t>(size);
+    self->on_heartbeat(*heartbeat);
+  }
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/adapters/store/store_gateway.cc
@@ -0,0 +1,37 @@
+#include "adapters/store/store_gateway.h"
+
+#include <utility>
+
+#include "adapters/store/store_messages.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+StoreGateway::StoreGateway(HttpClient& http,
+                           HttpAddress address,
+                           Millis timeout)
+    : http(http), address(std::move(address)), timeout(timeout) {}
+
+void StoreGateway::Call(StorePurpose purpose,
+                        const StoreRequest& request,
+                        Callback callback) {
+  ++this->calls[purpose];
+  this->http.Send(this->address, "POST", GatewayPath(request),
+                  GatewayBody(request), this->timeout,
+                  [this, request,
+                   callback = std::move(callback)](const HttpAnswer& answer) {
+                    StoreReply reply;
+                    if (answer.outcome == HttpOutcome::kAnswered &&
+                        answer.status == kStatusOk)
+                      reply = ReadGatewayAnswer(request, answer.body);
+                    if (reply.outcome == StoreOutcome::kUnknown)
+                      ++this->unanswered;
+                    callback(reply);
+                  });
+}
+
+}  // namespace dogwoodfall
--- a/modules/config/configuration_text.cc
+++ b/modules/config/configuration_text.cc
@@ -25,9 +25,10 @@
 
 bool IsName(const std::string& name) {
   return !name.empty() && name.size() <= kLongestName &&
-         name.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
-                                "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-                                "0123456789_-") == std::string::npos;
+         name.find_first_not_of(
+             "abcdefghijklmnopqrstuvwxyz"
+             "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+             "0123456789_-") == std::string::npos;
 }
 
 void CheckKeys(const Json& object,
@@ -76,8 +77,7 @@
   for (size_t i = 0; i < list.size(); ++i) {
     std::string name = list[i].is_string() ? list[i].get<std::string>() : "";
     const bool is_prefix = !name.empty() && name.back() == '*';
-    const std::string stem =
-        is_prefix ? name.substr(0, name.size() - 1) : name;
+    const std::string stem = is_prefix ? name.substr(0, name.size() - 1) : name;
     if (!IsName(stem) && !(is_prefix && stem.empty())) {
       AddFault(faults, path + "/endpoints/" + std::to_string(i), list[i],
                "a name of an endpoint, or a prefix that ends in *");
--- a/modules/core/claims/claim_book.cc
+++ b/modules/core/claims/claim_book.cc
@@ -118,9 +118,9 @@
       nullptr;
   if (is_written && !book.in_flight.empty())
     FinishAppend(book, results);
-  const Result<JournalHead> decoded =
-      head == nullptr ? Result<JournalHead>(Error{})
-                      : DecodeJournalHead(head->value);
+  const Result<JournalHead> decoded = head == nullptr
+                                          ? Result<JournalHead>(Error{})
+                                          : DecodeJournalHead(head->value);
   if (!decoded.ok() || decoded.value().sealed) {
     CloseJournal(book, results);
     return;
--- a/modules/core/claims/ownership.cc
+++ b/modules/core/claims/ownership.cc
@@ -59,9 +59,9 @@
     const SlotEntry& entry = book.table.slots[slot];
     const bool lost_to_restart =
         IsOwn(book, entry.owner) && !book.serving[slot];
-    if (!lost_to_restart && (IsOwn(book, entry.owner) ||
-                             !IsFree(book, entry.owner, view) ||
-                             view.preferred_owner(slot) != book.self.id))
+    if (!lost_to_restart &&
+        (IsOwn(book, entry.owner) || !IsFree(book, entry.owner, view) ||
+         view.preferred_owner(slot) != book.self.id))
       continue;
     book.job.wanted.push_back(slot);
     if (!IsNone(entry.owner) && !IsOwn(book, entry.owner))
@@ -115,12 +115,11 @@
       if (former.newest < oldest_kept)
         table.floor = std::max(table.floor, former.newest + Millis{1});
     }
-    entry.former.erase(
-        std::remove_if(entry.former.begin(), entry.former.end(),
-                       [oldest_kept](const FormerOwner& former) {
-                         return former.newest < oldest_kept;
-                       }),
-        entry.former.end());
+    entry.former.erase(std::remove_if(entry.former.begin(), entry.former.end(),
+                                      [oldest_kept](const FormerOwner& former) {
+                                        return former.newest < oldest_kept;
+                                      }),
+                       entry.former.end());
   }
 }
 
@@ -185,8 +184,7 @@
   for (const auto& [journal, claims] : book.job.claims) {
     for (const Claim& claim : claims) {
       const SubmissionKey key(claim.key);
-      if (wanted.count(SlotOf(book, key)) == 0 ||
-          journal.daemon == book.self)
+      if (wanted.count(SlotOf(book, key)) == 0 || journal.daemon == book.self)
         continue;
       if (book.inherited.emplace(key, journal.daemon).second)
         book.inherited_by_stamp.emplace(claim.stamp, key);
@@ -322,13 +320,12 @@
       return WantedCall{StorePurpose::kOwnership,
                         StoreRead{kSlotTableKey, false}};
     case OwnershipStage::kReadingHead:
-      return WantedCall{
-          StorePurpose::kOwnership,
-          StoreRead{JournalHeadKey(job.to_seal.back()), false}};
+      return WantedCall{StorePurpose::kOwnership,
+                        StoreRead{JournalHeadKey(job.to_seal.back()), false}};
     case OwnershipStage::kSealing:
       return WantedCall{StorePurpose::kOwnership,
-                        SealTransaction(job.to_seal.back(),
-                                        job.head_revision, job.head_floor)};
+                        SealTransaction(job.to_seal.back(), job.head_revision,
+                                        job.head_floor)};
     case OwnershipStage::kReadingJournal:
       return WantedCall{StorePurpose::kOwnership,
                         StoreRead{JournalPrefix(job.to_read.back()), true}};
--- a/modules/core/dispatch/endpoint_pool.cc
+++ b/modules/core/dispatch/endpoint_pool.cc
@@ -99,8 +99,8 @@
                  const EjectionLimits& limits,
                  Millis now) {
   ++endpoint.failures_in_row;
-  const bool at_cap = CountEjected(pool, now) * limits.most_one_in >=
-                      pool.endpoints.size();
+  const bool at_cap =
+      CountEjected(pool, now) * limits.most_one_in >= pool.endpoints.size();
   if (endpoint.failures_in_row < limits.failures_in_row ||
       endpoint.ejected_until > now || at_cap)
     return;
--- a/modules/core/dispatch/fair_queue.cc
+++ b/modules/core/dispatch/fair_queue.cc
@@ -52,8 +52,7 @@
             Millis expected_run_time,
             uint32_t weight) {
   CustomerQueue& entry = queue.customers[customer];
-  queue.virtual_now_ms =
-      std::max(queue.virtual_now_ms, entry.virtual_time_ms);
+  queue.virtual_now_ms = std::max(queue.virtual_now_ms, entry.virtual_time_ms);
   entry.virtual_time_ms +=
       static_cast<double>(std::max<int64_t>(expected_run_time.count, 1)) /
       std::max(weight, 1U);
--- a/modules/core/limits/token_bucket.h
+++ b/modules/core/limits/token_bucket.h
@@ -19,7 +19,10 @@
  * @param per_second tokens that come back a second
  * @param burst most tokens it holds; also what it starts with
  */
-bool TakeToken(TokenBucket& bucket, double per_second, double burst, Millis now);
+bool TakeToken(TokenBucket& bucket,
+               double per_second,
+               double burst,
+               Millis now);
 
 }  // namespace dogwoodfall
 
--- a/modules/core/membership/membership.cc
+++ b/modules/core/membership/membership.cc
@@ -7,9 +7,9 @@
 
 /** True when the list has less than half of the endpoints known before. */
 bool HasShrunk(const Membership& membership, const InstanceList& list) {
-  const auto listed = std::count_if(
-      membership.endpoints.begin(), membership.endpoints.end(),
-      [](const auto& entry) { return entry.second.listed; });
+  const auto listed =
+      std::count_if(membership.endpoints.begin(), membership.endpoints.end(),
+                    [](const auto& entry) { return entry.second.listed; });
   return static_cast<int64_t>(list.endpoints.size()) * 2 < listed;
 }
 
--- a/modules/core/node/admission.cc
+++ b/modules/core/node/admission.cc
@@ -46,8 +46,8 @@
 Millis LeastTime(const Node& node, const SubmissionRecord& record) {
   Millis longest;
   for (const TaskRecord& task : record.tasks) {
-    const LearnedTime* learned = FindLearned(
-        node.dispatch.run_times, record.customer, task.spec.kind);
+    const LearnedTime* learned =
+        FindLearned(node.dispatch.run_times, record.customer, task.spec.kind);
     if (learned == nullptr || learned->samples < kSamplesToRefuse)
       continue;
     const double least = learned->mean_ms - 2 * learned->deviation_ms;
--- a/modules/core/node/drain_flow.cc
+++ b/modules/core/node/drain_flow.cc
@@ -38,13 +38,12 @@
 
 /** True when messages wait for a peer that can be reached. */
 bool HasUnacknowledged(const Node& node, Millis now) {
-  return std::any_of(
-      node.sessions.sessions.begin(), node.sessions.sessions.end(),
-      [&](const auto& entry) {
-        return !entry.second.unacknowledged.empty() &&
-               IsReachable(node.membership, entry.second.peer,
-                           node.settings.membership, now);
-      });
+  return std::any_of(node.sessions.sessions.begin(),
+                     node.sessions.sessions.end(), [&](const auto& entry) {
+                       return !entry.second.unacknowledged.empty() &&
+                              IsReachable(node.membership, entry.second.peer,
+                                          node.settings.membership, now);
+                     });
 }
 
 /** The peer that takes over: of this zone if there is one; none if there is
--- a/modules/core/node/home_flow.cc
+++ b/modules/core/node/home_flow.cc
@@ -69,16 +69,15 @@
                Actions& actions) {
   LogEvent event;
   event.name = "answer";
-  event.fields = {
-      {"submission", answer.id.value},
-      {"customer", customer.value},
-      {"status", NameOf(answer.status)},
-      {"code", std::to_string(static_cast<int>(answer.code))},
-      {"state", std::string(NameOf(answer.state))},
-      {"response_ms", std::to_string(answer.response_time.count)},
-      {"ideal_ms", std::to_string(answer.ideal_time.count)},
-      {"starts", std::to_string(answer.starts)},
-      {"wasted", std::to_string(answer.waste.Total())}};
+  event.fields = {{"submission", answer.id.value},
+                  {"customer", customer.value},
+                  {"status", NameOf(answer.status)},
+                  {"code", std::to_string(static_cast<int>(answer.code))},
+                  {"state", std::string(NameOf(answer.state))},
+                  {"response_ms", std::to_string(answer.response_time.count)},
+                  {"ideal_ms", std::to_string(answer.ideal_time.count)},
+                  {"starts", std::to_string(answer.starts)},
+                  {"wasted", std::to_string(answer.waste.Total())}};
   actions.push_back(std::move(event));
 }
 
@@ -123,10 +122,7 @@
 }
 
 /** Takes a submission whose id is known to be new, or refuses it. */
-void Admit(Node& node,
-           Millis now,
-           const SubmissionKey& key,
-           Actions& actions) {
+void Admit(Node& node, Millis now, const SubmissionKey& key, Actions& actions) {
   SubmissionRecord* record = FindRecord(node.ledger, key);
   const std::optional<Answer> refusal = CheckAdmission(node, *record, now);
   if (refusal) {
@@ -135,8 +131,8 @@
   }
   record->phase = SubmissionPhase::kOpen;
   for (TaskRecord& task : record->tasks) {
-    task.expected_run_time = ExpectedRunTime(node.dispatch.run_times,
-                                             record->customer, task.spec);
+    task.expected_run_time =
+        ExpectedRunTime(node.dispatch.run_times, record->customer, task.spec);
     record->remaining_work = record->remaining_work + task.expected_run_time;
   }
   for (TaskRecord& task : record->tasks)
@@ -153,10 +149,10 @@
                  Actions& actions) {
   const auto* submit = std::get_if<SubmitForward>(&request);
   const auto* status = std::get_if<StatusForward>(&request);
-  const CustomerId& customer =
-      submit != nullptr   ? submit->submission.customer
-      : status != nullptr ? status->customer
-                          : std::get<CancelForward>(request).customer;
+  const CustomerId& customer = submit != nullptr ? submit->submission.customer
+                               : status != nullptr
+                                   ? status->customer
+                                   : std::get<CancelForward>(request).customer;
   // The submission itself may well have run: only this request did nothing.
   if (customer != record.customer) {
     Deliver(node, now, waiter,
@@ -247,14 +243,14 @@
                   Actions& actions) {
   const auto* submit = std::get_if<SubmitForward>(&request);
   const auto* status = std::get_if<StatusForward>(&request);
-  const SubmissionId& id =
-      submit != nullptr   ? submit->submission.id
-      : status != nullptr ? status->submission
-                          : std::get<CancelForward>(request).submission;
-  const CustomerId& customer =
-      submit != nullptr   ? submit->submission.customer
-      : status != nullptr ? status->customer
-                          : std::get<CancelForward>(request).customer;
+  const SubmissionId& id = submit != nullptr ? submit->submission.id
+                           : status != nullptr
+                               ? status->submission
+                               : std::get<CancelForward>(request).submission;
+  const CustomerId& customer = submit != nullptr ? submit->submission.customer
+                               : status != nullptr
+                                   ? status->customer
+                                   : std::get<CancelForward>(request).customer;
   const SubmissionKey key = KeyOf(customer, id);
   SubmissionRecord* record = FindRecord(node.ledger, key);
   if (record != nullptr) {
@@ -297,15 +293,15 @@
     return;
   }
   if (!QueueClaim(node.claims, key, stamp, node.settings.claims)) {
-    Deliver(node, now, waiter,
-            PendingAnswer(submission.id, ResultCode::kClaimUndecided,
-                          StartState::kMayHaveStarted,
-                          node.settings.retry_pause),
-            actions);
+    Deliver(
+        node, now, waiter,
+        PendingAnswer(submission.id, ResultCode::kClaimUndecided,
+                      StartState::kMayHaveStarted, node.settings.retry_pause),
+        actions);
     return;
   }
-  SubmissionRecord& record = OpenRecord(node.ledger, submission,
-                                        node.settings.self, stamp, now);
+  SubmissionRecord& record =
+      OpenRecord(node.ledger, submission, node.settings.self, stamp, now);
   record.phase = SubmissionPhase::kClaiming;
   record.waiters.push_back(waiter);
   node.claim_waits.emplace(now + node.settings.claims.longest_wait, key);
@@ -330,11 +326,11 @@
     const SubmissionRecord* record = FindRecord(node.ledger, key);
     if (record == nullptr || record->phase != SubmissionPhase::kClaiming)
       continue;
-    TurnAway(node, now, key,
-             PendingAnswer(record->id, ResultCode::kClaimUndecided,
-                           StartState::kMayHaveStarted,
-                           node.settings.retry_pause),
-             actions);
+    TurnAway(
+        node, now, key,
+        PendingAnswer(record->id, ResultCode::kClaimUndecided,
+                      StartState::kMayHaveStarted, node.settings.retry_pause),
+        actions);
   }
 }
 
--- a/modules/core/node/peer_flow.cc
+++ b/modules/core/node/peer_flow.cc
@@ -85,16 +85,14 @@
   heartbeat.store_revision = node.claims.store_revision;
   heartbeat.can_claim = node.claims.phase == JournalPhase::kOpen;
   heartbeat.free_slots = FreeSlots(node.dispatch.pool, now);
-  heartbeat.queued_tasks =
-      static_cast<uint32_t>(SizeOf(node.dispatch.queue));
+  heartbeat.queued_tasks = static_cast<uint32_t>(SizeOf(node.dispatch.queue));
   heartbeat.draining = node.drain.phase != DrainPhase::kServing;
   for (const auto& [id, known] : node.membership.endpoints) {
     if (known.leaving && known.listed)
       heartbeat.leaving_endpoints.push_back(id);
   }
   for (const auto& [id, plan] : node.configuration.customers) {
-    const auto queued =
-        static_cast<uint32_t>(SizeOf(node.dispatch.queue, id));
+    const auto queued = static_cast<uint32_t>(SizeOf(node.dispatch.queue, id));
     const uint32_t running = RunningOf(node.dispatch, id);
     if (queued + running > 0)
       heartbeat.demands.push_back({id, running, queued});
@@ -169,8 +167,7 @@
                  Millis now,
                  const PeerFrame& frame,
                  Actions& actions) {
-  const std::optional<PeerMessage> message =
-      Receive(node.sessions, frame, now);
+  const std::optional<PeerMessage> message = Receive(node.sessions, frame, now);
   if (message)
     TakeMessage(node, now, frame.from, *message, actions);
 }
--- a/modules/core/node/request_flow.cc
+++ b/modules/core/node/request_flow.cc
@@ -166,11 +166,11 @@
   const bool sent = Send(node.sessions, to, std::move(message),
                          node.settings.sessions, now, actions);
   if (!sent) {
-    Deliver(node, now, waiter,
-            PendingAnswer(submission, ResultCode::kHomeUnreachable,
-                          StartState::kMayHaveStarted,
-                          node.settings.retry_pause),
-            actions);
+    Deliver(
+        node, now, waiter,
+        PendingAnswer(submission, ResultCode::kHomeUnreachable,
+                      StartState::kMayHaveStarted, node.settings.retry_pause),
+        actions);
     return;
   }
   ++node.counters.requests_forwarded;
@@ -239,10 +239,10 @@
       }
       break;
     case RouteKind::kFinal:
-      Deliver(node, now, waiter,
-              FailedAnswer(IdOf(request), route.code,
-                           StartState::kMayHaveStarted),
-              actions);
+      Deliver(
+          node, now, waiter,
+          FailedAnswer(IdOf(request), route.code, StartState::kMayHaveStarted),
+          actions);
       return;
     case RouteKind::kUndecided:
       break;
@@ -276,8 +276,8 @@
     route = RouteToHome(node, minted->home, now);
   } else {
     const auto& chosen = std::get<CallerChosenId>(parsed.value());
-    route = RouteChosen(node, KeyOf(CustomerOf(request), id),
-                        chosen.stamped_at, ClaimantOf(request), now);
+    route = RouteChosen(node, KeyOf(CustomerOf(request), id), chosen.stamped_at,
+                        ClaimantOf(request), now);
   }
   FollowRoute(node, now, waiter, route, std::move(request), actions);
   ReadWantedNotes(node, actions);
@@ -344,11 +344,11 @@
   for (const ForwardId& id : expired) {
     const PendingForward forward = std::move(node.forwards.at(id));
     node.forwards.erase(id);
-    Deliver(node, now, forward.waiter,
-            PendingAnswer(IdOf(forward.request), ResultCode::kHomeUnreachable,
-                          StartState::kMayHaveStarted,
-                          node.settings.retry_pause),
-            actions);
+    Deliver(
+        node, now, forward.waiter,
+        PendingAnswer(IdOf(forward.request), ResultCode::kHomeUnreachable,
+                      StartState::kMayHaveStarted, node.settings.retry_pause),
+        actions);
   }
 }
 
--- a/modules/core/node/scheduler_flow.cc
+++ b/modules/core/node/scheduler_flow.cc
@@ -21,7 +21,9 @@
   return {task.home, KeyOf(task.customer, task.submission)};
 }
 
-TaskReport ReportFor(const QueuedTask& task, ResultCode code, StartState state) {
+TaskReport ReportFor(const QueuedTask& task,
+                     ResultCode code,
+                     StartState state) {
   TaskReport report;
   report.submission = task.submission;
   report.customer = task.customer;
@@ -29,8 +31,8 @@
   report.outcome.code = code;
   report.outcome.state = state;
   report.first_attempt = task.first_attempt;
-  report.last_attempt = Attempt(
-      std::max(task.first_attempt.value, task.next_attempt.value - 1));
+  report.last_attempt =
+      Attempt(std::max(task.first_attempt.value, task.next_attempt.value - 1));
   report.waste = task.waste;
   return report;
 }
@@ -162,17 +164,16 @@
     if (limits == nullptr || IsHeldBack(node, customer, *limits, now))
       continue;
     PooledEndpoint* endpoint = nullptr;
-    const QueuedTask* task = FindStartable(
-        node, now, node.dispatch.queue.customers.at(customer), *limits,
-        endpoint, expired);
+    const QueuedTask* task =
+        FindStartable(node, now, node.dispatch.queue.customers.at(customer),
+                      *limits, endpoint, expired);
     if (task == nullptr)
       continue;
     const double rate = ShareOfStarts(node, customer, *limits, now);
     if (!TakeToken(node.dispatch.start_buckets[customer], rate,
                    std::max(1.0, rate * kStartBurst), now))
       continue;
-    std::optional<QueuedTask> taken =
-        Remove(node.dispatch.queue, KeyOf(*task));
+    std::optional<QueuedTask> taken = Remove(node.dispatch.queue, KeyOf(*task));
     Start(node, now, std::move(*taken), *endpoint, *limits, actions);
     started = true;
     break;
@@ -342,14 +343,12 @@
   if (!has_echo)
     return running.endpoint == event.endpoint;
   return running.endpoint == event.endpoint &&
-         running.task.task.id == event.task &&
-         running.attempt == event.attempt;
+         running.task.task.id == event.task && running.attempt == event.attempt;
 }
 
 PooledEndpoint* FindPooled(Node& node, const EndpointId& id) {
   const auto found = node.dispatch.pool.endpoints.find(id);
-  return found == node.dispatch.pool.endpoints.end() ? nullptr
-                                                     : &found->second;
+  return found == node.dispatch.pool.endpoints.end() ? nullptr : &found->second;
 }
 
 }  // namespace
@@ -544,9 +543,8 @@
 
 void UpdateOwnedEndpoints(Node& node, Millis now) {
   const bool draining = node.drain.phase != DrainPhase::kServing;
-  SetOwned(node.dispatch.pool,
-           OwnedEndpoints(node.membership, draining, node.settings.membership,
-                          now));
+  SetOwned(node.dispatch.pool, OwnedEndpoints(node.membership, draining,
+                                              node.settings.membership, now));
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/node/store_flow.cc
+++ b/modules/core/node/store_flow.cc
@@ -46,8 +46,8 @@
   view.is_gone = [&node, now](const DaemonRef& daemon) {
     return IsGone(node.membership, daemon, node.settings.membership, now);
   };
-  view.preferred_owner = [&node, candidates = SlotOwners(node, now)](
-                             uint32_t slot) {
+  view.preferred_owner = [&node,
+                          candidates = SlotOwners(node, now)](uint32_t slot) {
     if (candidates.empty())
       return node.settings.self.id;
     return ChooseByRendezvous(candidates, "slot" + std::to_string(slot)).id;
--- a/modules/core/routing/ownership.cc
+++ b/modules/core/routing/ownership.cc
@@ -42,8 +42,7 @@
       EndpointOwners(membership, self_draining, times, now);
   std::vector<EndpointMember> owned;
   for (const auto& [id, known] : membership.endpoints) {
-    if (!known.listed || known.leaving ||
-        known.member.zone != membership.zone)
+    if (!known.listed || known.leaving || known.member.zone != membership.zone)
       continue;
     if (ChooseByRendezvous(owners, id.value).id == membership.self.id)
       owned.push_back(known.member);
--- a/modules/ports/store_call.h
+++ b/modules/ports/store_call.h
@@ -31,6 +31,7 @@
 struct StoreTransaction {
   std::vector<StoreCompare> compares;
   std::vector<StorePut> puts;
+  /** Keys to delete; one that ends in '/' stands for all keys below it. */
   std::vector<std::string> deletes;
 };
 
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,110 @@
+# Functions that start daemons and stand-ins on loopback; to be sourced.
+# Every process that was started is ended by id when the shell exits.
+
+build="${DOGWOODFALL_BUILD:-build}"
+first_port="${DOGWOODFALL_FIRST_PORT:-23000}"
+store_port=$((first_port + 1))
+instances_port=$((first_port + 2))
+endpoint_port=$((first_port + 100))
+work="$(mktemp -d)"
+pids=()
+declare -A daemon_pid
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+# start LOG COMMAND...: starts a process; its id is in $last_pid.
+start() {
+  local log="$1"
+  shift
+  "$@" >"$work/$log" 2>&1 &
+  last_pid=$!
+  pids+=("$last_pid")
+}
+
+callers_port() { echo $((first_port + 10 + $1)); }
+operators_port() { echo $((first_port + 30 + $1)); }
+
+# daemon_entry NUMBER ZONE: an entry of the platform's list.
+daemon_entry() {
+  echo "{\"id\":\"d$1\",\"zone\":\"$2\",\"ip\":\"127.0.0.1\",\"peer_tcp_port\":$((first_port + 50 + $1)),\"peer_udp_port\":$((first_port + 70 + $1))}"
+}
+
+# endpoint_entry NUMBER ZONE [STATE]
+endpoint_entry() {
+  echo "{\"id\":\"endpoint$1\",\"zone\":\"$2\",\"rack\":\"r1\",\"ip\":\"127.0.0.1\",\"port\":$((endpoint_port + $1 - 1)),\"slots\":8,\"memory_mb\":64000,\"state\":\"${3:-live}\"}"
+}
+
+join_entries() { local IFS=,; echo "$*"; }
+
+# write_list "DAEMONS" "ENDPOINTS"
+write_list() {
+  echo "{\"daemons\":[$1],\"endpoints\":[$2]}" >"$work/instances.new"
+  mv "$work/instances.new" "$work/instances.json"
+}
+
+# write_settings NUMBER ZONE: the settings file of a daemon.
+write_settings() {
+  cat >"$work/d$1.json" <<SETTINGS
+{"daemon": {"id": "d$1", "zone": "$2"},
+ "callers": {"ip": "127.0.0.1", "port": $(callers_port "$1")},
+ "operators": {"ip": "127.0.0.1", "port": $(operators_port "$1")},
+ "peers": {"ip": "127.0.0.1", "tcp_port": $((first_port + 50 + $1)),
+           "udp_port": $((first_port + 70 + $1))},
+ "store": {"ip": "127.0.0.1", "port": $store_port},
+ "instances": {"ip": "127.0.0.1", "port": $instances_port}}
+SETTINGS
+}
+
+# start_daemon NUMBER
+start_daemon() {
+  start "d$1.log" "$build/apps/dogwoodfalld" --settings "$work/d$1.json"
+  daemon_pid[$1]=$last_pid
+}
+
+start_store() { start store.log "$build/stand_ins/store_stand_in" --port "$store_port"; store_pid=$last_pid; }
+start_instances() { start instances.log "$build/stand_ins/instances_stand_in" --port "$instances_port" --file "$work/instances.json"; }
+
+# start_endpoints COUNT [OPTIONS]
+start_endpoints() {
+  local count="$1"
+  shift
+  start endpoints.log "$build/stand_ins/endpoint_stand_in" --count "$count" --first-port "$endpoint_port" "$@"
+}
+
+ctl() { "$build/apps/dogwoodfallctl" "$@"; }
+
+# wait_until SECONDS COMMAND...: runs a command until it succeeds.
+wait_until() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$end" ] || { echo "gave up waiting for: $*" >&2; return 1; }
+    sleep 0.1
+  done
+}
+
+is_ready() { ctl ready --daemon "127.0.0.1:$(operators_port "$1")"; }
+
+# sees_peers NUMBER COUNT: the daemon hears that many peers.
+sees_peers() {
+  local heard
+  heard="$(ctl state --daemon "127.0.0.1:$(operators_port "$1")" --module membership | jq '[.daemons[] | select(.reachable)] | length')"
+  [ "$heard" -ge "$2" ]
+}
+
+endpoint_counts() { curl -s "http://127.0.0.1:$endpoint_port/v1/counts"; }
+store_control() { curl -s -d "$1" "http://127.0.0.1:$store_port/control"; }
+
+write_lists() {
+  cat >"$work/lists.json" <<LISTS
+{"revision": 1,
+ "customers": {"wharf": "standard", "depot": "standard"},
+ "plans": {"standard": {"weight": 1, "tasks_at_once": 100000,
+   "starts_per_second": 100000, "queued_tasks": 100000, "endpoints": ["*"]}}}
+LISTS
+}
--- /dev/null
+++ b/stand_ins/key_value_table.h
@@ -0,0 +1,27 @@
+#ifndef DOGWOODFALL_STAND_INS_KEY_VALUE_TABLE_H_
+#define DOGWOODFALL_STAND_INS_KEY_VALUE_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "ports/store_call.h"
+
+namespace dogwoodfall {
+
+/** Keys with values and revisions: what the platform's store holds. */
+struct KeyValueTable {
+  struct Entry {
+    std::string value;
+    uint64_t mod_revision = 0;
+  };
+  std::map<std::string, Entry> entries;
+  uint64_t revision = 1;
+};
+
+/** Carries out one call, with compare-and-swap. */
+StoreReply Apply(KeyValueTable& table, const StoreRequest& request);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_STAND_INS_KEY_VALUE_TABLE_H_
--- /dev/null
+++ b/stand_ins/stand_in_main.h
@@ -0,0 +1,36 @@
+#ifndef DOGWOODFALL_STAND_INS_STAND_IN_MAIN_H_
+#define DOGWOODFALL_STAND_INS_STAND_IN_MAIN_H_
+
+#include <event2/event.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "adapters/http/http_server.h"
+
+namespace dogwoodfall {
+
+/** Address that all stand-ins listen on. */
+inline constexpr const char* kLoopback = "127.0.0.1";
+
+/** The value behind --NAME on the command line, or the fallback. */
+std::string Option(int argc,
+                   char** argv,
+                   const std::string& name,
+                   const std::string& fallback);
+
+/** The number behind --NAME on the command line, or the fallback. */
+int64_t NumberOption(int argc,
+                     char** argv,
+                     const std::string& name,
+                     int64_t fallback);
+
+/** Listens on a port of the loopback address or ends the process. */
+std::unique_ptr<HttpServer> ListenOrExit(event_base* base,
+                                         uint16_t port,
+                                         HttpServer::Handler handler);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_STAND_INS_STAND_IN_MAIN_H_
