--- a/modules/adapters/operators/state_dump.cc
+++ b/modules/adapters/operators/state_dump.cc
@@ -70,7 +70,9 @@
           {"inherited", claims.inherited.size()},
           {"table_revision", claims.table_revision},
           {"store_revision", claims.store_revision},
-          {"store_restored", claims.store_restored}};
+          {"store_restored", claims.store_restored},
+          {"restores", claims.restores},
+          {"floor_ms", claims.floor.count}};
 }
 
 Json DispatchJson(const Node& node, Millis now) {
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -157,8 +157,9 @@
 void serialize(Archive& archive, Heartbeat& heartbeat) {
   archive(heartbeat.from, heartbeat.zone, heartbeat.number, heartbeat.revision,
           heartbeat.table_revision, heartbeat.store_revision,
-          heartbeat.can_claim, heartbeat.free_slots, heartbeat.queued_tasks,
-          heartbeat.draining, heartbeat.leaving_endpoints, heartbeat.demands);
+          heartbeat.store_cluster_id, heartbeat.can_claim, heartbeat.free_slots,
+          heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
+          heartbeat.leaving_endpoints, heartbeat.demands);
 }
 
 namespace {
--- a/modules/adapters/store/store_messages.cc
+++ b/modules/adapters/store/store_messages.cc
@@ -52,6 +52,8 @@
 StoreReply ReplyFrom(const StoreRequest& request, const Json& json) {
   StoreReply reply;
   reply.revision = NumberFrom(json.at("header").at("revision"));
+  if (json["header"].contains("cluster_id"))
+    reply.cluster_id = NumberFrom(json["header"]["cluster_id"]);
   if (std::holds_alternative<StoreTransaction>(request)) {
     reply.outcome = json.value("succeeded", false)
                         ? StoreOutcome::kDone
--- a/modules/core/claims/claim_book.cc
+++ b/modules/core/claims/claim_book.cc
@@ -51,23 +51,6 @@
   return transaction;
 }
 
-/** Ends the use of a journal that was sealed; a later one may be opened. */
-void CloseJournal(ClaimBook& book, ClaimResults& results) {
-  for (const Claim& claim : book.in_flight)
-    results.undecided.push_back(SubmissionKey(claim.key));
-  for (const Claim& claim : book.waiting)
-    results.undecided.push_back(SubmissionKey(claim.key));
-  book.in_flight.clear();
-  book.waiting.clear();
-  book.segments.clear();
-  book.phase = JournalPhase::kClosed;
-  book.serving.assign(book.serving.size(), false);
-  book.own_newest.assign(book.own_newest.size(), Millis{});
-  ++book.journal.generation;
-  book.next_segment = 1;
-  book.next_table_read = Millis{};
-}
-
 void FinishAppend(ClaimBook& book, ClaimResults& results) {
   Millis newest;
   for (const Claim& claim : book.in_flight) {
@@ -122,7 +105,7 @@
                                           ? Result<JournalHead>(Error{})
                                           : DecodeJournalHead(head->value);
   if (!decoded.ok() || decoded.value().sealed) {
-    CloseJournal(book, results);
+    results.undecided = AbandonJournal(book);
     return;
   }
   LoadSegments(book, reply);
@@ -132,7 +115,7 @@
 
 bool MayCall(const ClaimBook& book, Millis now) {
   return book.call == JournalCall::kNone && now >= book.retry_at &&
-         !book.store_restored;
+         !book.store_restored && book.cluster_id != 0;
 }
 
 WantedCall ReadBackCall(ClaimBook& book) {
@@ -229,7 +212,7 @@
   ClaimResults results;
   const JournalCall call = book.call;
   book.call = JournalCall::kNone;
-  if (reply.outcome == StoreOutcome::kUnknown || book.store_restored) {
+  if (reply.outcome == StoreOutcome::kUnknown) {
     book.retry_at = now + limits.retry_after;
     // The head may or may not have changed: it is read before the next use.
     if (call == JournalCall::kPurge)
@@ -258,14 +241,51 @@
   return results;
 }
 
-void NoteStoreRevision(ClaimBook& book,
-                       uint64_t revision,
-                       uint64_t known_at_call) {
-  if (revision == 0)
-    return;
-  if (revision < known_at_call)
-    book.store_restored = true;
-  book.store_revision = std::max(book.store_revision, revision);
+bool NoteStoreReply(ClaimBook& book,
+                    const StoreReply& reply,
+                    uint64_t known_at_call) {
+  if (reply.outcome == StoreOutcome::kUnknown)
+    return true;
+  const bool is_first = book.cluster_id == 0;
+  const bool same_history = is_first || reply.cluster_id == book.cluster_id;
+  book.cluster_id = reply.cluster_id;
+  if (same_history && reply.revision >= known_at_call) {
+    book.store_revision = std::max(book.store_revision, reply.revision);
+    return true;
+  }
+  if (!book.store_restored) {
+    ++book.restores;
+    book.recoveries_seen = book.table.recoveries;
+  }
+  book.store_restored = true;
+  book.store_revision = reply.revision;
+  book.next_table_read = Millis{};
+  return false;
+}
+
+void NotePeerRevision(ClaimBook& book, uint64_t revision, uint64_t cluster_id) {
+  if (cluster_id == book.cluster_id)
+    book.store_revision = std::max(book.store_revision, revision);
+  else if (cluster_id != 0 && book.cluster_id != 0)
+    book.has_peer_of_other_history = true;
+}
+
+std::vector<SubmissionKey> AbandonJournal(ClaimBook& book) {
+  std::vector<SubmissionKey> undecided;
+  for (const std::vector<Claim>* claims : {&book.in_flight, &book.waiting}) {
+    for (const Claim& claim : *claims)
+      undecided.push_back(SubmissionKey(claim.key));
+  }
+  book.in_flight.clear();
+  book.waiting.clear();
+  book.segments.clear();
+  book.phase = JournalPhase::kClosed;
+  book.serving.assign(book.serving.size(), false);
+  book.own_newest.assign(book.own_newest.size(), Millis{});
+  ++book.journal.generation;
+  book.next_segment = 1;
+  book.next_table_read = Millis{};
+  return undecided;
 }
 
 void ForgetOldClaims(ClaimBook& book, const ClaimLimits& limits, Millis now) {
--- a/modules/core/claims/claim_book.h
+++ b/modules/core/claims/claim_book.h
@@ -100,8 +100,20 @@
 
   /** Highest revision of the store seen here or by a peer. */
   uint64_t store_revision = 0;
-  /** True once the store answered with a lower one: it was restored. */
+  /** Identity of the store's history; 0 before the first answer. */
+  uint64_t cluster_id = 0;
+  /** True from the moment the store is seen to have been restored until the
+   * table says that it was recovered from. Nothing is claimed meanwhile.
+   */
   bool store_restored = false;
+  /** Recoveries in the table when the restore was seen. */
+  uint64_t recoveries_seen = 0;
+  /** True once a peer spoke of a store with another history. */
+  bool has_peer_of_other_history = false;
+  /** True until the journal of the time before a restore is abandoned. */
+  bool needs_new_journal = false;
+  /** Restores seen so far. */
+  uint64_t restores = 0;
 };
 
 /** What is known of an id that a caller chose. */
@@ -177,14 +189,23 @@
                               const ClaimLimits& limits,
                               Millis now);
 
-/** Notes the revision of a store reply, or one that a peer has seen.
+/** Looks whether a reply comes from a store that was restored since.
  *
- * @param known_at_call the highest revision known when the call was made, or 0
- *        for a revision that a peer has seen
+ * @param known_at_call the highest revision known when the call was made
+ * @return false when the reply must not be used
  */
-void NoteStoreRevision(ClaimBook& book,
-                       uint64_t revision,
-                       uint64_t known_at_call);
+bool NoteStoreReply(ClaimBook& book,
+                    const StoreReply& reply,
+                    uint64_t known_at_call);
+
+/** Notes a revision that a peer has seen. */
+void NotePeerRevision(ClaimBook& book, uint64_t revision, uint64_t cluster_id);
+
+/** Gives up the own journal; a later one is opened under another name.
+ *
+ * @return the claims that were not written
+ */
+std::vector<SubmissionKey> AbandonJournal(ClaimBook& book);
 
 /** Forgets inherited claims that are older than the window. */
 void ForgetOldClaims(ClaimBook& book, const ClaimLimits& limits, Millis now);
--- a/modules/core/claims/ownership.cc
+++ b/modules/core/claims/ownership.cc
@@ -31,6 +31,7 @@
 
 SlotTable EmptyTable(const ClaimBook& book) {
   SlotTable table;
+  table.cluster_id = book.cluster_id;
   table.slots.resize(book.serving.size());
   return table;
 }
@@ -195,6 +196,14 @@
     book.serving[slot] = true;
 }
 
+/** The store was recovered from a restore, here or elsewhere. */
+void EndRecovery(ClaimBook& book) {
+  book.floor = std::max(book.floor, book.table.floor);
+  book.store_restored = false;
+  book.recoveries_seen = book.table.recoveries;
+  book.needs_new_journal = true;
+}
+
 void AdoptNewTable(ClaimBook& book,
                    uint64_t revision,
                    const ClaimLimits& limits,
@@ -202,6 +211,8 @@
   Inherit(book);
   book.table = book.job.new_table;
   book.table_revision = revision;
+  if (book.job.is_recovery)
+    EndRecovery(book);
   EndJob(book, now + limits.table_period);
 }
 
@@ -220,9 +231,39 @@
   }
 }
 
+/** True when claims may have vanished from the store and nobody has made sure
+ * since that the ids concerned are not taken for new.
+ */
+bool NeedsRecovery(const ClaimBook& book) {
+  const bool has_no_table = book.table_revision == 0;
+  if (book.table.cluster_id != book.cluster_id ||
+      (has_no_table && book.has_peer_of_other_history))
+    return true;
+  return book.store_restored && book.table.recoveries <= book.recoveries_seen;
+}
+
+/** Plans a table under which every id that may have been claimed before the
+ * restore counts as too old: claims of it may be lost.
+ */
+void PlanRecovery(ClaimBook& book, const ClaimLimits& limits, Millis now) {
+  SlotTable table = EmptyTable(book);
+  // An accepted id is at most one skew ahead of its owner's clock, and that
+  // clock at most one skew ahead of this one.
+  table.floor = std::max(book.table.floor, now + limits.clock_skew +
+                                               limits.clock_skew + Millis{1});
+  table.recoveries = std::max(book.table.recoveries, book.recoveries_seen) + 1;
+  book.job = OwnershipJob{};
+  book.job.is_recovery = true;
+  book.job.new_table = std::move(table);
+  book.job.new_text = Encode(book.job.new_table);
+  book.job.stage = OwnershipStage::kWritingTable;
+}
+
 /** Takes over the table as it stands in the store. */
-bool LoadTable(ClaimBook& book, const StoreReply& reply) {
+bool LoadTable(ClaimBook& book, const StoreReply& reply, Millis now) {
   SlotTable table = EmptyTable(book);
+  // Where there is no table, claims of the past may have been wiped out.
+  table.floor = now + Millis{1};
   uint64_t revision = 0;
   if (!reply.items.empty()) {
     Result<SlotTable> decoded = DecodeSlotTable(reply.items.front().value);
@@ -252,11 +293,20 @@
     AdoptNewTable(book, reply.items.front().mod_revision, limits, now);
     return;
   }
-  if (!LoadTable(book, reply)) {
+  if (!LoadTable(book, reply, now)) {
     EndJob(book, now + limits.table_period);
     return;
   }
   book.job = OwnershipJob{};
+  if (NeedsRecovery(book)) {
+    PlanRecovery(book, limits, now);
+    return;
+  }
+  if (book.store_restored) {
+    EndRecovery(book);
+    EndJob(book, Millis{});
+    return;
+  }
   if (book.phase == JournalPhase::kOpen && !view.releasing_all)
     PlanTakeover(book, view);
   if (book.job.wanted.empty())
@@ -302,7 +352,7 @@
 std::optional<WantedCall> NextOwnershipCall(ClaimBook& book,
                                             const ClaimLimits& limits,
                                             Millis now) {
-  if (book.store_restored)
+  if (book.needs_new_journal || book.cluster_id == 0)
     return std::nullopt;
   OwnershipJob& job = book.job;
   switch (job.stage) {
--- a/modules/core/claims/ownership_job.h
+++ b/modules/core/claims/ownership_job.h
@@ -28,6 +28,8 @@
 /** One change of the table of slots, step by step. */
 struct OwnershipJob {
   OwnershipStage stage = OwnershipStage::kIdle;
+  /** True when the new table ends a recovery from a restore of the store. */
+  bool is_recovery = false;
   /** Slots to take over. */
   std::vector<uint32_t> wanted;
   /** Slots to give away. */
--- a/modules/core/membership/membership.cc
+++ b/modules/core/membership/membership.cc
@@ -93,7 +93,7 @@
     return HeartbeatEffect::kForeign;
   KnownDaemon& known = found->second;
   if (membership.ended.count(heartbeat.from) > 0)
-    return HeartbeatEffect::kOld;
+    return HeartbeatEffect::kEnded;
   const bool same_life =
       known.incarnation && *known.incarnation == heartbeat.from.incarnation;
   if (same_life && heartbeat.number <= known.latest.number)
--- a/modules/core/membership/membership.h
+++ b/modules/core/membership/membership.h
@@ -78,6 +78,8 @@
   kForeign = 0,
   /** Older than one that was heard before; dropped. */
   kOld = 1,
+  /** From a process life that was declared ended and goes on. */
+  kEnded = 4,
   /** From the known process life. */
   kKnown = 2,
   /** From a process life heard for the first time. */
--- a/modules/core/node/admission.cc
+++ b/modules/core/node/admission.cc
@@ -96,6 +96,8 @@
                                      const SubmissionRecord& record,
                                      Millis now) {
   const Millis pause = node.settings.retry_pause;
+  if (node.is_expelled)
+    return RefusedAnswer(record.id, ResultCode::kDraining, pause);
   if (node.configuration.revision == 0)
     return RefusedAnswer(record.id, ResultCode::kNotReady, pause);
   const PlanLimits* limits = FindLimits(node.configuration, record.customer);
--- a/modules/core/node/drain_flow.cc
+++ b/modules/core/node/drain_flow.cc
@@ -33,7 +33,7 @@
 bool HasWorkInFlight(const Node& node) {
   return !node.ledger.open_by_deadline.empty() ||
          !node.dispatch.running.empty() || !node.forwards.empty() ||
-         SizeOf(node.dispatch.queue) > 0;
+         !node.note_waiters.empty() || SizeOf(node.dispatch.queue) > 0;
 }
 
 /** True when messages wait for a peer that can be reached. */
@@ -164,8 +164,8 @@
           now - drain.phase_started_at >= node.settings.drain_store_wait;
       const bool handed_on = drain.note_written && !ServesSlots(node);
       if ((handed_on || waited_enough) && node.forwards.empty() &&
-          !HasUnacknowledged(node, now))
-        Exit(node, true, now, actions);
+          node.note_waiters.empty() && !HasUnacknowledged(node, now))
+        Exit(node, !node.is_expelled, now, actions);
       return;
     }
     case DrainPhase::kServing:
--- a/modules/core/node/node.h
+++ b/modules/core/node/node.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/millis.h"
@@ -16,6 +17,7 @@
 #include "core/membership/membership.h"
 #include "core/node/node_counters.h"
 #include "core/node/node_settings.h"
+#include "core/node/note_waiter.h"
 #include "core/node/open_store_call.h"
 #include "core/node/pending_forward.h"
 #include "core/peers/peer_session.h"
@@ -50,8 +52,8 @@
   std::map<DaemonRef, DaemonRef> successors;
   /** Homes that are gone and left no note. */
   std::set<DaemonRef> without_note;
-  /** Homes whose note is being read. */
-  std::set<DaemonRef> notes_wanted;
+  /** Requests that wait until the note of a home is read. */
+  std::map<DaemonRef, std::vector<NoteWaiter>> note_waiters;
 
   std::map<StoreToken, OpenStoreCall> store_calls;
   uint64_t last_store_token = 0;
@@ -59,6 +61,10 @@
   bool configuration_call_out = false;
   Millis next_configuration_read;
 
+  /** True once peers have declared this process life ended: what they gave it
+   * is settled, and it can only answer its callers and stop.
+   */
+  bool is_expelled = false;
   uint64_t heartbeat_number = 0;
   Millis next_heartbeat;
   /** True while tasks are being assigned, so that it is not begun again. */
--- a/modules/core/node/peer_flow.cc
+++ b/modules/core/node/peer_flow.cc
@@ -56,6 +56,35 @@
   }
 }
 
+/** Tells a process life that it was declared ended. */
+void TellEnded(Node& node,
+               Millis now,
+               const DaemonRef& ended,
+               Actions& actions) {
+  Heartbeat heartbeat = MakeHeartbeat(node, now);
+  heartbeat.ended_receiver = ended.incarnation;
+  actions.push_back(SendHeartbeat{ended.id, heartbeat});
+}
+
+/** Peers have declared this process life ended: settles all that is bound to
+ * them and begins to stop. Going on would need sessions that they have closed.
+ */
+void TakeExpulsion(Node& node, Millis now, Actions& actions) {
+  if (node.is_expelled)
+    return;
+  node.is_expelled = true;
+  LogEvent event;
+  event.name = "declared_ended_by_peers";
+  actions.push_back(std::move(event));
+  std::vector<DaemonRef> peers;
+  for (const auto& [id, session] : node.sessions.sessions)
+    peers.push_back(session.peer);
+  node.sessions.sessions.clear();
+  OnDrain(node, now, actions);
+  for (const DaemonRef& peer : peers)
+    SettleEndedLife(node, now, peer, actions);
+}
+
 /** Reacts to what a heartbeat says besides that its sender lives. */
 void TakeNews(Node& node,
               Millis now,
@@ -65,7 +94,8 @@
     MarkLeaving(node.membership, endpoint);
   if (heartbeat.table_revision > node.claims.table_revision)
     node.claims.heard_table_revision = heartbeat.table_revision;
-  NoteStoreRevision(node.claims, heartbeat.store_revision, 0);
+  NotePeerRevision(node.claims, heartbeat.store_revision,
+                   heartbeat.store_cluster_id);
   if (heartbeat.revision > node.configuration.revision) {
     Send(node.sessions, heartbeat.from,
          ConfigurationRequest{node.configuration.revision},
@@ -83,6 +113,7 @@
   heartbeat.revision = node.configuration.revision;
   heartbeat.table_revision = node.claims.table_revision;
   heartbeat.store_revision = node.claims.store_revision;
+  heartbeat.store_cluster_id = node.claims.cluster_id;
   heartbeat.can_claim = node.claims.phase == JournalPhase::kOpen;
   heartbeat.free_slots = FreeSlots(node.dispatch.pool, now);
   heartbeat.queued_tasks = static_cast<uint32_t>(SizeOf(node.dispatch.queue));
@@ -183,9 +214,13 @@
     ++node.counters.foreign_heartbeats;
     return;
   }
-  if (effect == HeartbeatEffect::kOld)
+  if (effect == HeartbeatEffect::kEnded)
+    TellEnded(node, now, heartbeat.from, actions);
+  if (effect == HeartbeatEffect::kOld || effect == HeartbeatEffect::kEnded)
     return;
-  if (effect == HeartbeatEffect::kNewLife) {
+  if (heartbeat.ended_receiver == node.settings.self.incarnation)
+    TakeExpulsion(node, now, actions);
+  if (effect == HeartbeatEffect::kNewLife && !node.is_expelled) {
     StartSession(node.sessions, heartbeat.from);
     if (replaced)
       SettleEndedLife(node, now, *replaced, actions);
--- a/modules/core/node/request_flow.cc
+++ b/modules/core/node/request_flow.cc
@@ -12,6 +12,8 @@
 
 /** Daemons that may pass a request on, one after another. */
 constexpr uint32_t kMostHops = 4;
+/** Requests that may wait for one stop note. */
+constexpr size_t kMostNoteWaiters = 5'000;
 
 /** Where a request is to be handled. */
 enum class RouteKind : uint8_t {
@@ -21,6 +23,8 @@
   kClaimHere,
   /** The answer is known: the home is gone, or the id too old. */
   kFinal,
+  /** The home is gone; its stop note has to be read. */
+  kReadNote,
   /** Nobody can say now. */
   kUndecided,
 };
@@ -101,7 +105,8 @@
   if (!IsGone(node.membership, target, node.settings.membership, now))
     return route;
   if (node.without_note.count(target) == 0) {
-    node.notes_wanted.insert(target);
+    route.kind = RouteKind::kReadNote;
+    route.peer = target;
     return route;
   }
   route.kind = RouteKind::kFinal;
@@ -120,15 +125,19 @@
     route.claimant = claimant;
     return route;
   }
-  // What this daemon has in its ledger it knows, whoever owns the slot now.
-  if (FindRecord(node.ledger, key) != nullptr && !HasHandedOver(node)) {
-    route.kind = RouteKind::kHere;
+  // What this daemon has in its ledger it knows, whoever owns the slot now,
+  // and after a hand-over its successor does.
+  if (FindRecord(node.ledger, key) != nullptr) {
+    route = RouteToHome(node, node.settings.self, now);
+    route.claimant = node.settings.self;
     return route;
   }
   const ClaimLookup lookup = LookUp(node.claims, key, stamp);
   switch (lookup.answer) {
     case ClaimAnswer::kUnclaimed:
-      route.kind = RouteKind::kClaimHere;
+      route.code = ResultCode::kClaimUndecided;
+      if (!HasHandedOver(node))
+        route.kind = RouteKind::kClaimHere;
       return route;
     case ClaimAnswer::kClaimedBefore:
       route = RouteToHome(node, lookup.daemon, now);
@@ -216,6 +225,23 @@
   HandleAtHome(node, now, waiter, request, actions);
 }
 
+/** Keeps a request until the note of a home is read. Returns false when too
+ * many wait.
+ */
+bool WaitForNote(Node& node,
+                 const Waiter& waiter,
+                 const DaemonRef& home,
+                 const SubmissionRequest& request,
+                 Actions& actions) {
+  std::vector<NoteWaiter>& waiters = node.note_waiters[home];
+  if (waiters.size() >= kMostNoteWaiters)
+    return false;
+  waiters.push_back({waiter, request});
+  if (waiters.size() == 1)
+    ReadStopNote(node, home, actions);
+  return true;
+}
+
 void FollowRoute(Node& node,
                  Millis now,
                  const Waiter& waiter,
@@ -244,6 +270,10 @@
           FailedAnswer(IdOf(request), route.code, StartState::kMayHaveStarted),
           actions);
       return;
+    case RouteKind::kReadNote:
+      if (WaitForNote(node, waiter, route.peer, request, actions))
+        return;
+      break;
     case RouteKind::kUndecided:
       break;
   }
@@ -280,7 +310,6 @@
                         ClaimantOf(request), now);
   }
   FollowRoute(node, now, waiter, route, std::move(request), actions);
-  ReadWantedNotes(node, actions);
 }
 
 void Deliver(Node& node,
@@ -332,6 +361,29 @@
   }
 }
 
+void ReleaseNoteWaiters(Node& node,
+                        Millis now,
+                        const DaemonRef& home,
+                        bool is_known,
+                        Actions& actions) {
+  const auto found = node.note_waiters.find(home);
+  if (found == node.note_waiters.end())
+    return;
+  const std::vector<NoteWaiter> waiters = std::move(found->second);
+  node.note_waiters.erase(found);
+  for (const NoteWaiter& entry : waiters) {
+    if (is_known) {
+      HandleRequest(node, now, entry.waiter, entry.request, actions);
+      continue;
+    }
+    Deliver(
+        node, now, entry.waiter,
+        PendingAnswer(IdOf(entry.request), ResultCode::kHomeUnreachable,
+                      StartState::kMayHaveStarted, node.settings.retry_pause),
+        actions);
+  }
+}
+
 void ExpireForwards(Node& node, Millis now, Actions& actions) {
   std::vector<ForwardId> expired;
   for (const auto& [id, forward] : node.forwards) {
--- a/modules/core/node/request_flow.h
+++ b/modules/core/node/request_flow.h
@@ -35,6 +35,16 @@
                  const DaemonRef& ended,
                  Actions& actions);
 
+/** Handles again what waited for the stop note of a home.
+ *
+ * @param is_known false when the store gave no answer
+ */
+void ReleaseNoteWaiters(Node& node,
+                        Millis now,
+                        const DaemonRef& home,
+                        bool is_known,
+                        Actions& actions);
+
 /** Answers requests that wait for a peer that is out of reach. */
 void ExpireForwards(Node& node, Millis now, Actions& actions);
 
--- a/modules/core/node/store_flow.cc
+++ b/modules/core/node/store_flow.cc
@@ -9,6 +9,7 @@
 #include "core/node/home_flow.h"
 #include "core/node/node_events.h"
 #include "core/node/peer_flow.h"
+#include "core/node/request_flow.h"
 #include "core/node/scheduler_flow.h"
 #include "core/routing/rendezvous.h"
 #include "records/stop_note.h"
@@ -67,18 +68,22 @@
   Pump(node, now, actions);
 }
 
-void TakeStopNote(Node& node, const DaemonRef& home, const StoreReply& reply) {
-  if (reply.outcome != StoreOutcome::kDone)
-    return;
-  if (reply.items.empty()) {
-    node.without_note.insert(home);
-    return;
+void TakeStopNote(Node& node,
+                  Millis now,
+                  const DaemonRef& home,
+                  const StoreReply& reply,
+                  Actions& actions) {
+  const bool is_known = reply.outcome == StoreOutcome::kDone;
+  if (is_known) {
+    const Result<StopNote> note =
+        reply.items.empty() ? Result<StopNote>(Error{})
+                            : DecodeStopNote(reply.items.front().value);
+    if (note.ok())
+      node.successors[home] = note.value().successor;
+    else
+      node.without_note.insert(home);
   }
-  const Result<StopNote> note = DecodeStopNote(reply.items.front().value);
-  if (note.ok())
-    node.successors[home] = note.value().successor;
-  else
-    node.without_note.insert(home);
+  ReleaseNoteWaiters(node, now, home, is_known, actions);
 }
 
 void TakeReply(Node& node,
@@ -105,7 +110,7 @@
           std::max(node.ledger.chosen_floor, node.claims.floor);
       return;
     case StoreCallKind::kReadStopNote:
-      TakeStopNote(node, call.home, reply);
+      TakeStopNote(node, now, call.home, reply, actions);
       return;
     case StoreCallKind::kWriteStopNote:
       node.drain.note_written = reply.outcome == StoreOutcome::kDone;
@@ -152,13 +157,10 @@
   }
 }
 
-void ReadWantedNotes(Node& node, Actions& actions) {
-  for (const DaemonRef& home : node.notes_wanted) {
-    Call(node, StoreCallKind::kReadStopNote,
-         {StorePurpose::kStopNote, StoreRead{StopNoteKey(home), false}}, home,
-         actions);
-  }
-  node.notes_wanted.clear();
+void ReadStopNote(Node& node, const DaemonRef& home, Actions& actions) {
+  Call(node, StoreCallKind::kReadStopNote,
+       {StorePurpose::kStopNote, StoreRead{StopNoteKey(home), false}}, home,
+       actions);
 }
 
 void WriteStopNote(Node& node, Actions& actions) {
@@ -182,10 +184,18 @@
   const OpenStoreCall call = found->second;
   node.store_calls.erase(found);
   const bool was_restored = node.claims.store_restored;
-  if (reply.outcome != StoreOutcome::kUnknown)
-    NoteStoreRevision(node.claims, reply.revision, call.known_revision);
+  // What a restored store says of claims and owners is not to be used.
+  const bool is_usable =
+      NoteStoreReply(node.claims, reply, call.known_revision);
+  const bool is_of_claims = call.kind == StoreCallKind::kJournal ||
+                            call.kind == StoreCallKind::kOwnership;
   LogRestored(node, reply, was_restored, actions);
-  TakeReply(node, now, call, reply, actions);
+  TakeReply(node, now, call, is_usable || !is_of_claims ? reply : StoreReply{},
+            actions);
+  if (node.claims.needs_new_journal && node.claims.call == JournalCall::kNone) {
+    node.claims.needs_new_journal = false;
+    GiveUpClaims(node, now, AbandonJournal(node.claims), actions);
+  }
   MakeStoreCalls(node, now, actions);
 }
 
--- a/modules/core/node/store_flow.h
+++ b/modules/core/node/store_flow.h
@@ -14,8 +14,8 @@
 /** Makes every store call that is due. */
 void MakeStoreCalls(Node& node, Millis now, Actions& actions);
 
-/** Reads the stop notes of homes that requests wait for. */
-void ReadWantedNotes(Node& node, Actions& actions);
+/** Reads the stop note of a home that is gone. */
+void ReadStopNote(Node& node, const DaemonRef& home, Actions& actions);
 
 /** Writes that a successor knows this daemon's submissions. */
 void WriteStopNote(Node& node, Actions& actions);
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -29,6 +29,8 @@
   uint64_t table_revision = 0;
   /** Highest revision of the store that the sender has seen. */
   uint64_t store_revision = 0;
+  /** Identity of the store's history that the revision belongs to. */
+  uint64_t store_cluster_id = 0;
   /** True when the sender can own slots of chosen ids. */
   bool can_claim = false;
   /** Slots of the sender's endpoints that are free. */
@@ -37,6 +39,10 @@
   uint32_t queued_tasks = 0;
   /** True when it takes no new work. */
   bool draining = false;
+  /** Set to the receiver's incarnation to tell it that this process life of
+   * it was declared ended; 0 otherwise.
+   */
+  Incarnation ended_receiver;
   /** Endpoints that the sender knows to be leaving. */
   std::vector<EndpointId> leaving_endpoints;
   std::vector<CustomerDemand> demands;
--- a/modules/ports/store_call.h
+++ b/modules/ports/store_call.h
@@ -71,6 +71,8 @@
   StoreOutcome outcome = StoreOutcome::kUnknown;
   /** The store's revision when it answered. */
   uint64_t revision = 0;
+  /** Identity of the store's history; another one after a restore. */
+  uint64_t cluster_id = 0;
   std::vector<StoreItem> items;
 };
 
--- a/modules/records/records.cc
+++ b/modules/records/records.cc
@@ -112,13 +112,19 @@
   Json slots = Json::array();
   for (const SlotEntry& slot : table.slots)
     slots.push_back(ToJson(slot));
-  return Json{{"floor_ms", table.floor.count}, {"slots", slots}}.dump();
+  return Json{{"floor_ms", table.floor.count},
+              {"cluster_id", table.cluster_id},
+              {"recoveries", table.recoveries},
+              {"slots", slots}}
+      .dump();
 }
 
 Result<SlotTable> DecodeSlotTable(const std::string& text) {
   return Decode<SlotTable>(text, "slot table", [](const Json& json) {
     SlotTable table;
     table.floor = {json.at("floor_ms").get<int64_t>()};
+    table.cluster_id = json.at("cluster_id").get<uint64_t>();
+    table.recoveries = json.at("recoveries").get<uint64_t>();
     for (const Json& slot : json.at("slots"))
       table.slots.push_back(SlotEntryFrom(slot));
     return table;
--- a/modules/records/slot_table.h
+++ b/modules/records/slot_table.h
@@ -29,6 +29,12 @@
 struct SlotTable {
   /** Ids with a time below this one are not known any more. */
   Millis floor;
+  /** Identity of the store's history in which the table was written; another
+   * one in the store's answers means that the store was restored.
+   */
+  uint64_t cluster_id = 0;
+  /** Restores of the store that were recovered from. */
+  uint64_t recoveries = 0;
   std::vector<SlotEntry> slots;
 };
 
--- a/stand_ins/key_value_table.cc
+++ b/stand_ins/key_value_table.cc
@@ -13,6 +13,7 @@
   StoreReply reply;
   reply.outcome = StoreOutcome::kDone;
   reply.revision = table.revision;
+  reply.cluster_id = table.cluster_id;
   for (auto entry = table.entries.lower_bound(read.key);
        entry != table.entries.end(); ++entry) {
     const bool matches = read.is_prefix ? HasPrefix(entry->first, read.key)
@@ -45,6 +46,7 @@
 StoreReply Write(KeyValueTable& table, const StoreTransaction& transaction) {
   StoreReply reply;
   reply.revision = table.revision;
+  reply.cluster_id = table.cluster_id;
   reply.outcome = StoreOutcome::kCompareFailed;
   for (const StoreCompare& compare : transaction.compares) {
     if (!Holds(table, compare))
--- a/stand_ins/key_value_table.h
+++ b/stand_ins/key_value_table.h
@@ -17,6 +17,8 @@
   };
   std::map<std::string, Entry> entries;
   uint64_t revision = 1;
+  /** Changes when the table is restored from a copy. */
+  uint64_t cluster_id = 1;
 };
 
 /** Carries out one call, with compare-and-swap. */
--- a/stand_ins/store_stand_in.cc
+++ b/stand_ins/store_stand_in.cc
@@ -82,7 +82,9 @@
 }
 
 std::string Format(const StoreRequest& request, const StoreReply& reply) {
-  Json json = {{"header", {{"revision", std::to_string(reply.revision)}}}};
+  Json json = {{"header",
+                {{"revision", std::to_string(reply.revision)},
+                 {"cluster_id", std::to_string(reply.cluster_id)}}}};
   if (std::holds_alternative<StoreTransaction>(request)) {
     if (reply.outcome == StoreOutcome::kDone)
       json["succeeded"] = true;
@@ -99,6 +101,13 @@
   return json.dump();
 }
 
+/** Brings the copy back, as a new history of the store. */
+void Restore(Store& store) {
+  const uint64_t cluster_id = store.table.cluster_id;
+  store.table = store.saved;
+  store.table.cluster_id = cluster_id + 1;
+}
+
 void Control(Store& store, HttpToken token, const HttpRequest& request) {
   const Json json = Json::parse(request.body, nullptr, false);
   if (json.is_object()) {
@@ -107,7 +116,7 @@
     if (mode == "save")
       store.saved = store.table;
     else if (mode == "restore")
-      store.table = store.saved;
+      Restore(store);
     else
       store.mode = mode;
   }
--- /dev/null
+++ b/tests/core/submission_test.cc
@@ -0,0 +1,347 @@
+#include <gtest/gtest.h>
+
+#include "fake_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+const CustomerId kAlpha("alpha");
+
+class SubmissionTest : public testing::Test {
+ protected:
+  SubmissionTest() : world({"north", "north", "south"}, 1) {
+    this->world.Settle();
+  }
+
+  ~SubmissionTest() override {
+    EXPECT_TRUE(this->world.oracle.violations.empty())
+        << this->world.oracle.violations.front();
+  }
+
+  /** The only answer that a submission got so far. */
+  Answer OnlyAnswer(const SubmissionId& id) {
+    const std::vector<Answer> answers =
+        AnswersOf(this->world.oracle, kAlpha, id);
+    EXPECT_EQ(answers.size(), 1U) << id.value;
+    return answers.empty() ? Answer() : answers.front();
+  }
+
+  FakeWorld world;
+};
+
+TEST_F(SubmissionTest, JobWithMintedIdIsComplete) {
+  const SubmissionId id = this->world.Mint(0);
+  this->world.Submit(0, this->world.MakeSubmission(id, 30, {100}));
+  this->world.Advance({3'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kComplete);
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 30U);
+}
+
+TEST_F(SubmissionTest, JobWithChosenIdIsComplete) {
+  const SubmissionId id = this->world.ChosenId("job");
+  this->world.Submit(2, this->world.MakeSubmission(id, 5, {100}));
+  this->world.Advance({2'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kComplete);
+}
+
+TEST_F(SubmissionTest, ResubmissionThroughEveryDaemonStartsNothing) {
+  for (const bool minted : {true, false}) {
+    const SubmissionId id =
+        minted ? this->world.Mint(1) : this->world.ChosenId("again");
+    const Submission job = this->world.MakeSubmission(id, 5, {200});
+    for (const size_t daemon : {0, 1, 2, 0})
+      this->world.Submit(daemon, job);
+    this->world.Advance({2'000});
+    this->world.Submit(2, job);
+    this->world.Advance({2'000});
+    const std::vector<Answer> answers =
+        AnswersOf(this->world.oracle, kAlpha, id);
+    ASSERT_EQ(answers.size(), 5U);
+    for (const Answer& answer : answers)
+      EXPECT_EQ(answer.status, AnswerStatus::kComplete);
+    EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 5U);
+  }
+}
+
+TEST_F(SubmissionTest, ChosenIdNeedsOneStoreWrite) {
+  const SubmissionId id = this->world.ChosenId("write");
+  this->world.Submit(0, this->world.MakeSubmission(id, 1, {10}));
+  this->world.Advance({1'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kComplete);
+}
+
+TEST_F(SubmissionTest, StoreOutageLeavesMintedIdsServed) {
+  this->world.SetStore(StoreMode::kDown);
+  const SubmissionId minted = this->world.Mint(0);
+  const SubmissionId chosen = this->world.ChosenId("out");
+  this->world.Submit(0, this->world.MakeSubmission(minted, 3, {50}));
+  this->world.Submit(0, this->world.MakeSubmission(chosen, 3, {50}));
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(minted).status, AnswerStatus::kComplete);
+  EXPECT_EQ(this->OnlyAnswer(chosen).status, AnswerStatus::kPending);
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, chosen), 0U);
+}
+
+TEST_F(SubmissionTest, ClaimWhoseAnswerIsLostStartsOnceAfterReadBack) {
+  this->world.SetStore(StoreMode::kLoseAnswers);
+  const SubmissionId id = this->world.ChosenId("lost");
+  const Submission job = this->world.MakeSubmission(id, 3, {50});
+  this->world.Submit(0, job);
+  this->world.Advance({1'100});
+  this->world.SetStore(StoreMode::kOk);
+  this->world.Advance({3'000});
+  this->world.Submit(1, job);
+  this->world.Advance({3'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 3U);
+  EXPECT_EQ(AnswersOf(this->world.oracle, kAlpha, id).back().status,
+            AnswerStatus::kComplete);
+}
+
+TEST_F(SubmissionTest, HomeThatIsGoneIsAnsweredFailedMayHaveStarted) {
+  const SubmissionId id = this->world.Mint(0);
+  const Submission job = this->world.MakeSubmission(id, 4, {500});
+  this->world.Submit(1, job);
+  this->world.Advance({100});
+  this->world.Kill(0);
+  this->world.Submit(2, job);
+  this->world.Advance({500});
+  this->world.SetListed(0, false);
+  this->world.Advance({10'000});
+  this->world.Submit(2, job);
+  this->world.Advance({1'000});
+  const std::vector<Answer> answers = AnswersOf(this->world.oracle, kAlpha, id);
+  ASSERT_EQ(answers.size(), 3U);
+  EXPECT_EQ(answers.back().status, AnswerStatus::kFailed);
+  EXPECT_EQ(answers.back().code, ResultCode::kHomeGone);
+  EXPECT_EQ(answers.back().state, StartState::kMayHaveStarted);
+}
+
+TEST_F(SubmissionTest, HomeOutOfReachIsUndecided) {
+  const SubmissionId id = this->world.Mint(2);
+  this->world.CutZone("south", false);
+  this->world.Advance({3'000});
+  this->world.Submit(0, this->world.MakeSubmission(id, 1, {10}));
+  this->world.Advance({3'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kPending);
+  EXPECT_EQ(this->OnlyAnswer(id).code, ResultCode::kHomeUnreachable);
+}
+
+TEST_F(SubmissionTest, ClaimsOfADeadOwnerAreInherited) {
+  std::vector<SubmissionId> ids;
+  for (int i = 0; i < 20; ++i) {
+    ids.push_back(this->world.ChosenId("dead" + std::to_string(i)));
+    this->world.Submit(1, this->world.MakeSubmission(ids.back(), 1, {10}));
+  }
+  this->world.Advance({1'000});
+  this->world.Kill(0);
+  this->world.SetListed(0, false);
+  this->world.Advance({15'000});
+  for (const SubmissionId& id : ids)
+    this->world.Submit(2, this->world.MakeSubmission(id, 1, {10}));
+  this->world.Advance({3'000});
+  size_t gone = 0;
+  for (const SubmissionId& id : ids) {
+    const Answer answer = AnswersOf(this->world.oracle, kAlpha, id).back();
+    EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 1U);
+    EXPECT_NE(answer.status, AnswerStatus::kPending) << id.value;
+    gone += answer.code == ResultCode::kHomeGone ? 1 : 0;
+  }
+  EXPECT_GT(gone, 0U);
+  EXPECT_LT(gone, ids.size());
+}
+
+TEST_F(SubmissionTest, PausedOwnerIsFenced) {
+  // One of the three owns the slot; each is paused in turn while it may be
+  // about to claim, others take over, and the paused one goes on.
+  for (size_t paused = 0; paused < 3; ++paused) {
+    const SubmissionId id =
+        this->world.ChosenId("paused" + std::to_string(paused));
+    const Submission job = this->world.MakeSubmission(id, 2, {20});
+    this->world.Submit(paused, job);
+    this->world.Pause(paused);
+    this->world.SetListed(paused, false);
+    this->world.Advance({10'000});
+    this->world.Submit((paused + 1) % 3, job);
+    this->world.Advance({5'000});
+    this->world.Resume(paused);
+    this->world.SetListed(paused, true);
+    this->world.Advance({10'000});
+    EXPECT_LE(StartsOf(this->world.oracle, kAlpha, id), 2U);
+  }
+}
+
+TEST_F(SubmissionTest, PlannedStopHandsEverythingOn) {
+  const SubmissionId minted = this->world.Mint(0);
+  const SubmissionId running = this->world.Mint(0);
+  const SubmissionId chosen = this->world.ChosenId("stop");
+  this->world.Submit(0, this->world.MakeSubmission(minted, 3, {50}));
+  this->world.Submit(0, this->world.MakeSubmission(chosen, 3, {50}));
+  this->world.Advance({1'000});
+  this->world.Submit(0, this->world.MakeSubmission(running, 20, {300}));
+  this->world.Advance({50});
+  this->world.Drain(0);
+  this->world.Submit(0, this->world.MakeSubmission({}, 1, {10}));
+  this->world.Advance({20'000});
+  ASSERT_TRUE(this->world.DaemonAt(0).exited_clean.has_value());
+  EXPECT_TRUE(*this->world.DaemonAt(0).exited_clean);
+  this->world.SetListed(0, false);
+  this->world.Advance({5'000});
+  for (const SubmissionId& id : {minted, running, chosen}) {
+    const size_t tasks = id == running ? 20 : 3;
+    const Millis run_time{id == running ? 300 : 50};
+    this->world.Submit(2, this->world.MakeSubmission(id, tasks, run_time));
+    this->world.Advance({1'000});
+    const std::vector<Answer> answers =
+        AnswersOf(this->world.oracle, kAlpha, id);
+    ASSERT_EQ(answers.size(), 2U) << id.value;
+    EXPECT_EQ(answers[0].status, AnswerStatus::kComplete) << id.value;
+    EXPECT_EQ(answers[1].status, AnswerStatus::kComplete)
+        << id.value << " " << RowOf(answers[1].code).name;
+    EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), tasks);
+  }
+}
+
+TEST_F(SubmissionTest, CancelEndsAJobAndSaysWhatRan) {
+  const SubmissionId id = this->world.Mint(0);
+  this->world.Submit(1, this->world.MakeSubmission(id, 40, {500}));
+  this->world.Advance({100});
+  this->world.Cancel(2, kAlpha, id);
+  this->world.Advance({200});
+  const std::vector<Answer> answers = AnswersOf(this->world.oracle, kAlpha, id);
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers[0].code, ResultCode::kCancelled);
+  EXPECT_EQ(answers[0].state, StartState::kMayHaveStarted);
+  const uint32_t started = StartsOf(this->world.oracle, kAlpha, id);
+  this->world.Advance({5'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), started);
+}
+
+TEST_F(SubmissionTest, RefusedStartsAreTriedElsewhere) {
+  this->world.SetEndpoint(0, EndpointMode::kRefuses);
+  this->world.SetEndpoint(2, EndpointMode::kDown);
+  const SubmissionId id = this->world.Mint(0);
+  this->world.Submit(0, this->world.MakeSubmission(id, 10, {50}));
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kComplete);
+  EXPECT_GT(this->OnlyAnswer(id).waste.Total(), 0U);
+}
+
+TEST_F(SubmissionTest, LostEndpointFailsAJobAndIsNotTriedAgain) {
+  for (size_t i = 0; i < this->world.EndpointCount(); ++i)
+    this->world.SetEndpoint(i, EndpointMode::kDies);
+  const SubmissionId id = this->world.Mint(0);
+  this->world.Submit(0, this->world.MakeSubmission(id, 1, {50}));
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(id).code, ResultCode::kEndpointLost);
+  EXPECT_EQ(this->OnlyAnswer(id).state, StartState::kMayHaveStarted);
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 1U);
+}
+
+TEST_F(SubmissionTest, IdempotentSingleRequestIsTriedAgainUpToABound) {
+  for (size_t i = 0; i < this->world.EndpointCount(); ++i)
+    this->world.SetEndpoint(i, EndpointMode::kDies);
+  const SubmissionId id = this->world.Mint(0);
+  Submission request = this->world.MakeSubmission(id, 1, {50});
+  request.single_request = true;
+  request.tasks[0].idempotent = true;
+  this->world.Submit(0, request);
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(id).code, ResultCode::kEndpointsLostByJob);
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 3U);
+}
+
+TEST_F(SubmissionTest, NonIdempotentSingleRequestRunsAtMostOnce) {
+  for (size_t i = 0; i < this->world.EndpointCount(); ++i)
+    this->world.SetEndpoint(i, EndpointMode::kDies);
+  const SubmissionId id = this->world.Mint(0);
+  Submission request = this->world.MakeSubmission(id, 1, {50});
+  request.single_request = true;
+  this->world.Submit(0, request);
+  this->world.Advance({5'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 1U);
+}
+
+TEST_F(SubmissionTest, CrossedAndDoubledAnswersAreDropped) {
+  this->world.SetEndpoint(0, EndpointMode::kCrosses);
+  this->world.SetEndpoint(1, EndpointMode::kDoubles);
+  const SubmissionId id = this->world.Mint(0);
+  this->world.Submit(0, this->world.MakeSubmission(id, 10, {50}));
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(id).status, AnswerStatus::kComplete);
+}
+
+TEST_F(SubmissionTest, JobThatNoEndpointFitsIsRefusedAtOnce) {
+  const SubmissionId id = this->world.Mint(0);
+  Submission job = this->world.MakeSubmission(id, 2, {50});
+  job.tasks[1].declared_memory_mb = 1'000'000;
+  this->world.Submit(0, job);
+  this->world.Advance({100});
+  EXPECT_EQ(this->OnlyAnswer(id).code, ResultCode::kNoEndpointFits);
+  EXPECT_EQ(this->OnlyAnswer(id).state, StartState::kNotStarted);
+}
+
+TEST_F(SubmissionTest, AnotherCustomerGetsNoAnswerOfAMintedId) {
+  const SubmissionId id = this->world.Mint(0);
+  const Submission job = this->world.MakeSubmission(id, 1, {50});
+  this->world.Submit(0, job);
+  this->world.Advance({1'000});
+  Submission theirs = job;
+  theirs.customer = CustomerId("beta");
+  this->world.Submit(1, theirs);
+  this->world.Advance({1'000});
+  const std::vector<Answer> answers =
+      AnswersOf(this->world.oracle, CustomerId("beta"), id);
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].code, ResultCode::kIdOfAnotherCustomer);
+}
+
+TEST_F(SubmissionTest, LeavingEndpointGetsNoStartAfterTheList) {
+  this->world.SetLeaving(0);
+  this->world.Advance({1'000});
+  for (size_t i = 0; i < 10; ++i)
+    this->world.Submit(
+        0, this->world.MakeSubmission(this->world.Mint(0), 4, {50}));
+  this->world.SetEndpoint(0, EndpointMode::kDies);
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->world.oracle.answers[ResultCode::kEndpointLost], 0U);
+  EXPECT_EQ(this->world.oracle.answers[ResultCode::kOk], 10U);
+}
+
+TEST_F(SubmissionTest, StoreRestoredToAnOlderStateStartsNothingAgain) {
+  this->world.SaveStore();
+  const SubmissionId first = this->world.ChosenId("before");
+  this->world.Submit(0, this->world.MakeSubmission(first, 1, {10}));
+  this->world.Advance({1'000});
+  EXPECT_EQ(this->OnlyAnswer(first).status, AnswerStatus::kComplete);
+  this->world.RestoreStore();
+  this->world.Advance({3'000});
+  const SubmissionId second = this->world.ChosenId("after");
+  this->world.Submit(0, this->world.MakeSubmission(second, 1, {10}));
+  this->world.Submit(1, this->world.MakeSubmission(first, 1, {10}));
+  this->world.Advance({3'000});
+  // Ids of the time around the restore may have lost their claims.
+  EXPECT_EQ(this->OnlyAnswer(second).code, ResultCode::kIdTooOld);
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, first), 1U);
+  this->world.Advance({130'000});
+  const SubmissionId third = this->world.ChosenId("later");
+  this->world.Submit(2, this->world.MakeSubmission(third, 1, {10}));
+  this->world.Advance({1'000});
+  EXPECT_EQ(this->OnlyAnswer(third).status, AnswerStatus::kComplete);
+}
+
+TEST_F(SubmissionTest, StoreRolledBackUnderTheSameIdentityIsNoticed) {
+  const SubmissionId first = this->world.ChosenId("before");
+  this->world.SaveStore();
+  this->world.Submit(0, this->world.MakeSubmission(first, 1, {10}));
+  this->world.Advance({1'500});
+  this->world.RollBackStore();
+  this->world.Advance({3'000});
+  for (size_t i = 0; i < this->world.DaemonCount(); ++i)
+    this->world.Submit(i, this->world.MakeSubmission(first, 1, {10}));
+  this->world.Advance({3'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, first), 1U);
+  EXPECT_GT(this->world.NodeAt(0).claims.restores, 0U);
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- /dev/null
+++ b/tests/support/fake_world.cc
@@ -0,0 +1,453 @@
+#include "fake_world.h"
+
+#include <algorithm>
+
+#include "config/configuration_text.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr Millis kTick{20};
+constexpr Millis kListPeriod{500};
+constexpr Millis kNetworkDelay{1};
+constexpr Millis kLateDelay{450};
+constexpr Millis kStoreDelay{2};
+constexpr Millis kSlowStoreDelay{400};
+constexpr Millis kStoreTimeout{1'000};
+constexpr Millis kLateStoreDelay{1'700};
+constexpr Millis kAnswerSlack{1'000};
+constexpr size_t kEndpointsPerZone = 2;
+
+Configuration TestLists() {
+  Configuration lists;
+  lists.revision = 1;
+  lists.plans[PlanId("plan")] = {1, 1000, 100'000, 1000, {"*"}};
+  lists.customers[CustomerId("alpha")] = PlanId("plan");
+  lists.customers[CustomerId("beta")] = PlanId("plan");
+  return lists;
+}
+
+NodeSettings SettingsFor(size_t index, const std::string& zone) {
+  NodeSettings settings;
+  settings.self.id = DaemonId("d" + std::to_string(index));
+  settings.zone = ZoneId(zone);
+  settings.claims.slots = 8;
+  settings.claims.table_period = {2'000};
+  settings.longest_lease = {3'000};
+  settings.drain_deadline = {60'000};
+  settings.drain_store_wait = {3'000};
+  return settings;
+}
+
+}  // namespace
+
+FakeWorld::FakeWorld(const std::vector<std::string>& zones, uint64_t seed)
+    : random(seed) {
+  Apply(this->store,
+        StoreTransaction{
+            {}, {{kConfigurationKey, FormatConfiguration(TestLists())}}, {}});
+  std::set<std::string> distinct(zones.begin(), zones.end());
+  for (const std::string& zone : distinct) {
+    for (size_t i = 0; i < kEndpointsPerZone; ++i) {
+      EndpointMember endpoint;
+      endpoint.id = EndpointId("e" + std::to_string(this->endpoints.size()));
+      endpoint.zone = ZoneId(zone);
+      endpoint.slots = 2;
+      endpoint.memory_mb = 1'000;
+      this->endpoints.push_back(endpoint);
+      this->endpoint_modes.push_back(EndpointMode::kOk);
+    }
+  }
+  for (size_t i = 0; i < zones.size(); ++i) {
+    FakeDaemon daemon;
+    daemon.settings = SettingsFor(i, zones[i]);
+    this->daemons.push_back(std::move(daemon));
+  }
+  for (size_t i = 0; i < zones.size(); ++i)
+    this->Restart(i);
+  this->saved_store = this->store;
+  this->At(this->now + kTick, [this] { this->TickAll(); });
+  this->GiveLists();
+}
+
+void FakeWorld::At(Millis time, std::function<void()> what) {
+  this->events.emplace(time, std::move(what));
+}
+
+void FakeWorld::Advance(Millis time) {
+  const Millis end = this->now + time;
+  while (!this->events.empty() && this->events.begin()->first <= end) {
+    this->now = std::max(this->now, this->events.begin()->first);
+    const std::function<void()> what = std::move(this->events.begin()->second);
+    this->events.erase(this->events.begin());
+    what();
+  }
+  this->now = end;
+}
+
+void FakeWorld::Settle() {
+  this->Advance({3'000});
+}
+
+void FakeWorld::TickAll() {
+  for (size_t i = 0; i < this->daemons.size(); ++i) {
+    // A paused process gets one tick when it goes on, not all it missed.
+    if (this->IsAlive(i) && !this->daemons[i].paused) {
+      this->FeedNow(i, [this](Node& node, Actions& actions) {
+        OnTick(node, this->now, actions);
+      });
+    }
+  }
+  this->At(this->now + kTick, [this] { this->TickAll(); });
+}
+
+void FakeWorld::GiveLists() {
+  InstanceList list;
+  list.endpoints = this->endpoints;
+  for (const FakeDaemon& daemon : this->daemons) {
+    DaemonMember member;
+    member.id = daemon.settings.self.id;
+    member.zone = daemon.settings.zone;
+    if (daemon.listed)
+      list.daemons.push_back(member);
+  }
+  for (size_t i = 0; i < this->daemons.size(); ++i) {
+    if (!this->daemons[i].sees_platform)
+      continue;
+    this->Feed(i, this->LifeOf(i), [this, list](Node& node, Actions& actions) {
+      OnInstanceList(node, this->now, list, actions);
+    });
+  }
+  this->At(this->now + kListPeriod, [this] { this->GiveLists(); });
+}
+
+void FakeWorld::Feed(size_t daemon, Incarnation life, const Handler& handler) {
+  FakeDaemon& target = this->daemons[daemon];
+  if (!target.node || this->LifeOf(daemon) != life)
+    return;
+  if (target.paused) {
+    target.backlog.push_back(
+        [this, daemon, life, handler] { this->Feed(daemon, life, handler); });
+    return;
+  }
+  this->FeedNow(daemon, handler);
+}
+
+void FakeWorld::FeedNow(size_t daemon, const Handler& handler) {
+  Actions actions;
+  handler(*this->daemons[daemon].node, actions);
+  for (const Action& action : actions)
+    this->Perform(daemon, action);
+}
+
+void FakeWorld::Perform(size_t daemon, const Action& action) {
+  if (const auto* frame = std::get_if<SendFrame>(&action)) {
+    this->CarryFrame(daemon, frame->frame);
+  } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
+    this->CarryHeartbeat(daemon, *heartbeat);
+  } else if (const auto* start = std::get_if<StartTask>(&action)) {
+    this->CarryStart(daemon, *start);
+  } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+    NoteAnswer(this->oracle, *answer);
+  } else if (const auto* call = std::get_if<CallStore>(&action)) {
+    this->CarryStoreCall(daemon, *call);
+  } else if (const auto* exit = std::get_if<ExitProcess>(&action)) {
+    this->daemons[daemon].exited_clean = exit->clean;
+    if (!this->daemons[daemon].node->forwards.empty())
+      this->oracle.violations.push_back("exit with callers waiting");
+    this->Kill(daemon);
+  }
+}
+
+bool FakeWorld::IsCut(size_t from, size_t to) const {
+  const std::string& a = this->daemons[from].settings.zone.value;
+  const std::string& b = this->daemons[to].settings.zone.value;
+  return a != b && this->cut_zones.count(a) + this->cut_zones.count(b) > 0;
+}
+
+std::optional<size_t> FakeWorld::IndexOf(const DaemonId& id) const {
+  for (size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].settings.self.id == id)
+      return i;
+  }
+  return std::nullopt;
+}
+
+void FakeWorld::CarryFrame(size_t from, const PeerFrame& frame) {
+  const std::optional<size_t> to = this->IndexOf(frame.to.id);
+  if (!to || this->IsCut(from, *to))
+    return;
+  if (this->frames_to_lose > 0) {
+    --this->frames_to_lose;
+    return;
+  }
+  const auto deliver = [this, to = *to, frame] {
+    this->Feed(to, this->LifeOf(to),
+               [this, frame](Node& node, Actions& actions) {
+                 OnPeerFrame(node, this->now, frame, actions);
+               });
+  };
+  Millis delay = kNetworkDelay;
+  if (this->frames_to_delay > 0) {
+    --this->frames_to_delay;
+    delay = kLateDelay;
+  }
+  this->At(this->now + delay, deliver);
+  if (this->frames_to_double > 0) {
+    --this->frames_to_double;
+    this->At(this->now + delay + kNetworkDelay, deliver);
+  }
+}
+
+void FakeWorld::CarryHeartbeat(size_t from, const SendHeartbeat& action) {
+  const std::optional<size_t> to = this->IndexOf(action.to);
+  if (!to || this->IsCut(from, *to))
+    return;
+  this->At(this->now + kNetworkDelay,
+           [this, to = *to, heartbeat = action.heartbeat] {
+             this->Feed(to, this->LifeOf(to),
+                        [this, heartbeat](Node& node, Actions& actions) {
+                          OnHeartbeat(node, this->now, heartbeat, actions);
+                        });
+           });
+}
+
+void FakeWorld::CarryStart(size_t daemon, const StartTask& start) {
+  size_t index = 0;
+  while (this->endpoints[index].id != start.endpoint)
+    ++index;
+  const EndpointMode mode = this->endpoint_modes[index];
+  EndpointEvent event;
+  event.endpoint = start.endpoint;
+  event.lease = start.lease;
+  event.task = start.task.id;
+  event.attempt = start.attempt;
+  event.output = start.customer.value + "/" + start.submission.value + "#" +
+                 start.task.id.value;
+  const Incarnation life = this->LifeOf(daemon);
+  const auto tell = [this, daemon, life](Millis delay, EndpointEvent what) {
+    this->At(this->now + delay, [this, daemon, life, what] {
+      this->Feed(daemon, life, [this, what](Node& node, Actions& actions) {
+        OnEndpointEvent(node, this->now, what, actions);
+      });
+    });
+  };
+  const bool begins = mode != EndpointMode::kRefuses &&
+                      mode != EndpointMode::kDown &&
+                      mode != EndpointMode::kLosesStart;
+  if (begins)
+    NoteStart(this->oracle, start);
+  const Millis run_time = start.task.declared_run_time;
+  switch (mode) {
+    case EndpointMode::kOk:
+    case EndpointMode::kDoubles:
+      event.kind = EndpointEventKind::kSucceeded;
+      tell(run_time, event);
+      if (mode == EndpointMode::kDoubles)
+        tell(run_time + kNetworkDelay, event);
+      return;
+    case EndpointMode::kCrosses: {
+      event.kind = EndpointEventKind::kSucceeded;
+      EndpointEvent crossed = event;
+      crossed.task = TaskId("another");
+      crossed.output = "another";
+      tell(run_time, crossed);
+      tell(run_time + kNetworkDelay, event);
+      return;
+    }
+    case EndpointMode::kFails:
+      event.kind = EndpointEventKind::kFailed;
+      tell(kNetworkDelay, event);
+      return;
+    case EndpointMode::kRefuses:
+      event.kind = EndpointEventKind::kRefused;
+      tell(kNetworkDelay, event);
+      return;
+    case EndpointMode::kDown:
+      event.kind = EndpointEventKind::kNotConnected;
+      tell(kNetworkDelay, event);
+      return;
+    case EndpointMode::kDies:
+    case EndpointMode::kLosesStart:
+      event.kind = EndpointEventKind::kLost;
+      tell(kNetworkDelay, event);
+      return;
+    case EndpointMode::kHangs:
+      event.kind = EndpointEventKind::kLost;
+      tell(start.lease_length + kAnswerSlack, event);
+      return;
+  }
+}
+
+void FakeWorld::CarryStoreCall(size_t daemon, const CallStore& call) {
+  const Incarnation life = this->LifeOf(daemon);
+  const auto reply = [this, daemon, life, token = call.token](
+                         Millis delay, const StoreReply& what) {
+    this->At(this->now + delay, [this, daemon, life, token, what] {
+      this->Feed(daemon, life,
+                 [this, token, what](Node& node, Actions& actions) {
+                   OnStoreReply(node, this->now, token, what, actions);
+                 });
+    });
+  };
+  const StoreMode mode =
+      this->daemons[daemon].sees_platform ? this->store_mode : StoreMode::kDown;
+  const bool answered = mode == StoreMode::kOk || mode == StoreMode::kSlow;
+  if (!answered)
+    reply(kStoreTimeout, StoreReply{});
+  if (mode == StoreMode::kDown)
+    return;
+  const Millis delay = mode == StoreMode::kLate   ? kLateStoreDelay
+                       : mode == StoreMode::kSlow ? kSlowStoreDelay
+                                                  : kStoreDelay;
+  this->At(this->now + delay,
+           [this, request = call.request, answered, reply, delay] {
+             const StoreReply result = Apply(this->store, request);
+             if (answered)
+               reply(delay, result);
+           });
+}
+
+void FakeWorld::Submit(size_t daemon, const Submission& submission) {
+  const CallerToken caller(++this->last_caller);
+  NoteCall(this->oracle, caller.value, {daemon, submission, this->now});
+  this->Feed(daemon, this->LifeOf(daemon),
+             [this, caller, submission](Node& node, Actions& actions) {
+               OnSubmit(node, this->now, caller, submission, actions);
+             });
+}
+
+void FakeWorld::Cancel(size_t daemon,
+                       const CustomerId& customer,
+                       SubmissionId id) {
+  const CallerToken caller(++this->last_caller);
+  Submission about;
+  about.customer = customer;
+  about.id = id;
+  NoteCall(this->oracle, caller.value, {daemon, about, this->now});
+  this->Feed(daemon, this->LifeOf(daemon),
+             [this, caller, customer, id](Node& node, Actions& actions) {
+               OnCancel(node, this->now, caller, customer, id, actions);
+             });
+}
+
+SubmissionId FakeWorld::Mint(size_t daemon) {
+  return OnMint(this->NodeAt(daemon), this->now);
+}
+
+void FakeWorld::Kill(size_t daemon) {
+  NoteDaemonDeath(this->oracle, daemon);
+  this->daemons[daemon].node.reset();
+  this->daemons[daemon].paused = false;
+  this->daemons[daemon].backlog.clear();
+}
+
+void FakeWorld::Restart(size_t daemon) {
+  FakeDaemon& target = this->daemons[daemon];
+  target.settings.self.incarnation =
+      Incarnation(static_cast<uint64_t>(this->now.count) + 1);
+  target.node = OpenNode(target.settings);
+  target.exited_clean.reset();
+}
+
+void FakeWorld::Pause(size_t daemon) {
+  this->daemons[daemon].paused = true;
+}
+
+void FakeWorld::Resume(size_t daemon) {
+  FakeDaemon& target = this->daemons[daemon];
+  target.paused = false;
+  const auto backlog = std::move(target.backlog);
+  target.backlog.clear();
+  for (const auto& event : backlog)
+    event();
+}
+
+void FakeWorld::Drain(size_t daemon) {
+  this->FeedNow(daemon, [this](Node& node, Actions& actions) {
+    OnDrain(node, this->now, actions);
+  });
+}
+
+void FakeWorld::SetListed(size_t daemon, bool listed) {
+  this->daemons[daemon].listed = listed;
+}
+
+void FakeWorld::CutZone(const std::string& zone, bool from_platform) {
+  this->cut_zones.insert(zone);
+  for (FakeDaemon& daemon : this->daemons) {
+    if (daemon.settings.zone.value == zone && from_platform)
+      daemon.sees_platform = false;
+  }
+}
+
+void FakeWorld::HealZones() {
+  this->cut_zones.clear();
+  for (FakeDaemon& daemon : this->daemons)
+    daemon.sees_platform = true;
+}
+
+void FakeWorld::RollBackStore() {
+  const uint64_t cluster_id = this->store.cluster_id;
+  this->store = this->saved_store;
+  this->store.cluster_id = cluster_id;
+}
+
+void FakeWorld::RestoreStore() {
+  this->RollBackStore();
+  ++this->store.cluster_id;
+}
+
+void FakeWorld::SetEndpoint(size_t endpoint, EndpointMode mode) {
+  this->endpoint_modes[endpoint] = mode;
+}
+
+void FakeWorld::SetLeaving(size_t endpoint) {
+  this->endpoints[endpoint].leaving = true;
+}
+
+void FakeWorld::HealAll() {
+  this->HealZones();
+  this->store_mode = StoreMode::kOk;
+  for (EndpointMode& mode : this->endpoint_modes)
+    mode = EndpointMode::kOk;
+  this->frames_to_lose = 0;
+  this->frames_to_double = 0;
+  this->frames_to_delay = 0;
+  for (size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].paused)
+      this->Resume(i);
+  }
+}
+
+bool FakeWorld::IsAlive(size_t daemon) const {
+  return this->daemons[daemon].node.has_value();
+}
+
+Incarnation FakeWorld::LifeOf(size_t daemon) const {
+  return this->daemons[daemon].settings.self.incarnation;
+}
+
+Submission FakeWorld::MakeSubmission(const SubmissionId& id,
+                                     size_t tasks,
+                                     Millis run_time) const {
+  Submission submission;
+  submission.id = id;
+  submission.customer = CustomerId("alpha");
+  submission.time_allowed = {10'000};
+  for (size_t i = 0; i < tasks; ++i) {
+    TaskSpec task;
+    task.id = TaskId("t" + std::to_string(i));
+    task.kind = "kind";
+    task.declared_run_time = run_time;
+    task.declared_memory_mb = 1;
+    submission.tasks.push_back(std::move(task));
+  }
+  return submission;
+}
+
+SubmissionId FakeWorld::ChosenId(const std::string& name) const {
+  return SubmissionId(name + "@" + std::to_string(this->now.count));
+}
+
+}  // namespace dogwoodfall
