--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -88,7 +88,7 @@
       this->settings.caller_limits, this->MakeCallerEvents());
   const Result<bool> listening = this->OpenListeners();
   if (!listening.ok())
-    return listening;
+    return listening.error();
   this->AddTimer(this->settings.tick_period, &Daemon::OnTickEvent);
   this->AddTimer(this->settings.instances_period, &Daemon::OnListEvent);
   event* terminate =
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -8,6 +8,12 @@
 #include "adapters/peers/bounded_archive.h"
 
 namespace dogwoodfall {
+namespace {
+
+/** Times beyond it are not read: sums of a job's times must not overflow. */
+constexpr int64_t kMostMillis = 1'000'000'000'000'000;
+
+}  // namespace
 
 template <class Archive, typename Tag, typename Value>
 void serialize(Archive& archive, StrongId<Tag, Value>& id) {
@@ -17,6 +23,8 @@
 template <class Archive>
 void serialize(Archive& archive, Millis& millis) {
   archive(millis.count);
+  if (millis.count > kMostMillis || millis.count < -kMostMillis)
+    throw cereal::Exception("not a time");
 }
 
 template <class Archive>
--- a/modules/base/result_code.cc
+++ b/modules/base/result_code.cc
@@ -1,5 +1,7 @@
 #include "base/result_code.h"
 
+#include <algorithm>
+
 namespace dogwoodfall {
 
 const std::vector<ResultCodeRow>& ResultCodeTable() {
@@ -94,14 +96,14 @@
 }
 
 const ResultCodeRow& RowOf(ResultCode code) {
-  const ResultCodeRow* internal = nullptr;
-  for (const ResultCodeRow& row : ResultCodeTable()) {
-    if (row.code == code)
-      return row;
-    if (row.code == ResultCode::kInternal)
-      internal = &row;
-  }
-  return *internal;
+  const std::vector<ResultCodeRow>& table = ResultCodeTable();
+  const auto find = [&table](ResultCode wanted) {
+    return std::find_if(
+        table.begin(), table.end(),
+        [wanted](const ResultCodeRow& row) { return row.code == wanted; });
+  };
+  const auto found = find(code);
+  return found == table.end() ? *find(ResultCode::kInternal) : *found;
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/dispatch/endpoint_pool.cc
+++ b/modules/core/dispatch/endpoint_pool.cc
@@ -87,8 +87,9 @@
   endpoint.failures_in_row = 0;
   endpoint.ejections_in_row = 0;
   endpoint.probing = false;
-  const double sample = static_cast<double>(run_time.count) /
-                        std::max<int64_t>(expected.count, 1);
+  const double sample =
+      static_cast<double>(run_time.count) /
+      static_cast<double>(std::max<int64_t>(expected.count, 1));
   endpoint.slowness += kSlownessGain * (sample - endpoint.slowness);
   endpoint.slowness =
       std::clamp(endpoint.slowness, kLeastSlowness, kMostSlowness);
@@ -99,8 +100,8 @@
                  const EjectionLimits& limits,
                  Millis now) {
   ++endpoint.failures_in_row;
-  const bool at_cap =
-      CountEjected(pool, now) * limits.most_one_in >= pool.endpoints.size();
+  const bool at_cap = size_t{CountEjected(pool, now)} * limits.most_one_in >=
+                      pool.endpoints.size();
   if (endpoint.failures_in_row < limits.failures_in_row ||
       endpoint.ejected_until > now || at_cap)
     return;
--- a/modules/core/routing/rendezvous.cc
+++ b/modules/core/routing/rendezvous.cc
@@ -26,11 +26,11 @@
 const Candidate& ChooseByRendezvous(const std::vector<Candidate>& candidates,
                                     const std::string& key) {
   assert(!candidates.empty());
-  const Candidate* best = nullptr;
+  const Candidate* best = &candidates.front();
   double best_score = 0;
   for (const Candidate& candidate : candidates) {
     const double score = ScoreOf(candidate, key);
-    if (best == nullptr || score > best_score ||
+    if (score > best_score ||
         (score == best_score && candidate.id < best->id)) {
       best = &candidate;
       best_score = score;
--- /dev/null
+++ b/tests/adapters/peer_codec_test.cc
@@ -0,0 +1,90 @@
+#include "adapters/peers/peer_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace dogwoodfall {
+namespace {
+
+PeerFrame SampleFrame() {
+  TaskAssignment assignment;
+  assignment.submission = SubmissionId("m1.north.d1.5.6.7");
+  assignment.customer = CustomerId("wharf");
+  assignment.task.id = TaskId("t1");
+  assignment.task.payload = "payload";
+  assignment.first_attempt = Attempt(3);
+  assignment.time_left = {1'234};
+  PeerFrame frame;
+  frame.from = {DaemonId("d1"), Incarnation(5)};
+  frame.to = {DaemonId("d2"), Incarnation(6)};
+  frame.sequence = 9;
+  frame.acknowledged = 4;
+  frame.message = TaskBatch{{assignment, assignment}};
+  return frame;
+}
+
+TEST(PeerCodecTest, FrameSurvivesTheWay) {
+  const std::string bytes = EncodeFrame(SampleFrame());
+  const std::optional<PeerFrame> frame = DecodeFrame(bytes);
+  ASSERT_TRUE(frame.has_value());
+  EXPECT_EQ(EncodeFrame(*frame), bytes);
+  EXPECT_EQ(std::get<TaskBatch>(*frame->message).tasks[1].time_left,
+            Millis{1'234});
+}
+
+TEST(PeerCodecTest, HeartbeatSurvivesTheWay) {
+  Heartbeat heartbeat;
+  heartbeat.from = {DaemonId("d1"), Incarnation(5)};
+  heartbeat.draining = true;
+  heartbeat.leaving_endpoints = {EndpointId("e1"), EndpointId("e2")};
+  heartbeat.demands = {{CustomerId("wharf"), 2, 3}};
+  const std::string bytes = EncodeHeartbeat(heartbeat);
+  const std::optional<Heartbeat> decoded = DecodeHeartbeat(bytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeHeartbeat(*decoded), bytes);
+}
+
+TEST(PeerCodecTest, EveryTruncationIsRefused) {
+  const std::string bytes = EncodeFrame(SampleFrame());
+  for (size_t size = 0; size < bytes.size(); ++size)
+    EXPECT_FALSE(DecodeFrame(bytes.substr(0, size)).has_value()) << size;
+  EXPECT_FALSE(DecodeFrame(bytes + "x").has_value());
+}
+
+TEST(PeerCodecTest, AnotherVersionIsRefused) {
+  std::string bytes = EncodeFrame(SampleFrame());
+  constexpr size_t kVersionAt = 4;
+  ++bytes[kVersionAt];
+  EXPECT_FALSE(DecodeFrame(bytes).has_value());
+}
+
+TEST(PeerCodecTest, AHugeCountNeedsNoMemory) {
+  const std::string frame = EncodeFrame(SampleFrame());
+  // Any four bytes may be a count; none may lead to a large allocation.
+  for (size_t place = 6; place + 4 <= frame.size(); ++place) {
+    std::string bytes = frame;
+    bytes.replace(place, 4, "\xff\xff\xff\x7f");
+    (void)DecodeFrame(bytes);
+  }
+}
+
+TEST(PeerCodecTest, MutatedFramesAreReadOrRefused) {
+  const std::string good = EncodeFrame(SampleFrame());
+  EXPECT_TRUE(rc::check("mutated frames", [&good] {
+    std::string bytes = good;
+    const auto changes =
+        *rc::gen::container<std::vector<std::pair<uint16_t, char>>>(
+            rc::gen::arbitrary<std::pair<uint16_t, char>>());
+    for (const auto& [place, value] : changes)
+      bytes[place % bytes.size()] = value;
+    const std::optional<PeerFrame> frame = DecodeFrame(bytes);
+    // What was read is whole: it has the same bytes again.
+    if (frame)
+      RC_ASSERT(EncodeFrame(*frame) == bytes);
+  }));
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- /dev/null
+++ b/tests/adapters/settings_test.cc
@@ -0,0 +1,76 @@
+#include "settings/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+namespace dogwoodfall {
+namespace {
+
+using Json = nlohmann::json;
+
+Json GoodSettings() {
+  return {{"daemon", {{"id", "d1"}, {"zone", "north"}}},
+          {"callers", {{"ip", "127.0.0.1"}, {"port", 1}}},
+          {"operators", {{"ip", "127.0.0.1"}, {"port", 2}}},
+          {"peers", {{"ip", "127.0.0.1"}, {"tcp_port", 3}, {"udp_port", 4}}},
+          {"store", {{"ip", "127.0.0.1"}, {"port", 5}}},
+          {"instances", {{"ip", "127.0.0.1"}, {"port", 6}}}};
+}
+
+std::set<std::string> FaultsOf(const Json& json) {
+  const ParsedSettings parsed = ParseSettings(json.dump());
+  std::set<std::string> paths;
+  if (const auto* faults = std::get_if<std::vector<SettingsFault>>(&parsed)) {
+    for (const SettingsFault& fault : *faults)
+      paths.insert(fault.path);
+  }
+  return paths;
+}
+
+TEST(SettingsTest, DefaultsFillWhatIsNotGiven) {
+  const ParsedSettings parsed = ParseSettings(GoodSettings().dump());
+  ASSERT_TRUE(std::holds_alternative<DaemonSettings>(parsed));
+  const auto& settings = std::get<DaemonSettings>(parsed);
+  EXPECT_EQ(settings.node.self.id, DaemonId("d1"));
+  EXPECT_EQ(settings.peer_udp_port, 4);
+  EXPECT_EQ(settings.caller_limits.max_tasks, 1'500U);
+}
+
+TEST(SettingsTest, EveryFaultIsNamed) {
+  Json json = GoodSettings();
+  json["daemon"]["id"] = "";
+  json["callers"]["port"] = 70'000;
+  json["callers"]["max_connections"] = "many";
+  json["operators"].erase("ip");
+  json["store"]["ip"] = "store.example";
+  json["peers"]["heartbeat_period_ms"] = -5;
+  json["colour"] = "red";
+  json["drain"] = 7;
+  const std::set<std::string> expected = {
+      "/daemon/id",    "/callers/port", "/callers/max_connections",
+      "/operators/ip", "/store/ip",     "/peers/heartbeat_period_ms",
+      "/colour",       "/drain"};
+  EXPECT_EQ(FaultsOf(json), expected);
+}
+
+TEST(SettingsTest, WhatIsNotAnObjectIsRefused) {
+  for (const char* text : {"", "[]", "{", "7"})
+    EXPECT_FALSE(std::holds_alternative<DaemonSettings>(ParseSettings(text)));
+}
+
+TEST(SettingsTest, EverySettingTakesItsDefault) {
+  for (const SettingRow& row : SettingsTable()) {
+    const Json value = Json::parse(row.default_value, nullptr, false);
+    if (value.is_discarded())
+      continue;
+    Json json = GoodSettings();
+    json[Json::json_pointer(row.path)] = value;
+    EXPECT_TRUE(FaultsOf(json).empty()) << row.path;
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodfall
