--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -11,9 +11,14 @@
 declare -A daemon_pid
 
 stop_all() {
-  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
-  wait 2>/dev/null
+  local code=$?
+  for pid in "${pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null || true
+    kill -9 "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
   rm -rf "$work"
+  exit "$code"
 }
 trap stop_all EXIT
 
--- a/stand_ins/endpoint_stand_in.cc
+++ b/stand_ins/endpoint_stand_in.cc
@@ -7,7 +7,8 @@
  * endpoints. --beyond says what happens beyond the slots: refuse or wait. A
  * payload of fail, refuse or hang does so. GET /v1/counts gives, over all
  * endpoints of the process, the starts, the tasks that were started more than
- * once, stops and the tasks that run (usage). POST /v1/control sets "leaving",
+ * once, stops and the tasks that run (usage); GET /v1/starts the starts by
+ * customer/submission/task. POST /v1/control sets "leaving",
  * "failing" or "refusing" for the endpoint that is asked.
  */
 
@@ -186,6 +187,11 @@
     GiveCounts(endpoint, token);
     return;
   }
+  if (request.path == "/v1/starts") {
+    endpoint.server->Reply(token, kStatusOk,
+                           Json(endpoint.counts->starts).dump());
+    return;
+  }
   Json json = Json::parse(request.body, nullptr, false);
   if (!json.is_object())
     json = Json::object();
--- /dev/null
+++ b/tests/process/faults.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Kills, pauses and store outages of real processes under a load with
+# resubmissions: no task starts twice and every answer is true.
+# usage: faults.sh BUILD SEED SECONDS
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+export DOGWOODFALL_BUILD="$1" DOGWOODFALL_FIRST_PORT="${DOGWOODFALL_FIRST_PORT:-24400}"
+source scripts/cluster.sh
+seconds="$3"
+
+start_store
+start_endpoints 6 --slowness-percent 300
+start_instances
+endpoints=()
+for i in 1 2 3; do endpoints+=("$(endpoint_entry "$i" north)"); done
+for i in 4 5 6; do endpoints+=("$(endpoint_entry "$i" south)"); done
+write_list "$(join_entries "$(daemon_entry 1 north)" "$(daemon_entry 2 north)" "$(daemon_entry 3 south)" "$(daemon_entry 4 south)")" "$(join_entries "${endpoints[@]}")"
+write_settings 1 north; write_settings 2 north; write_settings 3 south; write_settings 4 south
+for i in 1 2 3 4; do start_daemon "$i"; done
+write_lists
+wait_until 20 ctl config apply --store "127.0.0.1:$store_port" --file "$work/lists.json"
+for i in 1 2 3 4; do wait_until 20 is_ready "$i"; wait_until 20 sees_peers "$i" 3; done
+
+python3 tests/process/submit_load.py "$2" "$seconds" "$endpoint_port" \
+  "$(callers_port 1)" "$(callers_port 2)" "$(callers_port 3)" "$(callers_port 4)" &
+load=$!
+step=$((seconds / 6))
+sleep "$step"
+echo "kill -9 of d2"; kill -9 "${daemon_pid[2]}"; sleep "$step"; start_daemon 2
+echo "pause of d3 beyond its leases"; kill -STOP "${daemon_pid[3]}"; sleep 4; kill -CONT "${daemon_pid[3]}"
+echo "store down"; store_control '{"mode":"down"}' >/dev/null; sleep 2
+echo "store loses answers"; store_control '{"mode":"lose"}' >/dev/null; sleep 2
+store_control '{"mode":"ok"}' >/dev/null
+echo "planned stop of d4"; kill "${daemon_pid[4]}"
+wait "${daemon_pid[4]}" || { echo "d4 did not stop cleanly"; exit 1; }
+start_daemon 4
+wait "$load"
+endpoint_counts
+echo
+[ "$(endpoint_counts | jq .repeated)" = 0 ]
+echo "no task started twice and every answer was true"
