--- a/modules/core/dispatch/fair_queue.cc
+++ b/modules/core/dispatch/fair_queue.cc
@@ -7,7 +7,7 @@
 
 bool Push(FairQueue& queue, QueuedTask task) {
   const TaskKey key = KeyOf(task);
-  if (queue.index.count(key) > 0)
+  if (queue.index.count(key) > 0 || queue.paused.count(key) > 0)
     return false;
   CustomerQueue& customer = queue.customers[task.customer];
   // A customer that comes back after a pause gets no credit for it.
@@ -22,7 +22,32 @@
   return true;
 }
 
+void PushPaused(FairQueue& queue, QueuedTask task, Millis until) {
+  const TaskKey key = KeyOf(task);
+  queue.paused.emplace(key, std::move(task));
+  queue.pause_ends.emplace(until, key);
+}
+
+void EndPauses(FairQueue& queue, Millis now) {
+  while (!queue.pause_ends.empty() && queue.pause_ends.begin()->first <= now) {
+    const auto found = queue.paused.find(queue.pause_ends.begin()->second);
+    queue.pause_ends.erase(queue.pause_ends.begin());
+    // It may have been taken out meanwhile, or be paused again for longer.
+    if (found == queue.paused.end())
+      continue;
+    QueuedTask task = std::move(found->second);
+    queue.paused.erase(found);
+    Push(queue, std::move(task));
+  }
+}
+
 std::optional<QueuedTask> Remove(FairQueue& queue, const TaskKey& key) {
+  const auto paused = queue.paused.find(key);
+  if (paused != queue.paused.end()) {
+    QueuedTask task = std::move(paused->second);
+    queue.paused.erase(paused);
+    return task;
+  }
   const auto indexed = queue.index.find(key);
   if (indexed == queue.index.end())
     return std::nullopt;
@@ -34,12 +59,8 @@
   return task;
 }
 
-bool Contains(const FairQueue& queue, const TaskKey& key) {
-  return queue.index.count(key) > 0;
-}
-
 size_t SizeOf(const FairQueue& queue) {
-  return queue.index.size();
+  return queue.index.size() + queue.paused.size();
 }
 
 size_t SizeOf(const FairQueue& queue, const CustomerId& customer) {
--- a/modules/core/dispatch/fair_queue.h
+++ b/modules/core/dispatch/fair_queue.h
@@ -48,6 +48,9 @@
 struct FairQueue {
   std::map<CustomerId, CustomerQueue> customers;
   std::map<TaskKey, QueuePlace> index;
+  /** Tasks that wait for the end of a pause before their next try. */
+  std::map<TaskKey, QueuedTask> paused;
+  std::multimap<Millis, TaskKey> pause_ends;
   /** Virtual time of the customer served last. */
   double virtual_now_ms = 0;
   uint64_t next_number = 0;
@@ -62,16 +65,19 @@
  */
 bool Push(FairQueue& queue, QueuedTask task);
 
+/** Keeps a task back until a time. It must not be in the queue. */
+void PushPaused(FairQueue& queue, QueuedTask task, Millis until);
+
+/** Puts tasks whose pause is over among the waiting ones. */
+void EndPauses(FairQueue& queue, Millis now);
+
 /** Takes a task out, or returns nothing when it is not in the queue. */
 std::optional<QueuedTask> Remove(FairQueue& queue, const TaskKey& key);
 
-/** True when the task waits in the queue. */
-bool Contains(const FairQueue& queue, const TaskKey& key);
-
-/** Number of waiting tasks. */
+/** Number of waiting tasks, paused ones included. */
 size_t SizeOf(const FairQueue& queue);
 
-/** Number of waiting tasks of a customer. */
+/** Number of waiting tasks of a customer without paused ones. */
 size_t SizeOf(const FairQueue& queue, const CustomerId& customer);
 
 /** Charges a customer for a started task. */
--- a/modules/core/node/home_flow.cc
+++ b/modules/core/node/home_flow.cc
@@ -181,11 +181,10 @@
   if (submit != nullptr || status != nullptr)
     return;
   if (record.phase == SubmissionPhase::kClaiming) {
-    // The claim may take effect, but nothing was started and nothing will be.
-    TurnAway(node, now, KeyOf(customer, record.id),
-             FailedAnswer(record.id, ResultCode::kCancelled,
-                          StartState::kMayHaveStarted),
-             actions);
+    // Nothing was started here, but whether the id is new is not known.
+    const Answer answer = FailedAnswer(record.id, ResultCode::kCancelled,
+                                       StartState::kMayHaveStarted);
+    EndSubmission(node, now, record, answer, actions);
     return;
   }
   FailSubmission(node, now, record, ResultCode::kCancelled, actions);
--- a/modules/core/node/scheduler_flow.cc
+++ b/modules/core/node/scheduler_flow.cc
@@ -154,7 +154,7 @@
 
 /** Starts one task. Returns false when none can be started. */
 bool StartNext(Node& node, Millis now, Actions& actions) {
-  if (SizeOf(node.dispatch.queue) == 0 ||
+  if (node.dispatch.queue.index.empty() ||
       FreeSlots(node.dispatch.pool, now) == 0)
     return false;
   std::vector<TaskKey> expired;
@@ -289,7 +289,7 @@
 }
 
 void PassOn(Node& node, Millis now, Actions& actions) {
-  if (SizeOf(node.dispatch.queue) == 0)
+  if (node.dispatch.queue.index.empty())
     return;
   for (const Room& room : FindRoom(node, now)) {
     const std::vector<TaskKey> keys = ChooseForPeer(node, room);
@@ -298,6 +298,17 @@
   }
 }
 
+/** Pause before the next try of a task: none before the first repeat, since
+ * another endpoint may well have room, then doubling.
+ */
+Millis PauseBeforeTry(uint32_t tries) {
+  constexpr uint32_t kMostDoublings = 7;
+  constexpr Millis kFirstPause{10};
+  if (tries <= 1)
+    return {};
+  return {kFirstPause.count << std::min(tries - 2, kMostDoublings)};
+}
+
 /** Takes a start that certainly did not run: tries again, or reports it. */
 void TakeNotStarted(Node& node, Millis now, QueuedTask task, Actions& actions) {
   const uint32_t tries = task.next_attempt.value - task.first_attempt.value;
@@ -308,7 +319,7 @@
            actions);
     return;
   }
-  Push(node.dispatch.queue, std::move(task));
+  PushPaused(node.dispatch.queue, std::move(task), now + PauseBeforeTry(tries));
 }
 
 void TakeRun(Node& node,
@@ -346,6 +357,23 @@
          running.task.task.id == event.task && running.attempt == event.attempt;
 }
 
+/** Waiting tasks of the homes that a condition holds for. */
+template <typename Condition>
+std::vector<TaskKey> WaitingKeys(const Node& node, Condition holds) {
+  std::vector<TaskKey> keys;
+  for (const auto& [id, customer] : node.dispatch.queue.customers) {
+    for (const auto& [rank, task] : customer.tasks) {
+      if (holds(task.home))
+        keys.push_back(KeyOf(task));
+    }
+  }
+  for (const auto& [key, task] : node.dispatch.queue.paused) {
+    if (holds(task.home))
+      keys.push_back(key);
+  }
+  return keys;
+}
+
 PooledEndpoint* FindPooled(Node& node, const EndpointId& id) {
   const auto found = node.dispatch.pool.endpoints.find(id);
   return found == node.dispatch.pool.endpoints.end() ? nullptr : &found->second;
@@ -357,6 +385,7 @@
   if (node.is_pumping)
     return;
   node.is_pumping = true;
+  EndPauses(node.dispatch.queue, now);
   while (StartNext(node, now, actions)) {
   }
   PassOn(node, now, actions);
@@ -503,14 +532,9 @@
 }
 
 void ReturnQueuedTasks(Node& node, Millis now, Actions& actions) {
-  std::vector<TaskKey> foreign;
-  for (const auto& [id, customer] : node.dispatch.queue.customers) {
-    for (const auto& [rank, task] : customer.tasks) {
-      if (task.home != node.settings.self)
-        foreign.push_back(KeyOf(task));
-    }
-  }
-  for (const TaskKey& key : foreign) {
+  for (const TaskKey& key : WaitingKeys(node, [&node](const DaemonRef& home) {
+         return home != node.settings.self;
+       })) {
     QueuedTask task = *Remove(node.dispatch.queue, key);
     ++task.waste.bounced_forwards;
     ++node.counters.waste.bounced_forwards;
@@ -521,13 +545,8 @@
 }
 
 void DropTasksOf(Node& node, const DaemonRef& ended, Actions& actions) {
-  std::vector<TaskKey> dropped;
-  for (const auto& [id, customer] : node.dispatch.queue.customers) {
-    for (const auto& [rank, task] : customer.tasks) {
-      if (task.home == ended)
-        dropped.push_back(KeyOf(task));
-    }
-  }
+  std::vector<TaskKey> dropped = WaitingKeys(
+      node, [&ended](const DaemonRef& home) { return home == ended; });
   for (const auto& [lease, running] : node.dispatch.running) {
     if (running.task.home == ended)
       dropped.push_back(KeyOf(running.task));
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -225,8 +225,12 @@
   event.output = start.customer.value + "/" + start.submission.value + "#" +
                  start.task.id.value;
   const Incarnation life = this->LifeOf(daemon);
-  const auto tell = [this, daemon, life](Millis delay, EndpointEvent what) {
-    this->At(this->now + delay, [this, daemon, life, what] {
+  const auto tell = [this, daemon, life, index](Millis delay,
+                                                EndpointEvent what) {
+    this->At(this->now + delay, [this, daemon, life, index, what]() mutable {
+      // What runs on an endpoint that has died since is lost.
+      if (this->endpoint_modes[index] == EndpointMode::kDies)
+        what.kind = EndpointEventKind::kLost;
       this->Feed(daemon, life, [this, what](Node& node, Actions& actions) {
         OnEndpointEvent(node, this->now, what, actions);
       });
