--- a/tests/core/submission_test.cc
+++ b/tests/core/submission_test.cc
@@ -170,6 +170,35 @@
   }
 }
 
+TEST_F(SubmissionTest, ClaimTriedAgainAfterTheJournalWasSealedFails) {
+  const SubmissionId id = this->world.ChosenId("fenced");
+  const Submission job = this->world.MakeSubmission(id, 2, {20});
+  size_t owner = 0;
+  for (size_t i = 0; i < this->world.DaemonCount(); ++i) {
+    ClaimBook& claims = this->world.NodeAt(i).claims;
+    this->world.NodeAt(i).settings.claims.longest_wait = {60'000};
+    if (claims.serving[SlotOf(claims, KeyOf(kAlpha, id))])
+      owner = i;
+  }
+  const size_t other = (owner + 1) % this->world.DaemonCount();
+  // The append is lost, the owner is paused, and its journal is sealed.
+  this->world.SetStore(StoreMode::kDown);
+  this->world.Submit(owner, job);
+  this->world.Advance({10});
+  this->world.Pause(owner);
+  this->world.SetListed(owner, false);
+  this->world.SetStore(StoreMode::kOk);
+  this->world.Advance({15'000});
+  this->world.Submit(other, job);
+  this->world.Advance({2'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 2U);
+  this->world.Resume(owner);
+  this->world.Advance({10'000});
+  EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 2U);
+  EXPECT_EQ(AnswersOf(this->world.oracle, kAlpha, id).back().code,
+            ResultCode::kClaimUndecided);
+}
+
 TEST_F(SubmissionTest, PlannedStopHandsEverythingOn) {
   const SubmissionId minted = this->world.Mint(0);
   const SubmissionId running = this->world.Mint(0);
@@ -216,6 +245,30 @@
   EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), started);
 }
 
+TEST_F(SubmissionTest, CostOfACancelDoesNotGrowWithTheQueue) {
+  // Actions stand for cost: they are what a cancel makes the daemon do.
+  const auto actions_per_cancel = [](size_t jobs) {
+    FakeWorld world({"north"}, 1);
+    world.Settle();
+    Node& node = world.NodeAt(0);
+    std::vector<SubmissionId> ids;
+    Actions actions;
+    for (size_t i = 0; i < jobs; ++i) {
+      ids.push_back(OnMint(node, world.Now()));
+      OnSubmit(node, world.Now(), CallerToken(1'000'000 + i),
+               world.MakeSubmission(ids.back(), 1, {600'000}), actions);
+    }
+    EXPECT_GE(SizeOf(node.dispatch.queue) + 10, jobs);
+    actions.clear();
+    for (const SubmissionId& id : ids)
+      OnCancel(node, world.Now(), CallerToken(2'000'000), kAlpha, id, actions);
+    EXPECT_EQ(SizeOf(node.dispatch.queue), 0U);
+    EXPECT_TRUE(node.ledger.open_by_deadline.empty());
+    return static_cast<double>(actions.size()) / static_cast<double>(jobs);
+  };
+  EXPECT_LE(actions_per_cancel(10'000), 1.1 * actions_per_cancel(100));
+}
+
 TEST_F(SubmissionTest, RefusedStartsAreTriedElsewhere) {
   this->world.SetEndpoint(0, EndpointMode::kRefuses);
   this->world.SetEndpoint(2, EndpointMode::kDown);
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -21,7 +21,7 @@
 Configuration TestLists() {
   Configuration lists;
   lists.revision = 1;
-  lists.plans[PlanId("plan")] = {1, 1000, 100'000, 1000, {"*"}};
+  lists.plans[PlanId("plan")] = {1, 1000, 100'000, 100'000, {"*"}};
   lists.customers[CustomerId("alpha")] = PlanId("plan");
   lists.customers[CustomerId("beta")] = PlanId("plan");
   return lists;
