Write claims in groups within a budget of store writes

Change: all owners together make at most claims.writes_per_second appends (160), each pausing owners/160 s after one, and at most claims.most_owners daemons (8) own slots, so that groups stay large as daemons are added. A first claim after a pause is still written at once.

--- a/modules/core/claims/claim_book.cc
+++ b/modules/core/claims/claim_book.cc
@@ -118,6 +118,13 @@
          !book.store_restored && book.cluster_id != 0;
 }
 
+/** Pause that keeps the writes of all owners within their budget. */
+Millis PauseBetweenAppends(const ClaimBook& book, const ClaimLimits& limits) {
+  constexpr int64_t kMillisPerSecond = 1000;
+  return {kMillisPerSecond * std::max(book.owner_count, 1U) /
+          std::max(limits.writes_per_second, 1U)};
+}
+
 WantedCall ReadBackCall(ClaimBook& book) {
   book.call = JournalCall::kReadBack;
   return {StorePurpose::kClaim, StoreRead{JournalPrefix(book.journal), true}};
@@ -192,8 +199,12 @@
   }
   if (book.phase == JournalPhase::kOpening)
     return ReadBackCall(book);
-  if (!book.in_flight.empty() || !book.waiting.empty())
+  if (!book.in_flight.empty() || !book.waiting.empty()) {
+    if (now < book.next_append)
+      return std::nullopt;
+    book.next_append = now + PauseBetweenAppends(book, limits);
     return AppendCall(book, limits);
+  }
   const std::vector<uint64_t> old =
       OldSegments(book, now - limits.window - limits.clock_skew);
   if (old.empty())
--- a/modules/core/claims/claim_book.h
+++ b/modules/core/claims/claim_book.h
@@ -33,6 +33,12 @@
   size_t max_waiting = 5'000;
   /** Claims written at once. */
   size_t max_group = 2'000;
+  /** Claim writes a second of all daemons together; beyond it claims wait and
+   * are written together.
+   */
+  uint32_t writes_per_second = 160;
+  /** Daemons that own slots, however many there are. */
+  uint32_t most_owners = 8;
   /** Pause after a store call that failed. */
   Millis retry_after{200};
   /** Period of reading the table of slots without a cause. */
@@ -80,6 +86,10 @@
   std::vector<Claim> waiting;
   std::vector<Claim> in_flight;
   Millis retry_at;
+  /** When the next append may be made. */
+  Millis next_append;
+  /** Daemons that share the writes. */
+  uint32_t owner_count = 1;
 
   SlotTable table;
   uint64_t table_revision = 0;
--- a/modules/core/claims/ownership.cc
+++ b/modules/core/claims/ownership.cc
@@ -16,6 +16,19 @@
   book.next_table_read = next_read;
 }
 
+/** Takes over a table, and how many owners share the claim writes. */
+void SetTable(ClaimBook& book, SlotTable table, uint64_t revision) {
+  std::set<DaemonId> owners;
+  for (const SlotEntry& slot : table.slots) {
+    if (!IsNone(slot.owner))
+      owners.insert(slot.owner.daemon.id);
+  }
+  book.owner_count =
+      std::max<uint32_t>(static_cast<uint32_t>(owners.size()), 1);
+  book.table = std::move(table);
+  book.table_revision = revision;
+}
+
 /** Pause before the next try, different for each daemon and time, so that
  * daemons that raced each other don't do so again.
  */
@@ -209,8 +222,7 @@
                    const ClaimLimits& limits,
                    Millis now) {
   Inherit(book);
-  book.table = book.job.new_table;
-  book.table_revision = revision;
+  SetTable(book, book.job.new_table, revision);
   if (book.job.is_recovery)
     EndRecovery(book);
   EndJob(book, now + limits.table_period);
@@ -272,8 +284,7 @@
     table = decoded.Take();
     revision = reply.items.front().mod_revision;
   }
-  book.table = std::move(table);
-  book.table_revision = revision;
+  SetTable(book, std::move(table), revision);
   book.table_known = true;
   for (uint32_t slot = 0; slot < book.serving.size(); ++slot) {
     if (!IsOwn(book, book.table.slots[slot].owner))
--- a/modules/core/node/store_flow.cc
+++ b/modules/core/node/store_flow.cc
@@ -1,9 +1,11 @@
 #include "core/node/store_flow.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "base/hash.h"
 #include "config/configuration_text.h"
 #include "core/claims/ownership.h"
 #include "core/node/home_flow.h"
@@ -39,6 +41,14 @@
     if (known.latest.can_claim && !known.latest.draining)
       candidates.push_back({peer.id, known.member.weight});
   }
+  // The same few in every daemon's view, so that claims are written in groups.
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return StableHash("owner\n" + a.id.value) <
+                     StableHash("owner\n" + b.id.value);
+            });
+  if (candidates.size() > node.settings.claims.most_owners)
+    candidates.resize(node.settings.claims.most_owners);
   return candidates;
 }
 
--- a/modules/settings/settings.cc
+++ b/modules/settings/settings.cc
@@ -210,6 +210,12 @@
   list.Count("/claims/slots", "", 1,
              "Parts of the callers' own ids; the same in every daemon",
              node.claims.slots);
+  list.Count("/claims/writes_per_second", "writes/s", 1,
+             "Claim writes of all daemons together; the same in every daemon",
+             node.claims.writes_per_second);
+  list.Count("/claims/most_owners", "", 1,
+             "Daemons that own slots; the same in every daemon",
+             node.claims.most_owners);
   list.Time("/claims/clock_skew_ms", 0,
             "How far the time in a caller's own id may be ahead",
             node.claims.clock_skew);
--- a/tests/core/submission_test.cc
+++ b/tests/core/submission_test.cc
@@ -177,6 +177,8 @@
   for (size_t i = 0; i < this->world.DaemonCount(); ++i) {
     ClaimBook& claims = this->world.NodeAt(i).claims;
     this->world.NodeAt(i).settings.claims.longest_wait = {60'000};
+    // Tried again before peers can tell it that it was declared ended.
+    this->world.NodeAt(i).settings.claims.retry_after = {0};
     if (claims.serving[SlotOf(claims, KeyOf(kAlpha, id))])
       owner = i;
   }
