--- a/modules/base/ids.h
+++ b/modules/base/ids.h
@@ -24,7 +24,9 @@
 using SubmissionId = StrongId<struct SubmissionTag, std::string>;
 /** Id of a task, unique within its submission. */
 using TaskId = StrongId<struct TaskTag, std::string>;
-/** Number of one process life of a daemon; later lives have higher ones. */
+/** Number of one process life of a daemon: the ms since 1970 at its start, so
+ * that later lives have higher ones.
+ */
 using Incarnation = StrongId<struct IncarnationTag, uint64_t>;
 /** Number of one start of a task; unique per task, counts upwards from 1. */
 using Attempt = StrongId<struct AttemptTag, uint32_t>;
--- a/modules/core/membership/membership.cc
+++ b/modules/core/membership/membership.cc
@@ -140,9 +140,13 @@
   if (membership.ended.count(daemon) > 0)
     return true;
   const auto found = membership.daemons.find(daemon.id);
-  // A list that was never read, or held back, says nothing of absent daemons.
-  if (found == membership.daemons.end())
-    return membership.listed_at > Millis{} && !membership.shrunk_since;
+  // A list that was never read, or held back, says nothing of absent daemons,
+  // and a lagging one nothing of new ones: an incarnation is a time of start.
+  if (found == membership.daemons.end()) {
+    const Millis began{static_cast<int64_t>(daemon.incarnation.value)};
+    return membership.listed_at > Millis{} && !membership.shrunk_since &&
+           began + times.longest_list_lag < membership.listed_at;
+  }
   const KnownDaemon& known = found->second;
   if (known.incarnation && daemon.incarnation < *known.incarnation)
     return true;
--- a/modules/core/membership/membership.h
+++ b/modules/core/membership/membership.h
@@ -22,6 +22,8 @@
   Millis unreachable_after{1'500};
   /** Silence after which a daemon that the list no longer has is gone. */
   Millis gone_after{3'000};
+  /** Age of a daemon that the list need not have yet. */
+  Millis longest_list_lag{30'000};
   /** How long a list that shrank to less than half is not believed. */
   Millis shrink_hold{60'000};
 };
@@ -105,7 +107,8 @@
                  Millis now);
 
 /** True when this process life can never be heard again: a later life of the
- * same daemon was heard, or the platform's list dropped it and it is silent.
+ * same daemon was heard, or the platform's list dropped it and it is silent, or
+ * the list never had it although it began long enough ago.
  */
 bool IsGone(const Membership& membership,
             const DaemonRef& daemon,
--- a/modules/core/node/request_flow.cc
+++ b/modules/core/node/request_flow.cc
@@ -14,6 +14,8 @@
 constexpr uint32_t kMostHops = 4;
 /** Requests that may wait for one stop note. */
 constexpr size_t kMostNoteWaiters = 5'000;
+/** Stop notes read at the same time; callers may make up homes. */
+constexpr size_t kMostNoteReads = 20;
 
 /** Where a request is to be handled. */
 enum class RouteKind : uint8_t {
@@ -233,6 +235,9 @@
                  const DaemonRef& home,
                  const SubmissionRequest& request,
                  Actions& actions) {
+  const bool is_new = node.note_waiters.count(home) == 0;
+  if (is_new && node.note_waiters.size() >= kMostNoteReads)
+    return false;
   std::vector<NoteWaiter>& waiters = node.note_waiters[home];
   if (waiters.size() >= kMostNoteWaiters)
     return false;
--- a/modules/core/node/store_flow.cc
+++ b/modules/core/node/store_flow.cc
@@ -78,6 +78,14 @@
   Pump(node, now, actions);
 }
 
+/** Remembers that a home left no note; callers may make up any number. */
+void NoteWithoutNote(Node& node, const DaemonRef& home) {
+  constexpr size_t kMostKept = 10'000;
+  if (node.without_note.size() >= kMostKept)
+    node.without_note.clear();
+  node.without_note.insert(home);
+}
+
 void TakeStopNote(Node& node,
                   Millis now,
                   const DaemonRef& home,
@@ -91,7 +99,7 @@
     if (note.ok())
       node.successors[home] = note.value().successor;
     else
-      node.without_note.insert(home);
+      NoteWithoutNote(node, home);
   }
   ReleaseNoteWaiters(node, now, home, is_known, actions);
 }
--- a/modules/settings/settings.cc
+++ b/modules/settings/settings.cc
@@ -190,6 +190,9 @@
   list.Count("/peers/max_frame_bytes", "bytes", 100'000,
              "Largest message between daemons",
              settings.peer_limits.max_frame_bytes);
+  list.Time("/instances/longest_lag_ms", 0,
+            "Age of a daemon that the list need not have yet",
+            node.membership.longest_list_lag);
   list.Time("/instances/shrink_hold_ms", 0,
             "How long a list that lost half its endpoints is not believed",
             node.membership.shrink_hold);
--- a/tests/core/submission_test.cc
+++ b/tests/core/submission_test.cc
@@ -126,6 +126,22 @@
   EXPECT_EQ(this->OnlyAnswer(id).code, ResultCode::kHomeUnreachable);
 }
 
+TEST_F(SubmissionTest, HomeThatTheListDoesNotHaveYetIsUndecided) {
+  const auto id_of_life_begun = [this](Millis began) {
+    const DaemonRef home{DaemonId("new"),
+                         Incarnation(static_cast<uint64_t>(began.count))};
+    return FormatMintedId({ZoneId("north"), home, this->world.Now(), 1});
+  };
+  const SubmissionId fresh =
+      id_of_life_begun(this->world.Now() - Millis{1'000});
+  const SubmissionId old = id_of_life_begun(this->world.Now() - Millis{60'000});
+  this->world.Submit(0, this->world.MakeSubmission(fresh, 1, {10}));
+  this->world.Submit(0, this->world.MakeSubmission(old, 1, {10}));
+  this->world.Advance({2'000});
+  EXPECT_EQ(this->OnlyAnswer(fresh).status, AnswerStatus::kPending);
+  EXPECT_EQ(this->OnlyAnswer(old).code, ResultCode::kHomeGone);
+}
+
 TEST_F(SubmissionTest, ClaimsOfADeadOwnerAreInherited) {
   std::vector<SubmissionId> ids;
   for (int i = 0; i < 20; ++i) {
