--- a/modules/core/ledger/ledger.cc
+++ b/modules/core/ledger/ledger.cc
@@ -120,6 +120,12 @@
   return found == ledger.records.end() ? nullptr : &found->second;
 }
 
+const SubmissionRecord* FindRecord(const Ledger& ledger,
+                                   const SubmissionKey& key) {
+  const auto found = ledger.records.find(key);
+  return found == ledger.records.end() ? nullptr : &found->second;
+}
+
 SubmissionRecord& OpenRecord(Ledger& ledger,
                              const Submission& submission,
                              const DaemonRef& self,
--- a/modules/core/ledger/ledger.h
+++ b/modules/core/ledger/ledger.h
@@ -79,6 +79,8 @@
 
 /** The record of a key, or null. */
 SubmissionRecord* FindRecord(Ledger& ledger, const SubmissionKey& key);
+const SubmissionRecord* FindRecord(const Ledger& ledger,
+                                   const SubmissionKey& key);
 
 /** Adds a record for a new submission. The key must not be in use.
  *
--- a/modules/core/node/home_flow.cc
+++ b/modules/core/node/home_flow.cc
@@ -7,6 +7,7 @@
 
 #include "core/node/admission.h"
 #include "core/node/request_flow.h"
+#include "core/node/request_routing.h"
 #include "core/node/scheduler_flow.h"
 
 namespace dogwoodfall {
@@ -149,10 +150,7 @@
                  Actions& actions) {
   const auto* submit = std::get_if<SubmitForward>(&request);
   const auto* status = std::get_if<StatusForward>(&request);
-  const CustomerId& customer = submit != nullptr ? submit->submission.customer
-                               : status != nullptr
-                                   ? status->customer
-                                   : std::get<CancelForward>(request).customer;
+  const CustomerId& customer = CustomerOf(request);
   // The submission itself may well have run: only this request did nothing.
   if (customer != record.customer) {
     Deliver(node, now, waiter,
@@ -241,16 +239,8 @@
                   const SubmissionRequest& request,
                   Actions& actions) {
   const auto* submit = std::get_if<SubmitForward>(&request);
-  const auto* status = std::get_if<StatusForward>(&request);
-  const SubmissionId& id = submit != nullptr ? submit->submission.id
-                           : status != nullptr
-                               ? status->submission
-                               : std::get<CancelForward>(request).submission;
-  const CustomerId& customer = submit != nullptr ? submit->submission.customer
-                               : status != nullptr
-                                   ? status->customer
-                                   : std::get<CancelForward>(request).customer;
-  const SubmissionKey key = KeyOf(customer, id);
+  const SubmissionId& id = IdOf(request);
+  const SubmissionKey key = KeyOf(CustomerOf(request), id);
   SubmissionRecord* record = FindRecord(node.ledger, key);
   if (record != nullptr) {
     HandleKnown(node, now, waiter, *record, request, actions);
--- /dev/null
+++ b/modules/core/node/request_routing.cc
@@ -0,0 +1,151 @@
+#include "core/node/request_routing.h"
+
+#include <variant>
+
+#include "core/claims/claim_book.h"
+#include "core/membership/membership.h"
+
+namespace dogwoodfall {
+namespace {
+
+bool KnowsHome(const Node& node, const DaemonRef& home) {
+  if (HasHandedOver(node))
+    return false;
+  return home == node.settings.self ||
+         node.ledger.adopted_homes.count(home) > 0;
+}
+
+/** The daemon that knows a home's submissions as far as is known here. */
+DaemonRef FollowSuccessors(const Node& node, DaemonRef home) {
+  for (uint32_t step = 0; step < kMostHops; ++step) {
+    if (home == node.settings.self && HasHandedOver(node))
+      return node.drain.successor;
+    if (KnowsHome(node, home))
+      return home;
+    const auto next = node.successors.find(home);
+    if (next == node.successors.end())
+      return home;
+    home = next->second;
+  }
+  return home;
+}
+
+Route RouteToHome(const Node& node, const DaemonRef& home, Millis now) {
+  const DaemonRef target = FollowSuccessors(node, home);
+  Route route;
+  if (KnowsHome(node, target)) {
+    route.kind = RouteKind::kHere;
+    return route;
+  }
+  if (IsReachable(node.membership, target, node.settings.membership, now)) {
+    route.kind = RouteKind::kPeer;
+    route.peer = target;
+    return route;
+  }
+  if (!IsGone(node.membership, target, node.settings.membership, now))
+    return route;
+  if (node.without_note.count(target) == 0) {
+    route.kind = RouteKind::kReadNote;
+    route.peer = target;
+    return route;
+  }
+  route.kind = RouteKind::kFinal;
+  route.code = ResultCode::kHomeGone;
+  return route;
+}
+
+Route RouteChosen(const Node& node,
+                  const SubmissionKey& key,
+                  Millis stamp,
+                  const DaemonRef& claimant,
+                  Millis now) {
+  Route route;
+  if (!claimant.id.value.empty()) {
+    route = RouteToHome(node, claimant, now);
+    route.claimant = claimant;
+    return route;
+  }
+  // What this daemon has in its ledger it knows, whoever owns the slot now,
+  // and after a hand-over its successor does.
+  if (FindRecord(node.ledger, key) != nullptr) {
+    route = RouteToHome(node, node.settings.self, now);
+    route.claimant = node.settings.self;
+    return route;
+  }
+  const ClaimLookup lookup = LookUp(node.claims, key, stamp);
+  switch (lookup.answer) {
+    case ClaimAnswer::kUnclaimed:
+      route.code = ResultCode::kClaimUndecided;
+      if (!HasHandedOver(node))
+        route.kind = RouteKind::kClaimHere;
+      return route;
+    case ClaimAnswer::kClaimedBefore:
+      route = RouteToHome(node, lookup.daemon, now);
+      route.claimant = lookup.daemon;
+      return route;
+    case ClaimAnswer::kElsewhere:
+      if (IsReachable(node.membership, lookup.daemon, node.settings.membership,
+                      now)) {
+        route.kind = RouteKind::kPeer;
+        route.peer = lookup.daemon;
+      }
+      return route;
+    case ClaimAnswer::kUndecided:
+      route.code = ResultCode::kClaimUndecided;
+      return route;
+    case ClaimAnswer::kTooOld:
+      route.kind = RouteKind::kFinal;
+      route.code = ResultCode::kIdTooOld;
+      return route;
+  }
+  return route;
+}
+
+}  // namespace
+
+const CustomerId& CustomerOf(const SubmissionRequest& request) {
+  if (const auto* submit = std::get_if<SubmitForward>(&request))
+    return submit->submission.customer;
+  if (const auto* status = std::get_if<StatusForward>(&request))
+    return status->customer;
+  return std::get<CancelForward>(request).customer;
+}
+
+const SubmissionId& IdOf(const SubmissionRequest& request) {
+  if (const auto* submit = std::get_if<SubmitForward>(&request))
+    return submit->submission.id;
+  if (const auto* status = std::get_if<StatusForward>(&request))
+    return status->submission;
+  return std::get<CancelForward>(request).submission;
+}
+
+DaemonRef& ClaimantOf(SubmissionRequest& request) {
+  return std::visit(
+      [](auto& message) -> DaemonRef& { return message.claimant; }, request);
+}
+
+uint32_t& HopsOf(SubmissionRequest& request) {
+  return std::visit([](auto& message) -> uint32_t& { return message.hops; },
+                    request);
+}
+
+bool HasHandedOver(const Node& node) {
+  return node.drain.phase > DrainPhase::kFinishing &&
+         !node.drain.successor.id.value.empty();
+}
+
+Route FindRoute(const Node& node,
+                const SubmissionRequest& request,
+                const ParsedId& id,
+                Millis now) {
+  if (const auto* minted = std::get_if<MintedId>(&id))
+    return RouteToHome(node, minted->home, now);
+  const auto& chosen = std::get<CallerChosenId>(id);
+  const DaemonRef& claimant = std::visit(
+      [](const auto& message) -> const DaemonRef& { return message.claimant; },
+      request);
+  return RouteChosen(node, KeyOf(CustomerOf(request), IdOf(request)),
+                     chosen.stamped_at, claimant, now);
+}
+
+}  // namespace dogwoodfall
--- a/stand_ins/endpoint_stand_in.cc
+++ b/stand_ins/endpoint_stand_in.cc
@@ -5,7 +5,8 @@
  * A task whose payload is a number runs that many ms times the slowness of its
  * endpoint; slowness grows from 1 to --slowness-percent / 100 over the
  * endpoints. --beyond says what happens beyond the slots: refuse or wait. A
- * payload of fail, refuse or hang does so. GET /v1/counts gives, over all
+ * payload of fail, refuse or hang does so. GET /v1/usage reports the usage
+ * with a lag of one to two seconds. GET /v1/counts gives, over all
  * endpoints of the process, the starts, the tasks that were started more than
  * once, stops and the tasks that run (usage); GET /v1/starts the starts by
  * customer/submission/task. POST /v1/control sets "leaving",
@@ -43,6 +44,13 @@
   Json request;
 };
 
+/** What an endpoint uses. */
+struct Usage {
+  size_t running = 0;
+  size_t waiting = 0;
+  int64_t memory_mb = 0;
+};
+
 struct Counts {
   std::map<std::string, uint64_t> starts;
   uint64_t total = 0;
@@ -65,8 +73,22 @@
   std::map<uint64_t, Start> running;
   std::deque<Start> waiting;
   uint64_t last_run = 0;
+  /** What is reported: the usage of one to two periods ago. */
+  Usage reported;
+  Usage sampled;
 };
 
+/** Period of sampling the usage; reports lag by one to two of them. */
+constexpr timeval kUsagePeriod = {1, 0};
+
+void SampleUsage(evutil_socket_t, short, void* argument) {
+  auto& endpoint = *static_cast<Endpoint*>(argument);
+  endpoint.reported = endpoint.sampled;
+  endpoint.sampled = {endpoint.running.size(), endpoint.waiting.size(), 0};
+  for (const auto& [run, start] : endpoint.running)
+    endpoint.sampled.memory_mb += start.request.value("memory_mb", 0);
+}
+
 void Begin(Endpoint& endpoint, Start start);
 
 void Answer(Endpoint& endpoint, const Start& start, const char* result) {
@@ -187,6 +209,14 @@
     GiveCounts(endpoint, token);
     return;
   }
+  if (request.path == "/v1/usage") {
+    endpoint.server->Reply(token, kStatusOk,
+                           Json{{"running", endpoint.reported.running},
+                                {"waiting", endpoint.reported.waiting},
+                                {"memory_mb", endpoint.reported.memory_mb}}
+                               .dump());
+    return;
+  }
   if (request.path == "/v1/starts") {
     endpoint.server->Reply(token, kStatusOk,
                            Json(endpoint.counts->starts).dump());
@@ -235,6 +265,8 @@
         [raw](HttpToken token, const HttpRequest& request) {
           Handle(*raw, token, request);
         });
+    event_add(event_new(base, -1, EV_PERSIST, &SampleUsage, raw),
+              &kUsagePeriod);
     endpoints.push_back(std::move(endpoint));
   }
   event_base_dispatch(base);
