Find cut connections within seconds; say not sent only when nothing left

Change: a request none of whose bytes left within 1 s is cancelled and not sent; a link without progress for 3 s is opened anew, the session sends again; keepalive on links that peers opened; at most 16 MB wait for a peer. Conclusion: what was not started is known within a second.

--- a/modules/adapters/http/http_client_connection.cc
+++ b/modules/adapters/http/http_client_connection.cc
@@ -13,6 +13,8 @@
 
 constexpr int64_t kMillisPerSecond = 1000;
 constexpr int64_t kMicrosPerMilli = 1000;
+/** Time within which the first byte has to leave. */
+constexpr timeval kConnectTimeout = {1, 0};
 constexpr ev_ssize_t kMaxAnswerBytes = 16'000'000;
 
 evhttp_cmd_type CommandOf(const std::string& method) {
@@ -42,9 +44,12 @@
   bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
   evbuffer_add_cb(bufferevent_get_output(stream),
                   &HttpClientConnection::OnWritten, this);
+  this->connect_timer =
+      evtimer_new(base, &HttpClientConnection::OnConnectTimeout, this);
 }
 
 HttpClientConnection::~HttpClientConnection() {
+  event_free(this->connect_timer);
   evhttp_connection_free(this->connection);
 }
 
@@ -59,25 +64,35 @@
   const timeval limit = {timeout.count / kMillisPerSecond,
                          (timeout.count % kMillisPerSecond) * kMicrosPerMilli};
   evhttp_connection_set_timeout_tv(this->connection, &limit);
-  evhttp_request* request =
-      evhttp_request_new(&HttpClientConnection::OnAnswer, this);
-  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  this->request = evhttp_request_new(&HttpClientConnection::OnAnswer, this);
+  evkeyvalq* headers = evhttp_request_get_output_headers(this->request);
   const std::string host =
       this->address.ip + ":" + std::to_string(this->address.port);
   evhttp_add_header(headers, "Host", host.c_str());
   evhttp_add_header(headers, "Content-Type", "application/json");
-  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(),
+  evbuffer_add(evhttp_request_get_output_buffer(this->request), body.data(),
                body.size());
-  if (evhttp_make_request(this->connection, request, CommandOf(method),
+  evtimer_add(this->connect_timer, &kConnectTimeout);
+  if (evhttp_make_request(this->connection, this->request, CommandOf(method),
                           path.c_str()) != 0)
     this->client.Finish(this, {HttpOutcome::kNotSent, 0, {}});
 }
 
+void HttpClientConnection::OnConnectTimeout(int, short, void* argument) {
+  auto* self = static_cast<HttpClientConnection*>(argument);
+  if (self->callback == nullptr || self->bytes_written > 0)
+    return;
+  // Cancelling closes the connection: nothing can leave any more.
+  evhttp_cancel_request(self->request);
+  self->client.Finish(self, {HttpOutcome::kNotSent, 0, {}});
+}
+
 void HttpClientConnection::OnAnswer(evhttp_request* request, void* argument) {
   auto* self = static_cast<HttpClientConnection*>(argument);
   // evhttp_make_request may have failed and reported that already.
   if (self->callback == nullptr)
     return;
+  evtimer_del(self->connect_timer);
   HttpAnswer answer;
   const int status =
       request == nullptr ? 0 : evhttp_request_get_response_code(request);
--- a/modules/adapters/http/http_client_connection.h
+++ b/modules/adapters/http/http_client_connection.h
@@ -8,6 +8,7 @@
 #include "base/millis.h"
 
 struct evbuffer;
+struct event;
 struct evbuffer_cb_info;
 struct event_base;
 struct evhttp_connection;
@@ -41,6 +42,7 @@
 
  private:
   static void OnAnswer(evhttp_request* request, void* self);
+  static void OnConnectTimeout(int, short what, void* self);
   static void OnWritten(evbuffer* buffer,
                         const evbuffer_cb_info* info,
                         void* self);
@@ -48,6 +50,9 @@
   HttpClient& client;
   HttpAddress address;
   evhttp_connection* connection = nullptr;
+  /** The request under way; evhttp owns it. */
+  evhttp_request* request = nullptr;
+  event* connect_timer = nullptr;
   HttpClient::Callback callback;
   size_t bytes_written = 0;
 };
--- a/modules/adapters/peers/peer_network.cc
+++ b/modules/adapters/peers/peer_network.cc
@@ -22,6 +22,12 @@
 constexpr size_t kLengthBytes = 4;
 constexpr size_t kMaxDatagramBytes = 60'000;
 constexpr int kBacklog = 128;
+/** Time without progress after which a link is closed and opened anew. */
+constexpr timeval kWriteTimeout = {3, 0};
+/** Idle time, pause between probes (s) and probes before a link is dead. */
+constexpr int kKeepaliveIdle = 10;
+constexpr int kKeepaliveInterval = 5;
+constexpr int kKeepaliveProbes = 3;
 /** Datagrams read before the loop goes on with other work. */
 constexpr int kDatagramsAtOnce = 256;
 
@@ -38,6 +44,18 @@
   return reinterpret_cast<sockaddr*>(&address);
 }
 
+/** Lets the system find links whose other side vanished without a word. */
+void KeepAlive(int socket) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepaliveIdle,
+             sizeof(kKeepaliveIdle));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepaliveInterval,
+             sizeof(kKeepaliveInterval));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepaliveProbes,
+             sizeof(kKeepaliveProbes));
+}
+
 void SendSoon(bufferevent* stream) {
   const int on = 1;
   setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &on,
@@ -184,6 +202,7 @@
       bufferevent_socket_new(this->base, -1, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb(stream, &PeerNetwork::OnOutboundData, nullptr,
                     &PeerNetwork::OnOutboundEvent, this);
+  bufferevent_set_timeouts(stream, nullptr, &kWriteTimeout);
   bufferevent_enable(stream, EV_READ | EV_WRITE);
   // The failure may be reported from inside the call.
   this->outbound[peer] = stream;
@@ -240,6 +259,7 @@
     close(socket);
     return;
   }
+  KeepAlive(socket);
   bufferevent* stream = bufferevent_socket_new(
       self->base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(stream, &PeerNetwork::OnInboundData, nullptr,
@@ -304,7 +324,7 @@
                                   void* argument) {
   if ((what & BEV_EVENT_CONNECTED) != 0)
     SendSoon(stream);
-  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+  else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0)
     static_cast<PeerNetwork*>(argument)->CloseOutbound(stream);
 }
 
--- a/modules/adapters/peers/peer_network.h
+++ b/modules/adapters/peers/peer_network.h
@@ -30,7 +30,7 @@
   /** Bytes waiting for a peer beyond which frames are dropped; the session
    * sends them again.
    */
-  size_t max_waiting_bytes = 32'000'000;
+  size_t max_waiting_bytes = 16'000'000;
   /** Connections taken from peers. */
   size_t max_connections = 400;
 };
--- a/stand_ins/caller_load.cc
+++ b/stand_ins/caller_load.cc
@@ -27,7 +27,6 @@
 
 namespace {
 
-using dogwoodfall::HttpAddress;
 using dogwoodfall::HttpAnswer;
 using dogwoodfall::HttpClient;
 using dogwoodfall::HttpOutcome;
--- /dev/null
+++ b/tests/adapters/http_client_test.cc
@@ -0,0 +1,135 @@
+#include "adapters/http/http_client.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace dogwoodfall {
+namespace {
+
+/** A TCP listener on loopback at a port that the system chooses. */
+class Listener {
+ public:
+  explicit Listener(int backlog) {
+    this->socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    socklen_t length = sizeof(address);
+    bind(this->socket, generic, length);
+    listen(this->socket, backlog);
+    getsockname(this->socket, generic, &length);
+    this->port = ntohs(address.sin_port);
+  }
+  ~Listener() { this->Close(); }
+
+  void Close() {
+    if (this->socket >= 0)
+      close(this->socket);
+    this->socket = -1;
+  }
+
+  int socket = -1;
+  uint16_t port = 0;
+};
+
+class HttpClientTest : public testing::Test {
+ protected:
+  HttpClientTest() : base(event_base_new(), &event_base_free) {}
+
+  /** Sends one request and runs the loop until it ended. */
+  HttpAnswer Call(HttpClient& client, uint16_t port) {
+    HttpAnswer result;
+    client.Send({"127.0.0.1", port}, "POST", "/", "body", Millis{3'000},
+                [&](const HttpAnswer& answer) {
+                  result = answer;
+                  event_base_loopbreak(this->base.get());
+                });
+    event_base_dispatch(this->base.get());
+    return result;
+  }
+
+  /** Accepts one connection on a thread, reads a request, writes a text. */
+  static std::thread Serve(const Listener& listener, const std::string& text) {
+    return std::thread([socket = listener.socket, text] {
+      const int link = accept(socket, nullptr, nullptr);
+      char buffer[4096];
+      (void)!read(link, buffer, sizeof(buffer));
+      (void)!write(link, text.data(), text.size());
+      close(link);
+    });
+  }
+
+  std::unique_ptr<event_base, decltype(&event_base_free)> base;
+};
+
+TEST_F(HttpClientTest, WholeAnswerIsAnswered) {
+  const Listener listener(5);
+  HttpClient client(this->base.get());
+  std::thread server =
+      Serve(listener, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  const HttpAnswer answer = this->Call(client, listener.port);
+  server.join();
+  EXPECT_EQ(answer.outcome, HttpOutcome::kAnswered);
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_EQ(answer.body, "ok");
+}
+
+TEST_F(HttpClientTest, RefusedConnectionIsNotSent) {
+  Listener listener(5);
+  listener.Close();
+  HttpClient client(this->base.get());
+  EXPECT_EQ(this->Call(client, listener.port).outcome, HttpOutcome::kNotSent);
+}
+
+TEST_F(HttpClientTest, ConnectionClosedAfterTheRequestIsLost) {
+  const Listener listener(5);
+  HttpClient client(this->base.get());
+  std::thread server = Serve(listener, "");
+  EXPECT_EQ(this->Call(client, listener.port).outcome, HttpOutcome::kLost);
+  server.join();
+}
+
+TEST_F(HttpClientTest, HalfAnAnswerIsLost) {
+  const Listener listener(5);
+  HttpClient client(this->base.get());
+  std::thread server =
+      Serve(listener, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+  EXPECT_EQ(this->Call(client, listener.port).outcome, HttpOutcome::kLost);
+  server.join();
+}
+
+TEST_F(HttpClientTest, ServerThatTakesNoConnectionIsNotSent) {
+  // A listener whose backlog is full drops what asks for a connection, as a
+  // cut network does.
+  const Listener listener(0);
+  HttpClient client(this->base.get());
+  const std::vector<int> links = [&] {
+    std::vector<int> opened;
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(listener.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    for (int i = 0; i < 4; ++i) {
+      opened.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void)connect(opened.back(), reinterpret_cast<sockaddr*>(&address),
+                    sizeof(address));
+    }
+    return opened;
+  }();
+  EXPECT_EQ(this->Call(client, listener.port).outcome, HttpOutcome::kNotSent);
+  for (const int link : links)
+    close(link);
+}
+
+}  // namespace
+}  // namespace dogwoodfall
