--- a/modules/adapters/callers/caller_json.cc
+++ b/modules/adapters/callers/caller_json.cc
@@ -140,8 +140,22 @@
   return task;
 }
 
-/** Reads what jobs and single requests have in common. */
-Result<Submission> ReadCommon(const Json& json, const CallerLimits& limits) {
+/** Parses a body and reads what jobs and single requests have in common.
+ *
+ * @param last_key the field that only one of the two has
+ * @param json gets the whole body
+ */
+Result<Submission> ReadCommon(const std::string& body,
+                              const char* last_key,
+                              const CallerLimits& limits,
+                              Json& json) {
+  Result<Json> parsed = ParseObject(body);
+  if (!parsed.ok())
+    return parsed.error();
+  json = parsed.Take();
+  if (auto fault =
+          CheckKeys(json, "", {"customer", "id", "deadline_ms", last_key}))
+    return *fault;
   Result<std::string> customer =
       ReadText(json, "", "customer", limits.longest_text, false);
   Result<std::string> id =
@@ -186,14 +200,8 @@
 
 Result<Submission> ParseJob(const std::string& body,
                             const CallerLimits& limits) {
-  const Result<Json> parsed = ParseObject(body);
-  if (!parsed.ok())
-    return parsed.error();
-  const Json& json = parsed.value();
-  if (auto fault =
-          CheckKeys(json, "", {"customer", "id", "deadline_ms", "tasks"}))
-    return *fault;
-  Result<Submission> common = ReadCommon(json, limits);
+  Json json;
+  Result<Submission> common = ReadCommon(body, "tasks", limits, json);
   if (!common.ok())
     return common;
   if (!json.contains("tasks") || !json["tasks"].is_array())
@@ -221,14 +229,8 @@
 
 Result<Submission> ParseRequest(const std::string& body,
                                 const CallerLimits& limits) {
-  const Result<Json> parsed = ParseObject(body);
-  if (!parsed.ok())
-    return parsed.error();
-  const Json& json = parsed.value();
-  if (auto fault =
-          CheckKeys(json, "", {"customer", "id", "deadline_ms", "task"}))
-    return *fault;
-  Result<Submission> common = ReadCommon(json, limits);
+  Json json;
+  Result<Submission> common = ReadCommon(body, "task", limits, json);
   if (!common.ok())
     return common;
   if (!json.contains("task"))
