--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -72,7 +72,7 @@
 }
 
 start_store() { start store.log "$build/stand_ins/store_stand_in" --port "$store_port"; store_pid=$last_pid; }
-start_instances() { start instances.log "$build/stand_ins/instances_stand_in" --port "$instances_port" --file "$work/instances.json"; }
+start_instances() { start instances.log "$build/stand_ins/instances_stand_in" --port "$instances_port" --file "$work/instances.json" "$@"; }
 
 # start_endpoints COUNT [OPTIONS]
 start_endpoints() {
