Bound what goes into one message between daemons

Cause: read against the promise of the whole answer: outputs of a job above the 8 MB of a message between daemons could never be sent to the receiver; the session tried again for ever and the caller waited. The same for batches of large payloads. Change: tasks.max_output_bytes (4 MB) for the outputs of a submission; above it the job fails with 310 answer_too_large, started; reports and batches are cut at 1 and 2 MB; settings whose bodies or outputs don't fit a message are refused at start. Before: no answer. Conclusion: every answer that is complete can be carried.

--- a/modules/base/result_code.cc
+++ b/modules/base/result_code.cc
@@ -76,6 +76,8 @@
        "The id is older than the window in which submissions are known."},
       {C::kAnswerNotKept, "answer_not_kept", 410,
        "The submission ended; its answer is no longer held."},
+      {C::kAnswerTooLarge, "answer_too_large", 200,
+       "Its outputs are larger than the setting tasks.max_output_bytes."},
       {C::kHomeUnreachable, "home_unreachable", 503,
        "The daemon that knows the submission can't be reached now."},
       {C::kStillRunning, "still_running", 202, "The submission is running."},
--- a/modules/base/result_code.h
+++ b/modules/base/result_code.h
@@ -53,6 +53,7 @@
   kHomeGone = 307,
   kIdTooOld = 308,
   kAnswerNotKept = 309,
+  kAnswerTooLarge = 310,
 
   // 4xx: undecided; ask again.
   kHomeUnreachable = 400,
--- a/modules/core/dispatch/dispatch.h
+++ b/modules/core/dispatch/dispatch.h
@@ -37,6 +37,8 @@
 struct JobShare {
   uint32_t open_tasks = 0;
   std::vector<TaskReport> reports;
+  /** Bytes of outputs in the reports. */
+  size_t report_bytes = 0;
 };
 
 /** The tasks this daemon starts, for itself and for other homes. */
--- a/modules/core/ledger/submission_record.h
+++ b/modules/core/ledger/submission_record.h
@@ -42,6 +42,8 @@
   size_t tasks_left = 0;
   /** Run time expected of the tasks that have not ended. */
   Millis remaining_work;
+  /** Bytes of the outputs so far. */
+  size_t output_bytes = 0;
   uint32_t starts = 0;
   Waste waste;
   std::vector<Waiter> waiters;
--- a/modules/core/node/home_flow.cc
+++ b/modules/core/node/home_flow.cc
@@ -355,6 +355,12 @@
       ++node.counters.waste.dropped_answers;
       return;
     case ReportEffect::kSucceeded:
+      record->output_bytes += report.outcome.output.size();
+      if (record->output_bytes > node.settings.max_output_bytes) {
+        FailSubmission(node, now, *record, ResultCode::kAnswerTooLarge,
+                       actions);
+        return;
+      }
       if (record->tasks_left == 0) {
         Answer answer = CompleteAnswer(*record, now);
         answer.ideal_time = IdealTime(node, answer.outcomes);
--- a/modules/core/node/node_settings.h
+++ b/modules/core/node/node_settings.h
@@ -31,6 +31,10 @@
   Millis longest_lease{60'000};
   /** Starts of one task that may be refused or not connected. */
   uint32_t max_tries = 16;
+  /** Bytes of the outputs of one submission; more would not fit a message
+   * between daemons.
+   */
+  size_t max_output_bytes = 4'000'000;
   /** Longest wait for a peer that is out of reach. */
   Millis forward_patience{2'000};
   /** Longest planned stop. */
--- a/modules/core/node/scheduler_flow.cc
+++ b/modules/core/node/scheduler_flow.cc
@@ -15,6 +15,8 @@
 
 /** Tasks of a customer looked at for one that fits a free endpoint. */
 constexpr size_t kLookAhead = 8;
+/** Bytes of outputs that wait for the rest of a job's reports. */
+constexpr size_t kMostReportBytes = 1'000'000;
 /** Part of a second's starts that may be made at once. */
 constexpr double kStartBurst = 0.1;
 
@@ -54,12 +56,15 @@
   bool is_due = share.open_tasks == 0;
   if (report != nullptr) {
     share.reports.push_back(*report);
-    is_due = is_due || report->outcome.code != ResultCode::kOk;
+    share.report_bytes += report->outcome.output.size();
+    is_due = is_due || report->outcome.code != ResultCode::kOk ||
+             share.report_bytes >= kMostReportBytes;
   }
   if (is_due && !share.reports.empty()) {
     Send(node.sessions, job.first, TaskReports{std::move(share.reports)},
          node.settings.sessions, now, actions);
     share.reports.clear();
+    share.report_bytes = 0;
   }
   if (share.open_tasks == 0)
     node.dispatch.shares.erase(found);
@@ -227,7 +232,9 @@
       StartState::kStarted);
   report.outcome.endpoint = running.endpoint;
   report.outcome.run_time = run_time;
-  if (succeeded)
+  if (event.output.size() > node.settings.max_output_bytes)
+    report.outcome.code = ResultCode::kAnswerTooLarge;
+  else if (succeeded)
     report.outcome.output = event.output;
   Report(node, now, running.task, report, actions);
 }
--- a/modules/core/node/task_forwarding.cc
+++ b/modules/core/node/task_forwarding.cc
@@ -10,6 +10,9 @@
 namespace dogwoodfall {
 namespace {
 
+/** Bytes of payloads in one message; a task more may be added to them. */
+constexpr size_t kMostBatchBytes = 2'000'000;
+
 /** True when a zone has an endpoint that could run the task. */
 bool ZoneFits(const Node& node,
               const ZoneId& zone,
@@ -57,17 +60,20 @@
 /** Chooses tasks of own submissions that a peer is to start. */
 std::vector<TaskKey> ChooseForPeer(const Node& node, const Room& room) {
   std::vector<TaskKey> chosen;
+  size_t payload_bytes = 0;
   for (const CustomerId& id : ServingOrder(node.dispatch.queue)) {
     const PlanLimits* limits = FindLimits(node.configuration, id);
     if (limits == nullptr)
       continue;
     for (const auto& [rank, task] :
          node.dispatch.queue.customers.at(id).tasks) {
-      if (chosen.size() >= room.slots)
+      if (chosen.size() >= room.slots || payload_bytes >= kMostBatchBytes)
         return chosen;
       if (task.home == node.settings.self &&
-          ZoneFits(node, room.zone, *limits, task.task))
+          ZoneFits(node, room.zone, *limits, task.task)) {
         chosen.push_back(KeyOf(task));
+        payload_bytes += task.task.payload.size();
+      }
     }
   }
   return chosen;
--- a/modules/settings/settings.cc
+++ b/modules/settings/settings.cc
@@ -227,6 +227,8 @@
   list.Count("/tasks/max_tries", "", 1,
              "Starts of one task that may be refused or not connected",
              node.max_tries);
+  list.Count("/tasks/max_output_bytes", "bytes", 1'000,
+             "Outputs of one submission together", node.max_output_bytes);
   list.Count("/endpoints/failures_in_row", "", 1,
              "Failures in a row after which an endpoint is ejected",
              node.ejection.failures_in_row);
@@ -300,6 +302,21 @@
         {field.path, value.dump().substr(0, kLongestShown), field.range});
 }
 
+/** What comes from callers and endpoints has to fit a message to a peer. */
+void CheckFrameFits(const DaemonSettings& settings, Faults& faults) {
+  const size_t most = settings.peer_limits.max_frame_bytes / 2;
+  const std::string allowed =
+      "at most half of /peers/max_frame_bytes: " + std::to_string(most);
+  const size_t body = settings.caller_connections.max_body_bytes;
+  const size_t output = settings.node.max_output_bytes;
+  if (body > most)
+    faults.push_back(
+        {"/callers/max_body_bytes", std::to_string(body), allowed});
+  if (output > most)
+    faults.push_back(
+        {"/tasks/max_output_bytes", std::to_string(output), allowed});
+}
+
 }  // namespace
 
 ParsedSettings ParseSettings(const std::string& text) {
@@ -312,6 +329,7 @@
   FindUnknown(json, "", fields, faults);
   for (const Field& field : fields)
     TakeField(json, field, faults);
+  CheckFrameFits(settings, faults);
   if (!faults.empty())
     return faults;
   settings.node.claims.window = settings.node.ledger.window;
--- a/tests/adapters/settings_test.cc
+++ b/tests/adapters/settings_test.cc
@@ -56,6 +56,16 @@
   EXPECT_EQ(FaultsOf(json), expected);
 }
 
+TEST(SettingsTest, WhatDoesNotFitAMessageBetweenDaemonsIsRefused) {
+  Json json = GoodSettings();
+  json["callers"]["max_body_bytes"] = 5'000'000;
+  json["tasks"]["max_output_bytes"] = 5'000'000;
+  EXPECT_EQ(FaultsOf(json), (std::set<std::string>{"/callers/max_body_bytes",
+                                                   "/tasks/max_output_bytes"}));
+  json["peers"]["max_frame_bytes"] = 10'000'000;
+  EXPECT_TRUE(FaultsOf(json).empty());
+}
+
 TEST(SettingsTest, WhatIsNotAnObjectIsRefused) {
   for (const char* text : {"", "[]", "{", "7"})
     EXPECT_FALSE(std::holds_alternative<DaemonSettings>(ParseSettings(text)));
--- a/tests/core/submission_test.cc
+++ b/tests/core/submission_test.cc
@@ -332,6 +332,19 @@
   EXPECT_EQ(StartsOf(this->world.oracle, kAlpha, id), 1U);
 }
 
+TEST_F(SubmissionTest, OutputsTooLargeForOneAnswerFailTheJob) {
+  for (size_t i = 0; i < this->world.DaemonCount(); ++i)
+    this->world.NodeAt(i).settings.max_output_bytes = 100;
+  const SubmissionId small = this->world.Mint(0);
+  const SubmissionId large = this->world.Mint(0);
+  this->world.Submit(2, this->world.MakeSubmission(small, 1, {50}));
+  this->world.Submit(2, this->world.MakeSubmission(large, 10, {50}));
+  this->world.Advance({5'000});
+  EXPECT_EQ(this->OnlyAnswer(small).status, AnswerStatus::kComplete);
+  EXPECT_EQ(this->OnlyAnswer(large).code, ResultCode::kAnswerTooLarge);
+  EXPECT_EQ(this->OnlyAnswer(large).state, StartState::kStarted);
+}
+
 TEST_F(SubmissionTest, CrossedAndDoubledAnswersAreDropped) {
   this->world.SetEndpoint(0, EndpointMode::kCrosses);
   this->world.SetEndpoint(1, EndpointMode::kDoubles);
