Say "not decided yet" in one place; drop accessors that nobody calls

Cause: read once more: the answer "pending, may have started, ask again" was built five times in request_flow and home_flow, and four functions of headers had no caller: OpenRequests, BusyConnections, InboundConnections and TotalSlots. Change: DeliverPending in place of the five; the four functions are gone.

--- a/modules/adapters/http/http_client.cc
+++ b/modules/adapters/http/http_client.cc
@@ -2,8 +2,6 @@
 
 #include <event2/event.h>
 
-#include <algorithm>
-
 #include "adapters/http/http_client_connection.h"
 
 namespace dogwoodfall {
@@ -39,14 +37,6 @@
   return count;
 }
 
-size_t HttpClient::BusyConnections(const HttpAddress& address) const {
-  return static_cast<size_t>(
-      std::count_if(this->busy.begin(), this->busy.end(), [&](const auto& e) {
-        return e.first->Address().ip == address.ip &&
-               e.first->Address().port == address.port;
-      }));
-}
-
 void HttpClient::Finish(HttpClientConnection* connection,
                         const HttpAnswer& answer) {
   const auto found = this->busy.find(connection);
--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -75,9 +75,6 @@
   /** Connections to all servers, in use or kept. */
   size_t Connections() const;
 
-  /** Connections to one server that carry a request. */
-  size_t BusyConnections(const HttpAddress& address) const;
-
  private:
   friend class HttpClientConnection;
 
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -72,9 +72,6 @@
                const std::string& body,
                const char* content_type);
 
-  /** Requests that wait for an answer. */
-  size_t OpenRequests() const { return this->open.size(); }
-
   /** Connections that are open. */
   uint32_t Connections() const { return this->connections; }
 
--- a/modules/adapters/peers/peer_network.h
+++ b/modules/adapters/peers/peer_network.h
@@ -90,9 +90,6 @@
   /** What was sent, received and dropped. */
   const PeerNetworkCounters& Counters() const { return this->counters; }
 
-  /** Connections taken from peers. */
-  size_t InboundConnections() const { return this->inbound.size(); }
-
  private:
   PeerNetwork(event_base* base,
               const PeerNetworkLimits& limits,
--- a/modules/core/dispatch/endpoint_pool.cc
+++ b/modules/core/dispatch/endpoint_pool.cc
@@ -76,13 +76,6 @@
   return free;
 }
 
-uint32_t TotalSlots(const EndpointPool& pool) {
-  uint32_t slots = 0;
-  for (const auto& [id, endpoint] : pool.endpoints)
-    slots += endpoint.member.leaving ? 0 : endpoint.member.slots;
-  return slots;
-}
-
 void NoteSuccess(PooledEndpoint& endpoint, Millis run_time, Millis expected) {
   endpoint.failures_in_row = 0;
   endpoint.ejections_in_row = 0;
--- a/modules/core/dispatch/endpoint_pool.h
+++ b/modules/core/dispatch/endpoint_pool.h
@@ -60,9 +60,6 @@
 /** Slots free over all endpoints in service. */
 uint32_t FreeSlots(const EndpointPool& pool, Millis now);
 
-/** Slots over all endpoints. */
-uint32_t TotalSlots(const EndpointPool& pool);
-
 /** Counts a success and learns the endpoint's speed. */
 void NoteSuccess(PooledEndpoint& endpoint, Millis run_time, Millis expected);
 
--- a/modules/core/node/home_flow.cc
+++ b/modules/core/node/home_flow.cc
@@ -282,11 +282,8 @@
     return;
   }
   if (!QueueClaim(node.claims, key, stamp, node.settings.claims)) {
-    Deliver(
-        node, now, waiter,
-        PendingAnswer(submission.id, ResultCode::kClaimUndecided,
-                      StartState::kMayHaveStarted, node.settings.retry_pause),
-        actions);
+    DeliverPending(node, now, waiter, submission.id,
+                   ResultCode::kClaimUndecided, actions);
     return;
   }
   SubmissionRecord& record =
--- a/modules/core/node/request_flow.cc
+++ b/modules/core/node/request_flow.cc
@@ -30,11 +30,8 @@
   const bool sent = Send(node.sessions, to, std::move(message),
                          node.settings.sessions, now, actions);
   if (!sent) {
-    Deliver(
-        node, now, waiter,
-        PendingAnswer(submission, ResultCode::kHomeUnreachable,
-                      StartState::kMayHaveStarted, node.settings.retry_pause),
-        actions);
+    DeliverPending(node, now, waiter, submission, ResultCode::kHomeUnreachable,
+                   actions);
     return;
   }
   ++node.counters.requests_forwarded;
@@ -135,10 +132,7 @@
     case RouteKind::kUndecided:
       break;
   }
-  Deliver(node, now, waiter,
-          PendingAnswer(IdOf(request), route.code, StartState::kMayHaveStarted,
-                        node.settings.retry_pause),
-          actions);
+  DeliverPending(node, now, waiter, IdOf(request), route.code, actions);
 }
 
 }  // namespace
@@ -185,6 +179,18 @@
        node.settings.sessions, now, actions);
 }
 
+void DeliverPending(Node& node,
+                    Millis now,
+                    const Waiter& waiter,
+                    const SubmissionId& id,
+                    ResultCode code,
+                    Actions& actions) {
+  Deliver(node, now, waiter,
+          PendingAnswer(id, code, StartState::kMayHaveStarted,
+                        node.settings.retry_pause),
+          actions);
+}
+
 void RerouteFrom(Node& node,
                  Millis now,
                  const DaemonRef& ended,
@@ -227,11 +233,8 @@
       HandleRequest(node, now, entry.waiter, entry.request, actions);
       continue;
     }
-    Deliver(
-        node, now, entry.waiter,
-        PendingAnswer(IdOf(entry.request), ResultCode::kHomeUnreachable,
-                      StartState::kMayHaveStarted, node.settings.retry_pause),
-        actions);
+    DeliverPending(node, now, entry.waiter, IdOf(entry.request),
+                   ResultCode::kHomeUnreachable, actions);
   }
 }
 
@@ -247,11 +250,8 @@
   for (const ForwardId& id : expired) {
     const PendingForward forward = std::move(node.forwards.at(id));
     node.forwards.erase(id);
-    Deliver(
-        node, now, forward.waiter,
-        PendingAnswer(IdOf(forward.request), ResultCode::kHomeUnreachable,
-                      StartState::kMayHaveStarted, node.settings.retry_pause),
-        actions);
+    DeliverPending(node, now, forward.waiter, IdOf(forward.request),
+                   ResultCode::kHomeUnreachable, actions);
   }
 }
 
--- a/modules/core/node/request_flow.h
+++ b/modules/core/node/request_flow.h
@@ -29,6 +29,16 @@
              const Answer& answer,
              Actions& actions);
 
+/** Tells whoever waits that it is not decided yet and to ask again. The
+ * submission may have started.
+ */
+void DeliverPending(Node& node,
+                    Millis now,
+                    const Waiter& waiter,
+                    const SubmissionId& id,
+                    ResultCode code,
+                    Actions& actions);
+
 /** Handles again what was passed on to a process life that has ended. */
 void RerouteFrom(Node& node,
                  Millis now,
