--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -3,7 +3,6 @@
 #include <event2/event.h>
 #include <signal.h>
 
-#include <chrono>
 #include <string>
 #include <utility>
 #include <variant>
@@ -26,25 +25,15 @@
 /** Time for last answers to leave after the core is done. */
 constexpr timeval kExitPause = {0, 200'000};
 
-template <typename Clock>
-Millis ReadClock() {
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(
-              Clock::now().time_since_epoch())
-              .count()};
-}
-
 std::string ErrorBody(ResultCode code) {
   return FormatRefusal(code, std::string(RowOf(code).meaning));
 }
 
 }  // namespace
 
-Daemon::Daemon(const DaemonSettings& settings)
-    : settings(settings),
-      wall_at_start(ReadClock<std::chrono::system_clock>()),
-      steady_at_start(ReadClock<std::chrono::steady_clock>()) {
+Daemon::Daemon(const DaemonSettings& settings) : settings(settings) {
   this->settings.node.self.incarnation =
-      Incarnation(static_cast<uint64_t>(this->wall_at_start.count));
+      Incarnation(static_cast<uint64_t>(this->clock.Start().count));
   this->node = OpenNode(this->settings.node);
 }
 
@@ -279,8 +268,7 @@
 }
 
 Millis Daemon::Now() const {
-  return this->wall_at_start + ReadClock<std::chrono::steady_clock>() -
-         this->steady_at_start;
+  return this->clock.Now();
 }
 
 }  // namespace dogwoodfall
--- a/apps/daemon/daemon.h
+++ b/apps/daemon/daemon.h
@@ -15,6 +15,7 @@
 #include "adapters/store/store_gateway.h"
 #include "base/result.h"
 #include "core/node/node.h"
+#include "daemon/process_clock.h"
 #include "ports/action.h"
 #include "settings/settings.h"
 
@@ -68,8 +69,7 @@
   Node node;
   event_base* base = nullptr;
   std::vector<event*> events;
-  Millis wall_at_start;
-  Millis steady_at_start;
+  ProcessClock clock;
   std::unique_ptr<HttpClient> http;
   std::unique_ptr<EndpointClient> endpoints;
   std::unique_ptr<StoreGateway> store;
--- /dev/null
+++ b/apps/daemon/fleet_daemon.cc
@@ -0,0 +1,271 @@
+#include "daemon/fleet_daemon.h"
+
+#include <event2/event.h>
+#include <signal.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "adapters/callers/caller_json.h"
+#include "adapters/logging/logging.h"
+#include "adapters/metrics/fleet_metrics.h"
+#include "adapters/operators/fleet_state_dump.h"
+#include "core/fleet/fleet_events.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+constexpr int kStatusNotFound = 404;
+constexpr int kExitUnclean = 1;
+/** Pause between looks at what is due. Retries and heartbeats are due at
+ * multiples of 20 ms or more; answers are handled when they come.
+ */
+constexpr timeval kTickPeriod = {0, 10'000};
+/** Time for last answers to leave after the core is done. */
+constexpr timeval kExitPause = {0, 100'000};
+
+std::string ErrorBody(ResultCode code) {
+  return FormatRefusal(code, std::string(RowOf(code).meaning));
+}
+
+}  // namespace
+
+FleetDaemon::FleetDaemon(const FleetSettings& settings)
+    : settings(settings),
+      node(OpenFleetNode(
+          settings.self,
+          Incarnation(static_cast<uint64_t>(this->clock.Start().count)))) {}
+
+Result<std::unique_ptr<FleetDaemon>> FleetDaemon::Create(
+    const FleetSettings& settings) {
+  std::unique_ptr<FleetDaemon> created(new FleetDaemon(settings));
+  const Result<bool> opened = created->Open();
+  if (!opened.ok())
+    return opened.error();
+  return created;
+}
+
+FleetDaemon::~FleetDaemon() {
+  for (event* entry : this->events)
+    event_free(entry);
+  this->caller_server.reset();
+  this->readiness_server.reset();
+  this->operator_server.reset();
+  this->metrics_server.reset();
+  this->peers.reset();
+  this->store.reset();
+  this->endpoints.reset();
+  this->http.reset();
+  if (this->base != nullptr)
+    event_base_free(this->base);
+}
+
+Result<bool> FleetDaemon::Open() {
+  this->base = event_base_new();
+  this->http = std::make_unique<HttpClient>(this->base);
+  this->endpoints = std::make_unique<EndpointGateway>(
+      *this->http, [this](const EndpointReply& reply) {
+        this->Feed([&](Millis now, Actions& actions) {
+          OnEndpointReply(this->node, now, reply, actions);
+        });
+      });
+  this->store =
+      std::make_unique<PlatformStore>(*this->http, this->settings.store);
+  this->callers = std::make_unique<CallerGateway>(CallerGateway::Port{
+      [this]() -> const RouteTable& { return this->node.routes; },
+      [this](HttpToken token, const TransientJob& job) {
+        this->Feed([&](Millis now, Actions& actions) {
+          OnJob(this->node, now, CallerToken(token), job, actions);
+        });
+      },
+      &WriteLog});
+  const Result<bool> listening = this->OpenListeners();
+  if (!listening.ok())
+    return listening.error();
+  event* tick =
+      event_new(this->base, -1, EV_PERSIST, &FleetDaemon::OnTickEvent, this);
+  event_add(tick, &kTickPeriod);
+  this->events.push_back(tick);
+  this->AddSignal(SIGTERM, &FleetDaemon::OnStopEvent);
+  this->AddSignal(SIGHUP, &FleetDaemon::OnReloadEvent);
+  return true;
+}
+
+void FleetDaemon::AddSignal(int signal, void (*callback)(int, short, void*)) {
+  event* entry = evsignal_new(this->base, signal, callback, this);
+  event_add(entry, nullptr);
+  this->events.push_back(entry);
+}
+
+Result<std::unique_ptr<HttpServer>> FleetDaemon::Listen(
+    const HttpAddress& address,
+    const HttpServerLimits& limits,
+    HttpServer::Handler handler) {
+  return HttpServer::Create(this->base, address.ip, address.port, limits,
+                            std::move(handler), &ErrorBody);
+}
+
+Result<bool> FleetDaemon::OpenListeners() {
+  HttpServerLimits caller_limits;
+  caller_limits.wanted_headers = CallerHeaders();
+  caller_limits.on_caller_gone = [this](HttpToken token) {
+    this->Feed([&](Millis now, Actions& actions) {
+      OnCallerGone(this->node, now, CallerToken(token), actions);
+    });
+  };
+  auto callers = this->Listen(
+      this->settings.callers, caller_limits,
+      [this](HttpToken token, const HttpRequest& request) {
+        this->callers->Handle(*this->caller_server, token, request);
+      });
+  if (!callers.ok())
+    return callers.error();
+  this->caller_server = callers.Take();
+  auto readiness =
+      this->Listen(this->settings.readiness, HttpServerLimits(),
+                   [this](HttpToken token, const HttpRequest&) {
+                     const bool ready = IsReady(this->node);
+                     this->readiness_server->Reply(
+                         token, ready ? kStatusOk : kStatusUnavailable, "{}");
+                   });
+  if (!readiness.ok())
+    return readiness.error();
+  this->readiness_server = readiness.Take();
+  auto operators = this->Listen(
+      this->settings.operators, HttpServerLimits(),
+      [this](HttpToken token, const HttpRequest& request) {
+        this->HandleOperator(*this->operator_server, token, request);
+      });
+  if (!operators.ok())
+    return operators.error();
+  this->operator_server = operators.Take();
+  if (this->settings.metrics.port != 0) {
+    auto metrics = this->Listen(
+        this->settings.metrics, HttpServerLimits(),
+        [this](HttpToken token, const HttpRequest& request) {
+          this->HandleOperator(*this->metrics_server, token, request);
+        });
+    if (!metrics.ok())
+      return metrics.error();
+    this->metrics_server = metrics.Take();
+  }
+  return this->OpenPeers();
+}
+
+Result<bool> FleetDaemon::OpenPeers() {
+  auto peers = PeerNetwork::Create(
+      this->base, this->settings.self.ip, this->settings.self.peer_tcp_port,
+      this->settings.self.peer_udp_port, PeerNetworkLimits(),
+      [this](const PeerFrame& frame) {
+        this->Feed([&](Millis now, Actions& actions) {
+          OnPeerFrame(this->node, now, frame, actions);
+        });
+      },
+      [this](const Heartbeat& heartbeat) {
+        this->Feed([&](Millis now, Actions& actions) {
+          OnHeartbeat(this->node, now, heartbeat, actions);
+        });
+      });
+  if (!peers.ok())
+    return peers.error();
+  this->peers = peers.Take();
+  return true;
+}
+
+int FleetDaemon::Run() {
+  WriteLog(
+      {"daemon_started",
+       {{"daemon", this->node.self.id.value},
+        {"zone", this->node.zone.value},
+        {"incarnation", std::to_string(this->node.self.incarnation.value)}}});
+  this->Feed([this](Millis now, Actions& actions) {
+    OnTick(this->node, now, actions);
+  });
+  event_base_dispatch(this->base);
+  WriteLog({"daemon_stopped", {{"exit", std::to_string(this->exit_code)}}});
+  return this->exit_code;
+}
+
+void FleetDaemon::OnTickEvent(int, short, void* argument) {
+  auto* self = static_cast<FleetDaemon*>(argument);
+  self->Feed([self](Millis now, Actions& actions) {
+    OnTick(self->node, now, actions);
+  });
+}
+
+void FleetDaemon::OnStopEvent(int, short, void* argument) {
+  auto* self = static_cast<FleetDaemon*>(argument);
+  self->Feed([self](Millis now, Actions& actions) {
+    OnStop(self->node, now, actions);
+  });
+}
+
+void FleetDaemon::OnReloadEvent(int, short, void*) {
+  // Addresses and sizes hold for a process life, and routes come from the
+  // store, so there is nothing to take over from the file.
+  WriteLog({"reload", {{"changed", "nothing"}}});
+}
+
+void FleetDaemon::HandleOperator(HttpServer& server,
+                                 HttpToken token,
+                                 const HttpRequest& request) {
+  if (request.path == "/metrics") {
+    server.ReplyAs(
+        token, kStatusOk,
+        FormatFleetMetrics(this->node, this->peers->Counters(),
+                           this->store->Calls(), this->http->Opened()),
+        "text/plain; version=0.0.4");
+  } else if (request.path == "/state") {
+    server.Reply(token, kStatusOk,
+                 DumpFleetState(this->node, this->clock.Now()));
+  } else if (request.path == "/drain" && request.method == "POST") {
+    server.Reply(token, kStatusOk, R"({"draining":true})");
+    this->Feed([this](Millis now, Actions& actions) {
+      OnStop(this->node, now, actions);
+    });
+  } else {
+    server.Reply(token, kStatusNotFound,
+                 FormatRefusal(ResultCode::kUnknownPath, request.path));
+  }
+}
+
+template <typename Event>
+void FleetDaemon::Feed(Event event) {
+  Actions actions;
+  event(this->clock.Now(), actions);
+  for (const Action& action : actions)
+    this->Perform(action);
+}
+
+void FleetDaemon::Perform(const Action& action) {
+  if (const auto* frame = std::get_if<SendFrame>(&action)) {
+    this->peers->SendFrame(frame->frame);
+  } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
+    this->peers->SendHeartbeat(heartbeat->to, heartbeat->heartbeat);
+  } else if (const auto* call = std::get_if<CallEndpoint>(&action)) {
+    this->endpoints->Send(call->order);
+  } else if (const auto* store_call = std::get_if<CallKeyValue>(&action)) {
+    this->store->Call(
+        store_call->call, store_call->timeout,
+        [this, token = store_call->token](const KeyValueReply& reply) {
+          this->Feed([&](Millis now, Actions& actions) {
+            OnKeyValueReply(this->node, now, token, reply, actions);
+          });
+        });
+  } else if (const auto* answer = std::get_if<AnswerJob>(&action)) {
+    CallerGateway::Answer(*this->caller_server, answer->caller.value,
+                          answer->outcome);
+  } else if (const auto* members = std::get_if<UpdatePeers>(&action)) {
+    this->peers->SetMembers(members->members);
+  } else if (const auto* log = std::get_if<LogEvent>(&action)) {
+    WriteLog(*log);
+  } else if (const auto* exit = std::get_if<ExitProcess>(&action)) {
+    this->exit_code = exit->clean ? 0 : kExitUnclean;
+    event_base_loopexit(this->base, &kExitPause);
+  }
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/apps/daemon/fleet_daemon.h
@@ -0,0 +1,87 @@
+#ifndef DOGWOODFALL_APPS_DAEMON_FLEET_DAEMON_H_
+#define DOGWOODFALL_APPS_DAEMON_FLEET_DAEMON_H_
+
+#include <memory>
+#include <vector>
+
+#include "adapters/http/http_client.h"
+#include "adapters/http/http_server.h"
+#include "adapters/peers/peer_network.h"
+#include "base/result.h"
+#include "core/fleet/fleet_node.h"
+#include "daemon/process_clock.h"
+#include "platform/caller_gateway.h"
+#include "platform/endpoint_gateway.h"
+#include "platform/platform_store.h"
+#include "ports/action.h"
+#include "settings/fleet_settings.h"
+
+struct event;
+struct event_base;
+
+namespace dogwoodfall {
+
+/** The process on the users' platform: one loop on one thread that feeds the
+ * core with events and carries out its actions.
+ */
+class FleetDaemon {
+ public:
+  /** Opens all listeners.
+   *
+   * @return kConnectionFailed when an address can't be bound
+   */
+  static Result<std::unique_ptr<FleetDaemon>> Create(
+      const FleetSettings& settings);
+
+  FleetDaemon(const FleetDaemon&) = delete;
+  FleetDaemon& operator=(const FleetDaemon&) = delete;
+  ~FleetDaemon();
+
+  /** Runs until the planned stop is over. Returns the exit code: 0 when every
+   * caller was answered, 1 when the time for the stop passed first.
+   */
+  int Run();
+
+ private:
+  explicit FleetDaemon(const FleetSettings& settings);
+
+  static void OnTickEvent(int socket, short what, void* self);
+  static void OnStopEvent(int signal, short what, void* self);
+  static void OnReloadEvent(int signal, short what, void* self);
+
+  Result<bool> Open();
+  Result<bool> OpenListeners();
+  Result<std::unique_ptr<HttpServer>> Listen(const HttpAddress& address,
+                                             const HttpServerLimits& limits,
+                                             HttpServer::Handler handler);
+  Result<bool> OpenPeers();
+  void AddSignal(int signal, void (*callback)(int, short, void*));
+  void HandleOperator(HttpServer& server,
+                      HttpToken token,
+                      const HttpRequest& request);
+
+  /** Calls the core and carries out what it wants done. */
+  template <typename Event>
+  void Feed(Event event);
+  void Perform(const Action& action);
+
+  FleetSettings settings;
+  ProcessClock clock;
+  FleetNode node;
+  event_base* base = nullptr;
+  std::vector<event*> events;
+  std::unique_ptr<HttpClient> http;
+  std::unique_ptr<EndpointGateway> endpoints;
+  std::unique_ptr<PlatformStore> store;
+  std::unique_ptr<PeerNetwork> peers;
+  std::unique_ptr<CallerGateway> callers;
+  std::unique_ptr<HttpServer> caller_server;
+  std::unique_ptr<HttpServer> readiness_server;
+  std::unique_ptr<HttpServer> operator_server;
+  std::unique_ptr<HttpServer> metrics_server;
+  int exit_code = 0;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_APPS_DAEMON_FLEET_DAEMON_H_
--- a/apps/daemon/main.cc
+++ b/apps/daemon/main.cc
@@ -14,6 +14,8 @@
 
 #include "adapters/logging/logging.h"
 #include "daemon/daemon.h"
+#include "daemon/fleet_daemon.h"
+#include "settings/fleet_settings.h"
 #include "settings/settings.h"
 
 namespace {
@@ -24,16 +26,13 @@
 constexpr int kExitBadSettings = 3;
 constexpr int kExitCannotListen = 4;
 
-int RunWith(const std::string& path, bool only_check) {
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << path << ": can't be read\n";
-    return kExitBadSettings;
-  }
-  std::stringstream text;
-  text << file.rdbuf();
-  const dogwoodfall::ParsedSettings parsed =
-      dogwoodfall::ParseSettings(text.str());
+/** Runs a daemon of either kind with its parsed settings. */
+template <typename DaemonType, typename Settings>
+int RunParsed(
+    const std::string& path,
+    const std::variant<Settings, std::vector<dogwoodfall::SettingsFault>>&
+        parsed,
+    bool only_check) {
   if (const auto* faults =
           std::get_if<std::vector<dogwoodfall::SettingsFault>>(&parsed)) {
     for (const dogwoodfall::SettingsFault& fault : *faults) {
@@ -44,9 +43,9 @@
   }
   if (only_check)
     return 0;
-  const auto& settings = std::get<dogwoodfall::DaemonSettings>(parsed);
+  const auto& settings = std::get<Settings>(parsed);
   dogwoodfall::SetUpLogging(settings.is_log_quiet);
-  auto daemon = dogwoodfall::Daemon::Create(settings);
+  auto daemon = DaemonType::Create(settings);
   if (!daemon.ok()) {
     std::cerr << daemon.error().detail << "\n";
     return kExitCannotListen;
@@ -54,6 +53,22 @@
   return daemon.Take()->Run();
 }
 
+int RunWith(const std::string& path, bool only_check) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": can't be read\n";
+    return kExitBadSettings;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  if (dogwoodfall::IsFleetSettings(text.str())) {
+    return RunParsed<dogwoodfall::FleetDaemon, dogwoodfall::FleetSettings>(
+        path, dogwoodfall::ParseFleetSettings(text.str()), only_check);
+  }
+  return RunParsed<dogwoodfall::Daemon, dogwoodfall::DaemonSettings>(
+      path, dogwoodfall::ParseSettings(text.str()), only_check);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
--- a/modules/adapters/http/http_client.cc
+++ b/modules/adapters/http/http_client.cc
@@ -16,9 +16,20 @@
                       const std::string& body,
                       Millis timeout,
                       Callback callback) {
+  this->SendWith(address, method, path, body, {}, timeout, std::move(callback));
+}
+
+void HttpClient::SendWith(const HttpAddress& address,
+                          const std::string& method,
+                          const std::string& path,
+                          const std::string& body,
+                          const HttpClientHeaders& headers,
+                          Millis timeout,
+                          Callback callback) {
   auto& kept = this->idle[address];
   std::unique_ptr<HttpClientConnection> connection;
   if (kept.empty()) {
+    ++this->opened;
     connection =
         std::make_unique<HttpClientConnection>(this->base, *this, address);
   } else {
@@ -27,7 +38,7 @@
   }
   HttpClientConnection* raw = connection.get();
   this->busy.emplace(raw, std::move(connection));
-  raw->Send(method, path, body, timeout, std::move(callback));
+  raw->Send(method, path, body, headers, timeout, std::move(callback));
 }
 
 size_t HttpClient::Connections() const {
--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -31,6 +31,8 @@
   HttpOutcome outcome = HttpOutcome::kLost;
   int status = 0;
   std::string body;
+  /** True when the connection was refused: no process listens there. */
+  bool was_refused = false;
 };
 
 /** Address of an HTTP server. */
@@ -43,6 +45,9 @@
   }
 };
 
+/** Headers of a request beside its host and content type. */
+using HttpClientHeaders = std::vector<std::pair<std::string, std::string>>;
+
 class HttpClientConnection;
 
 /** HTTP requests on the event loop over kept connections (evhttp). Each
@@ -72,9 +77,21 @@
             Millis timeout,
             Callback callback);
 
+  /** Sends a request with further headers. */
+  void SendWith(const HttpAddress& address,
+                const std::string& method,
+                const std::string& path,
+                const std::string& body,
+                const HttpClientHeaders& headers,
+                Millis timeout,
+                Callback callback);
+
   /** Connections to all servers, in use or kept. */
   size_t Connections() const;
 
+  /** Connections opened so far. */
+  uint64_t Opened() const { return this->opened; }
+
  private:
   friend class HttpClientConnection;
 
@@ -82,6 +99,7 @@
   void DropRetired();
 
   event_base* base;
+  uint64_t opened = 0;
   std::map<HttpAddress, std::vector<std::unique_ptr<HttpClientConnection>>>
       idle;
   std::map<HttpClientConnection*, std::unique_ptr<HttpClientConnection>> busy;
--- a/modules/adapters/http/http_client_connection.cc
+++ b/modules/adapters/http/http_client_connection.cc
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace dogwoodfall {
@@ -18,6 +19,8 @@
 constexpr ev_ssize_t kMaxAnswerBytes = 16'000'000;
 
 evhttp_cmd_type CommandOf(const std::string& method) {
+  if (method == "DELETE")
+    return EVHTTP_REQ_DELETE;
   return method == "GET" ? EVHTTP_REQ_GET : EVHTTP_REQ_POST;
 }
 
@@ -56,6 +59,7 @@
 void HttpClientConnection::Send(const std::string& method,
                                 const std::string& path,
                                 const std::string& body,
+                                const HttpClientHeaders& extra_headers,
                                 Millis timeout,
                                 HttpClient::Callback callback) {
   assert(this->callback == nullptr);
@@ -70,12 +74,14 @@
       this->address.ip + ":" + std::to_string(this->address.port);
   evhttp_add_header(headers, "Host", host.c_str());
   evhttp_add_header(headers, "Content-Type", "application/json");
+  for (const auto& [name, value] : extra_headers)
+    evhttp_add_header(headers, name.c_str(), value.c_str());
   evbuffer_add(evhttp_request_get_output_buffer(this->request), body.data(),
                body.size());
   evtimer_add(this->connect_timer, &kConnectTimeout);
   if (evhttp_make_request(this->connection, this->request, CommandOf(method),
                           path.c_str()) != 0)
-    this->client.Finish(this, {HttpOutcome::kNotSent, 0, {}});
+    this->client.Finish(this, {HttpOutcome::kNotSent, 0, {}, false});
 }
 
 void HttpClientConnection::OnConnectTimeout(int, short, void* argument) {
@@ -84,15 +90,20 @@
     return;
   // Cancelling closes the connection: nothing can leave any more.
   evhttp_cancel_request(self->request);
-  self->client.Finish(self, {HttpOutcome::kNotSent, 0, {}});
+  self->client.Finish(self, {HttpOutcome::kNotSent, 0, {}, false});
 }
 
 void HttpClientConnection::OnAnswer(evhttp_request* request, void* argument) {
+  const int connect_error = EVUTIL_SOCKET_ERROR();
   auto* self = static_cast<HttpClientConnection*>(argument);
   // evhttp_make_request may have failed and reported that already.
   if (self->callback == nullptr)
     return;
   evtimer_del(self->connect_timer);
+  // The timeout was the request's; a kept connection has none, or it would be
+  // closed while idle.
+  bufferevent_set_timeouts(evhttp_connection_get_bufferevent(self->connection),
+                           nullptr, nullptr);
   HttpAnswer answer;
   const int status =
       request == nullptr ? 0 : evhttp_request_get_response_code(request);
@@ -101,6 +112,9 @@
     answer.status = status;
     answer.body = BodyOf(request);
   } else {
+    // evhttp has just closed the socket; the error of the connect is left.
+    answer.was_refused =
+        self->bytes_written == 0 && connect_error == ECONNREFUSED;
     answer.outcome =
         self->bytes_written == 0 ? HttpOutcome::kNotSent : HttpOutcome::kLost;
   }
--- a/modules/adapters/http/http_client_connection.h
+++ b/modules/adapters/http/http_client_connection.h
@@ -31,6 +31,7 @@
   void Send(const std::string& method,
             const std::string& path,
             const std::string& body,
+            const HttpClientHeaders& headers,
             Millis timeout,
             HttpClient::Callback callback);
 
--- a/modules/adapters/http/http_server.cc
+++ b/modules/adapters/http/http_server.cc
@@ -99,7 +99,8 @@
 void HttpServer::ReplyAs(HttpToken token,
                          int status,
                          const std::string& body,
-                         const char* content_type) {
+                         const char* content_type,
+                         const HttpHeaders& headers) {
   const auto found = this->open.find(token);
   if (found == this->open.end())
     return;
@@ -107,9 +108,11 @@
   this->tokens.erase(request);
   this->open.erase(found);
   AddHeader(request, "Content-Type", content_type);
+  for (const auto& [name, value] : headers)
+    AddHeader(request, name.c_str(), value.c_str());
   evbuffer_add(request->buffer_out, body.data(), body.size());
   evhtp_send_reply(request, static_cast<evhtp_res>(status));
-  if (token != this->in_handler)
+  if (token != this->in_handler && !this->limits.on_caller_gone)
     evhtp_request_resume(request);
 }
 
@@ -161,8 +164,11 @@
   self->oversized.erase(request);
   const auto found = self->tokens.find(request);
   if (found != self->tokens.end()) {
-    self->open.erase(found->second);
+    const HttpToken token = found->second;
+    self->open.erase(token);
     self->tokens.erase(found);
+    if (self->limits.on_caller_gone)
+      self->limits.on_caller_gone(token);
   }
   return EVHTP_RES_OK;
 }
@@ -188,6 +194,11 @@
     parsed.query =
         TextOrEmpty(reinterpret_cast<const char*>(request->uri->query_raw));
   }
+  for (const std::string& name : this->limits.wanted_headers) {
+    const char* value = evhtp_header_find(request->headers_in, name.c_str());
+    if (value != nullptr)
+      parsed.headers[name] = value;
+  }
   parsed.body = TextOf(request->buffer_in);
   evbuffer_drain(request->buffer_in, parsed.body.size());
   const HttpToken token = ++this->last_token;
@@ -198,7 +209,7 @@
   this->in_handler = token;
   this->handler(token, std::move(parsed));
   this->in_handler = 0;
-  if (this->open.count(token) > 0)
+  if (this->open.count(token) > 0 && !this->limits.on_caller_gone)
     evhtp_request_pause(request);
 }
 
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -3,9 +3,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "base/result.h"
 
@@ -27,6 +30,8 @@
   /** Text behind the question mark, or empty. */
   std::string query;
   std::string body;
+  /** Headers by their names in lower case; only those that were asked for. */
+  std::map<std::string, std::string> headers;
 };
 
 /** Bounds of a listener. */
@@ -36,8 +41,18 @@
   uint32_t max_connections = 1'000;
   /** Time a caller may take between two parts of a request, in ms. */
   int64_t read_timeout_ms = 30'000;
+  /** Names, in lower case, of the headers that handlers are given. */
+  std::vector<std::string> wanted_headers;
+  /** Called when a caller closes its connection before its request is
+   * answered. Connections are then read while a request is open, and one that
+   * sends a second request meanwhile is cut.
+   */
+  std::function<void(HttpToken)> on_caller_gone;
 };
 
+/** Headers of an answer beside its content type. */
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
 /** An HTTP listener on the event loop (libevhtp). */
 class HttpServer {
  public:
@@ -70,7 +85,8 @@
   void ReplyAs(HttpToken token,
                int status,
                const std::string& body,
-               const char* content_type);
+               const char* content_type,
+               const HttpHeaders& headers = {});
 
   /** Connections that are open. */
   uint32_t Connections() const { return this->connections; }
--- /dev/null
+++ b/modules/adapters/metrics/metric_families.h
@@ -0,0 +1,47 @@
+#ifndef DOGWOODFALL_MODULES_ADAPTERS_METRICS_METRIC_FAMILIES_H_
+#define DOGWOODFALL_MODULES_ADAPTERS_METRICS_METRIC_FAMILIES_H_
+
+#include <prometheus/metric_family.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dogwoodfall {
+
+using MetricFamilies = std::vector<prometheus::MetricFamily>;
+
+/** A histogram of one label value: counts a bucket, not accumulated. */
+struct LatencyCounts {
+  std::vector<uint64_t> counts;
+  double sum_ms = 0;
+};
+
+/** Adds a gauge without a label. */
+void AddGauge(MetricFamilies& families,
+              const std::string& name,
+              const std::string& help,
+              uint64_t value);
+
+/** Adds a counter with one label, or with none when the label is empty. */
+void AddCounter(MetricFamilies& families,
+                const std::string& name,
+                const std::string& help,
+                const std::string& label,
+                const std::map<std::string, uint64_t>& counts);
+
+/** Adds a histogram in ms with one label.
+ *
+ * @param bounds upper bounds of all buckets but the last
+ */
+void AddLatency(MetricFamilies& families,
+                const std::string& name,
+                const std::string& help,
+                const std::string& label,
+                const std::vector<int64_t>& bounds,
+                const std::map<std::string, LatencyCounts>& latencies);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_ADAPTERS_METRICS_METRIC_FAMILIES_H_
--- a/modules/adapters/metrics/metrics.cc
+++ b/modules/adapters/metrics/metrics.cc
@@ -1,67 +1,16 @@
 #include "adapters/metrics/metrics.h"
 
-#include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
 #include <utility>
 #include <vector>
 
+#include "adapters/metrics/metric_families.h"
+
 namespace dogwoodfall {
 namespace {
 
-using Families = std::vector<prometheus::MetricFamily>;
-/** Values by the value of the one label, or one value under "". */
-using Values = std::map<std::string, double>;
-
-prometheus::ClientMetric MetricOf(prometheus::MetricType type,
-                                  const std::string& label,
-                                  const std::string& label_value,
-                                  double value) {
-  prometheus::ClientMetric metric;
-  if (!label.empty())
-    metric.label.push_back({label, label_value});
-  if (type == prometheus::MetricType::Counter)
-    metric.counter.value = value;
-  else
-    metric.gauge.value = value;
-  return metric;
-}
-
-void Add(Families& families,
-         prometheus::MetricType type,
-         const std::string& name,
-         const std::string& help,
-         const std::string& label,
-         const Values& values) {
-  prometheus::MetricFamily family;
-  family.name = "dogwoodfall_" + name;
-  family.help = help;
-  family.type = type;
-  for (const auto& [label_value, value] : values)
-    family.metric.push_back(MetricOf(type, label, label_value, value));
-  families.push_back(std::move(family));
-}
-
-void AddGauge(Families& families,
-              const std::string& name,
-              const std::string& help,
-              uint64_t value) {
-  Add(families, prometheus::MetricType::Gauge, name, help, "",
-      {{"", static_cast<double>(value)}});
-}
-
-void AddCounter(Families& families,
-                const std::string& name,
-                const std::string& help,
-                const std::string& label,
-                const std::map<std::string, uint64_t>& counts) {
-  Values values;
-  for (const auto& [label_value, count] : counts)
-    values[label_value] = static_cast<double>(count);
-  Add(families, prometheus::MetricType::Counter, name, help, label, values);
-}
-
-void AddNode(Families& families, const Node& node, Millis now) {
+void AddNode(MetricFamilies& families, const Node& node, Millis now) {
   AddGauge(families, "tasks_queued", "Tasks that wait here",
            SizeOf(node.dispatch.queue));
   AddGauge(families, "tasks_running", "Tasks that run on endpoints",
@@ -94,7 +43,7 @@
              answers);
 }
 
-void AddNetwork(Families& families, const PeerNetworkCounters& network) {
+void AddNetwork(MetricFamilies& families, const PeerNetworkCounters& network) {
   AddCounter(
       families, "peer_bytes_total", "Bytes between daemons", "way",
       {{"sent", network.bytes_sent}, {"received", network.bytes_received}});
@@ -112,7 +61,7 @@
                           const PeerNetworkCounters& network,
                           const std::map<StorePurpose, uint64_t>& store_calls,
                           Millis now) {
-  Families families;
+  MetricFamilies families;
   AddNode(families, node, now);
   AddNetwork(families, network);
   std::map<std::string, uint64_t> calls;
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -13,6 +13,9 @@
 /** Times beyond it are not read: sums of a job's times must not overflow. */
 constexpr int64_t kMostMillis = 1'000'000'000'000'000;
 
+/** Largest factor between an objective and a run time that is read. */
+constexpr double kMostStretch = 1'000;
+
 }  // namespace
 
 template <class Archive, typename Tag, typename Value>
@@ -150,6 +153,55 @@
   archive(message.text);
 }
 
+template <class Archive>
+void serialize(Archive& archive, TaskRoom& room) {
+  archive(room.cpu_millicores, room.memory_mb, room.accelerators);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobStep& step) {
+  archive(step.task_count, step.room, step.declared_run_time, step.after,
+          step.required_label, step.preferred_rack, step.most_per_endpoint);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TransientJob& job) {
+  archive(job.id, job.route, job.service, job.payload, job.steps, job.priority,
+          job.max_attempts, job.stretch, job.target_latency, job.age,
+          job.time_left);
+  if (!(job.stretch >= 0 && job.stretch <= kMostStretch))
+    throw cereal::Exception("not a stretch");
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobOutcome& outcome) {
+  archive(outcome.end, outcome.retry_after, outcome.reason);
+  if (outcome.end > JobEnd::kAbandoned)
+    throw cereal::Exception("not an end of a job");
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobSubmission& message) {
+  archive(message.job, message.may_have_started, message.redirects,
+          message.view_revision);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobCancellation& message) {
+  archive(message.job);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobReport& message) {
+  archive(message.job, message.outcome);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobRedirect& message) {
+  archive(message.job, message.to, message.may_have_started,
+          message.view_revision);
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
@@ -167,7 +219,9 @@
           heartbeat.table_revision, heartbeat.store_revision,
           heartbeat.store_cluster_id, heartbeat.can_claim, heartbeat.free_slots,
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
-          heartbeat.leaving_endpoints, heartbeat.demands);
+          heartbeat.leaving_endpoints, heartbeat.demands,
+          heartbeat.free_millicores, heartbeat.queued_core_ms,
+          heartbeat.jobs_in_progress);
 }
 
 namespace {
--- /dev/null
+++ b/modules/core/fleet/fleet_events.cc
@@ -0,0 +1,248 @@
+#include "core/fleet/fleet_events.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/fleet/ownership_flow.h"
+#include "core/fleet/reception_flow.h"
+#include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/job_flow.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Period of heartbeats; several must be missed before a takeover. */
+constexpr Millis kHeartbeatPeriod{100};
+/** Silence after which a peer counts as gone and its item is removed. Below
+ * the lease of runs, so that they can still be taken over.
+ */
+constexpr Millis kSilentAfter{500};
+/** Period of reviews of the queue and of endpoints. */
+constexpr Millis kReviewPeriod{20};
+/** Least time that a planned stop takes: the platform asks twice, a second
+ * apart, before it sends no more callers here.
+ */
+constexpr Millis kLeastStop{2'500};
+/** Longest time of a planned stop; the platform kills after 6 s. */
+constexpr Millis kLongestStop{5'000};
+/** A job that old is told to all daemons, as its caller may send it again to
+ * any of them from 1,300 ms on.
+ */
+constexpr Millis kTellJobAfter{700};
+
+Heartbeat MakeHeartbeat(FleetNode& node, Millis now) {
+  Heartbeat heartbeat;
+  heartbeat.from = node.self;
+  heartbeat.zone = node.zone;
+  heartbeat.number = ++node.heartbeat_number;
+  heartbeat.revision = node.routes.version;
+  heartbeat.store_revision = node.view.revision;
+  heartbeat.draining = node.is_stopping;
+  for (const auto& [id, endpoint] : node.scheduler.endpoints) {
+    if (endpoint.standing == EndpointStanding::kUsable &&
+        !endpoint.entry.draining) {
+      heartbeat.free_millicores +=
+          endpoint.entry.capacity.cpu_millicores - endpoint.used.cpu_millicores;
+    }
+  }
+  for (const auto& [id, job] : node.scheduler.jobs) {
+    if (now - job.received >= kTellJobAfter && job.has_started)
+      heartbeat.jobs_in_progress.push_back(id);
+  }
+  return heartbeat;
+}
+
+void SendHeartbeats(FleetNode& node, Millis now, Actions& actions) {
+  if (now < node.next_heartbeat)
+    return;
+  node.next_heartbeat = now + kHeartbeatPeriod;
+  const Heartbeat heartbeat = MakeHeartbeat(node, now);
+  const bool is_scheduler = IsScheduler(node);
+  for (const auto& [id, member] : node.view.members) {
+    if (id == node.self.id)
+      continue;
+    if (is_scheduler || member.address.zone == node.zone)
+      actions.push_back(SendHeartbeat{id, heartbeat});
+  }
+}
+
+/** Removes the items of peers of the own zone that have gone silent. */
+void EvictSilentPeers(FleetNode& node, Millis now, Actions& actions) {
+  for (auto& [id, sight] : node.peers) {
+    const auto member = node.view.members.find(id);
+    if (member == node.view.members.end() ||
+        member->second.address.zone != node.zone)
+      continue;
+    const bool is_silent = now - sight.heard >= kSilentAfter;
+    if (!is_silent || sight.is_evicted || !node.store.is_reachable)
+      continue;
+    sight.is_evicted = true;
+    actions.push_back(
+        LogEvent{"peer_silent",
+                 {{"daemon", id.value},
+                  {"silent_ms", std::to_string((now - sight.heard).count)}}});
+    EvictMember(node.store, member->second, actions);
+  }
+}
+
+/** Stops the jobs of receivers that are gone: nobody waits for them here. */
+void DropOrphans(FleetNode& node, Millis now, Actions& actions) {
+  std::vector<SubmissionId> orphans;
+  for (const auto& [id, job] : node.scheduler.jobs) {
+    if (job.receiver == node.self)
+      continue;
+    const auto sight = node.peers.find(job.receiver.id);
+    const bool is_gone = !HasSession(node.sessions, job.receiver);
+    const bool is_silent = sight != node.peers.end() &&
+                           sight->second.last.zone == node.zone &&
+                           now - sight->second.heard >= kSilentAfter;
+    if (is_gone || is_silent)
+      orphans.push_back(id);
+  }
+  for (const SubmissionId& id : orphans)
+    CancelJob(node.scheduler, id, "receiver_gone", now, actions);
+}
+
+void FinishStop(FleetNode& node, Millis now, Actions& actions) {
+  if (!node.is_stopping || node.has_exited)
+    return;
+  const Millis since = now - node.stop_began;
+  const bool is_idle =
+      node.reception.pending.empty() && node.scheduler.jobs.empty();
+  if (since < kLongestStop && (since < kLeastStop || !is_idle))
+    return;
+  node.has_exited = true;
+  LeaveStore(node.store, actions);
+  actions.push_back(
+      LogEvent{"stop_over",
+               {{"pending", std::to_string(node.reception.pending.size())},
+                {"took_ms", std::to_string(since.count)}}});
+  actions.push_back(ExitProcess{is_idle});
+}
+
+void TakePeerMessage(FleetNode& node,
+                     const DaemonRef& from,
+                     const PeerMessage& message,
+                     Millis now,
+                     Actions& actions) {
+  if (const auto* submission = std::get_if<JobSubmission>(&message)) {
+    ScheduleHere(node, now, from, *submission, actions);
+  } else if (const auto* cancel = std::get_if<JobCancellation>(&message)) {
+    CancelJob(node.scheduler, cancel->job, "caller_gone", now, actions);
+  } else if (const auto* report = std::get_if<JobReport>(&message)) {
+    const auto pending = node.reception.pending.find(report->job);
+    if (pending != node.reception.pending.end() &&
+        pending->second.scheduler == from)
+      AnswerCallers(node, now, report->job, report->outcome, actions);
+  } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
+    RedirectJob(node, now, from, *redirect, actions);
+  }
+  ReportFinished(node, now, actions);
+}
+
+}  // namespace
+
+FleetNode OpenFleetNode(const DaemonMember& self, Incarnation incarnation) {
+  FleetNode node;
+  node.self = {self.id, incarnation};
+  node.zone = self.zone;
+  node.sessions.self = node.self;
+  node.store.self.address = self;
+  node.store.self.incarnation = incarnation;
+  return node;
+}
+
+bool IsReady(const FleetNode& node) {
+  return node.routes.version > 0 && !node.view.members.empty() &&
+         !node.is_stopping;
+}
+
+void OnJob(FleetNode& node,
+           Millis now,
+           CallerToken caller,
+           const TransientJob& job,
+           Actions& actions) {
+  ReceiveJob(node, now, caller, job, actions);
+}
+
+void OnCallerGone(FleetNode& node,
+                  Millis now,
+                  CallerToken caller,
+                  Actions& actions) {
+  ForgetCaller(node, now, caller, actions);
+  PlaceTasks(node.scheduler, now, actions);
+}
+
+void OnEndpointReply(FleetNode& node,
+                     Millis now,
+                     const EndpointReply& reply,
+                     Actions& actions) {
+  TakeEndpointReply(node.scheduler, reply, now, actions);
+  ReportFinished(node, now, actions);
+}
+
+void OnKeyValueReply(FleetNode& node,
+                     Millis now,
+                     StoreToken token,
+                     const KeyValueReply& reply,
+                     Actions& actions) {
+  const StoreNews news =
+      TakeKeyValueReply(node.store, token, reply, now, actions);
+  ApplyStoreNews(node, news, now, actions);
+}
+
+void OnPeerFrame(FleetNode& node,
+                 Millis now,
+                 const PeerFrame& frame,
+                 Actions& actions) {
+  const std::optional<PeerMessage> message = Receive(node.sessions, frame, now);
+  if (message)
+    TakePeerMessage(node, frame.from, *message, now, actions);
+}
+
+void OnHeartbeat(FleetNode& node,
+                 Millis now,
+                 const Heartbeat& heartbeat,
+                 Actions& actions) {
+  if (!HasSession(node.sessions, heartbeat.from))
+    return;
+  PeerSight& sight = node.peers[heartbeat.from.id];
+  if (heartbeat.number <= sight.last.number)
+    return;
+  if (sight.is_evicted) {
+    actions.push_back(
+        LogEvent{"peer_heard_again", {{"daemon", heartbeat.from.id.value}}});
+  }
+  sight = PeerSight{now, heartbeat, false};
+}
+
+void OnTick(FleetNode& node, Millis now, Actions& actions) {
+  AdvanceStoreSession(node.store, now, actions);
+  SendDue(node.sessions, SessionLimits(), now, actions);
+  SendHeartbeats(node, now, actions);
+  if (now < node.next_review)
+    return;
+  node.next_review = now + kReviewPeriod;
+  EvictSilentPeers(node, now, actions);
+  DropOrphans(node, now, actions);
+  ReviewQueue(node.scheduler, now, actions);
+  ReviewEndpoints(node.scheduler, now, actions);
+  AssignJobs(node, now, actions);
+  ReportFinished(node, now, actions);
+  FinishStop(node, now, actions);
+}
+
+void OnStop(FleetNode& node, Millis now, Actions& actions) {
+  if (node.is_stopping)
+    return;
+  node.is_stopping = true;
+  node.stop_began = now;
+  node.store.self.address.leaving = true;
+  RegisterAgain(node.store, now);
+  actions.push_back(
+      LogEvent{"stop_began",
+               {{"pending", std::to_string(node.reception.pending.size())},
+                {"jobs", std::to_string(node.scheduler.jobs.size())}}});
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/fleet/fleet_node.h
@@ -0,0 +1,70 @@
+#ifndef DOGWOODFALL_MODULES_CORE_FLEET_FLEET_NODE_H_
+#define DOGWOODFALL_MODULES_CORE_FLEET_FLEET_NODE_H_
+
+/** @file
+ * Module fleet: a daemon on the users' platform. Joins the scheduler, the
+ * receiver of callers' jobs, the other daemons and the platform's store.
+ *
+ * fleet_view.h says who gives orders to which endpoint, store_session.h deals
+ * with the store, reception.h keeps callers' jobs until they are answered, and
+ * fleet_events.h has the functions that the outside calls.
+ */
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "core/fleet/fleet_view.h"
+#include "core/fleet/reception.h"
+#include "core/fleet/store_session.h"
+#include "core/peers/peer_session.h"
+#include "core/scheduling/scheduler.h"
+#include "model/heartbeat.h"
+#include "model/route_table.h"
+
+namespace dogwoodfall {
+
+/** What is heard of a peer. */
+struct PeerSight {
+  Millis heard;
+  Heartbeat last;
+  /** True once its item was asked to be removed. */
+  bool is_evicted = false;
+};
+
+/** A job that came before the view which makes this daemon its scheduler. */
+struct EarlyJob {
+  DaemonRef receiver;
+  JobSubmission submission;
+  Millis came;
+};
+
+/** The whole state of a daemon on the platform. */
+struct FleetNode {
+  DaemonRef self;
+  ZoneId zone;
+  FleetView view;
+  RouteTable routes;
+  /** Every endpoint in the store. */
+  std::map<EndpointId, EndpointEntry> entries;
+  StoreSession store;
+  PeerSessions sessions;
+  std::map<DaemonId, PeerSight> peers;
+  Scheduler scheduler;
+  Reception reception;
+  std::vector<EarlyJob> early_jobs;
+  uint64_t heartbeat_number = 0;
+  Millis next_heartbeat;
+  Millis next_review;
+  /** Set once a planned stop has begun. */
+  bool is_stopping = false;
+  Millis stop_began;
+  /** True once endpoints were given away for the stop. */
+  bool has_exited = false;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_FLEET_FLEET_NODE_H_
--- /dev/null
+++ b/modules/core/fleet/reception.h
@@ -0,0 +1,56 @@
+#ifndef DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_H_
+#define DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_H_
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "model/daemon_ref.h"
+#include "model/transient_job.h"
+
+namespace dogwoodfall {
+
+struct FleetNode;
+
+/** A job whose callers wait for its end at this daemon. */
+struct PendingJob {
+  TransientJob job;
+  std::vector<CallerToken> callers;
+  Millis received;
+  /** The caller stops waiting. */
+  Millis gives_up_at;
+  /** Who schedules it; none while nobody has it. */
+  DaemonRef scheduler;
+  bool may_have_started = false;
+  uint32_t redirects = 0;
+  /** Nothing is done with it before. */
+  Millis not_before;
+};
+
+/** Answers given, by JobEnd, and how long callers waited for them. */
+struct ReceptionCounters {
+  /** Upper bounds of the latency buckets, in ms; the last has none. */
+  static constexpr int64_t kLatencyBounds[] = {50,  100,   200,  400,
+                                               800, 1'600, 3'200};
+  static constexpr size_t kBuckets = 8;
+  static constexpr size_t kEnds = 4;
+  uint64_t jobs = 0;
+  uint64_t callers_gone = 0;
+  uint64_t answers[kEnds] = {};
+  uint64_t latency[kEnds][kBuckets] = {};
+  double latency_sum_ms[kEnds] = {};
+};
+
+/** State of a daemon as the receiver of callers' jobs. */
+struct Reception {
+  std::unordered_map<SubmissionId, PendingJob> pending;
+  std::map<CallerToken, SubmissionId> by_caller;
+  ReceptionCounters counters;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_H_
--- /dev/null
+++ b/modules/core/fleet/reception_flow.h
@@ -0,0 +1,50 @@
+#ifndef DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_FLOW_H_
+#define DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_FLOW_H_
+
+#include "core/fleet/fleet_node.h"
+
+namespace dogwoodfall {
+
+/** Takes a caller's job and gives it to its scheduler. */
+void ReceiveJob(FleetNode& node,
+                Millis now,
+                CallerToken caller,
+                const TransientJob& job,
+                Actions& actions);
+
+/** Forgets a caller; a job that nobody waits for any more is stopped. */
+void ForgetCaller(FleetNode& node,
+                  Millis now,
+                  CallerToken caller,
+                  Actions& actions);
+
+/** Answers everyone who waits for a job. */
+void AnswerCallers(FleetNode& node,
+                   Millis now,
+                   const SubmissionId& job,
+                   const JobOutcome& outcome,
+                   Actions& actions);
+
+/** Gives a job to another scheduler, as its former one has asked. */
+void RedirectJob(FleetNode& node,
+                 Millis now,
+                 const DaemonRef& from,
+                 const JobRedirect& redirect,
+                 Actions& actions);
+
+/** Gives jobs that have no scheduler, or whose scheduler is gone, to one. */
+void AssignJobs(FleetNode& node, Millis now, Actions& actions);
+
+/** Passes on what the own scheduler has finished. */
+void ReportFinished(FleetNode& node, Millis now, Actions& actions);
+
+/** Gives a job to the own scheduler. */
+void ScheduleHere(FleetNode& node,
+                  Millis now,
+                  const DaemonRef& receiver,
+                  const JobSubmission& submission,
+                  Actions& actions);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_FLEET_RECEPTION_FLOW_H_
--- /dev/null
+++ b/modules/core/scheduling/admission.cc
@@ -0,0 +1,58 @@
+#include "core/scheduling/admission.h"
+
+#include <algorithm>
+
+#include "core/scheduling/job_order.h"
+#include "core/scheduling/placement.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** An answer later than this times the objective is of no use to the caller. */
+constexpr int64_t kUsefulFactor = 3;
+/** Shortest time after which a refused caller is asked to come back. */
+constexpr Millis kLeastRetryAfter{1'000};
+
+Millis LastUsefulEnd(const ScheduledJob& job) {
+  const Millis objective = job.objective_at - job.received;
+  return std::min(job.gives_up_at,
+                  job.received + Millis{kUsefulFactor * objective.count});
+}
+
+bool AnyEndpointFits(const Scheduler& scheduler, const ScheduledJob& job) {
+  return std::all_of(
+      job.job.steps.begin(), job.job.steps.end(), [&](const JobStep& step) {
+        return std::any_of(scheduler.endpoints.begin(),
+                           scheduler.endpoints.end(), [&](const auto& entry) {
+                             return CanEverRun(entry.second.entry, job.job,
+                                               step);
+                           });
+      });
+}
+
+}  // namespace
+
+std::optional<JobOutcome> AdmissionDecision(const Scheduler& scheduler,
+                                            const ScheduledJob& job,
+                                            Millis now) {
+  if (job.has_started)
+    return std::nullopt;
+  if (scheduler.endpoints.empty())
+    return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "no_endpoints"};
+  if (!AnyEndpointFits(scheduler, job))
+    return JobOutcome{JobEnd::kFailed, {}, "fits_no_endpoint"};
+  return ReviewDecision(scheduler, job, now);
+}
+
+std::optional<JobOutcome> ReviewDecision(const Scheduler& scheduler,
+                                         const ScheduledJob& job,
+                                         Millis now) {
+  if (job.has_started)
+    return std::nullopt;
+  const Millis expected = ExpectedJobTime(scheduler.run_times, job.job);
+  if (now + expected <= LastUsefulEnd(job))
+    return std::nullopt;
+  return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "too_late"};
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -0,0 +1,73 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_ENDPOINT_FLOW_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_ENDPOINT_FLOW_H_
+
+#include "core/scheduling/scheduler.h"
+
+namespace dogwoodfall {
+
+/** Longest time that an endpoint goes on without word from its scheduler. A
+ * caller sends a job again 1,300 ms after a loss; what a dead daemon started
+ * must have ended well before, and a slow daemon needs several renewals in it.
+ */
+inline constexpr Millis kRunLease{500};
+/** Time after which what an unreachable owner started is over: the longest
+ * lease that endpoints grant (1,000 ms), on a clock that is 2 % slow.
+ */
+inline constexpr Millis kLongestLease{1'050};
+
+/** Takes over an endpoint, or renews what is known of one. Looks at what runs
+ * there before anything is started.
+ */
+void TakeEndpoint(Scheduler& scheduler,
+                  const EndpointEntry& entry,
+                  uint64_t fencing_token,
+                  Millis now,
+                  Actions& actions);
+
+/** Notes what an endpoint now says of itself; it keeps its owner. */
+void UpdateEndpoint(Scheduler& scheduler,
+                    const EndpointEntry& entry,
+                    Millis now,
+                    Actions& actions);
+
+/** Notes that the endpoint's item is gone: nothing new starts there. */
+void UnlistEndpoint(Scheduler& scheduler,
+                    const EndpointId& id,
+                    Millis now,
+                    Actions& actions);
+
+/** Stops giving orders to an endpoint that another daemon owns now. */
+void ReleaseEndpoint(Scheduler& scheduler, const EndpointId& id, Millis now);
+
+/** True while a look at an endpoint taken over is still to come and runs of
+ * its former owner may be going on there.
+ */
+bool IsLooking(const Scheduler& scheduler, Millis now);
+
+/** Starts a run of a task. */
+void OrderStart(Scheduler& scheduler,
+                ManagedEndpoint& endpoint,
+                const ScheduledJob& job,
+                const JobTask& task,
+                Millis now,
+                Actions& actions);
+
+/** Stops a run; does nothing when it is being stopped already. */
+void OrderStop(Scheduler& scheduler,
+               ManagedEndpoint& endpoint,
+               const RunKey& run,
+               Millis now,
+               Actions& actions);
+
+/** Takes the answer to an order. */
+void TakeEndpointReply(Scheduler& scheduler,
+                       const EndpointReply& reply,
+                       Millis now,
+                       Actions& actions);
+
+/** Sends renewals that are due and looks for runs that are overdue. */
+void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_ENDPOINT_FLOW_H_
--- /dev/null
+++ b/modules/core/scheduling/job_flow.cc
@@ -0,0 +1,300 @@
+#include "core/scheduling/job_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/scheduling/admission.h"
+#include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/job_order.h"
+#include "core/scheduling/placement.h"
+
+namespace dogwoodfall {
+namespace {
+
+void InsertIntoQueue(Scheduler& scheduler, ScheduledJob& job, Millis now) {
+  scheduler.queue.erase(job.order_key);
+  job.order_key = OrderKeyOf(job, now);
+  if (job.tasks_queued > 0)
+    scheduler.queue.insert(job.order_key);
+}
+
+bool StepIsDone(const ScheduledJob& job, uint32_t step) {
+  for (const TaskProgress& task : job.tasks[step]) {
+    if (task.phase != TaskPhase::kDone)
+      return false;
+  }
+  return true;
+}
+
+/** Queues the tasks of steps whose earlier steps have all ended. */
+void UnblockSteps(ScheduledJob& job) {
+  for (uint32_t step = 0; step < job.job.steps.size(); ++step) {
+    const std::vector<uint32_t>& after = job.job.steps[step].after;
+    const bool is_free = std::all_of(
+        after.begin(), after.end(),
+        [&job](uint32_t earlier) { return StepIsDone(job, earlier); });
+    if (!is_free)
+      continue;
+    for (TaskProgress& task : job.tasks[step]) {
+      if (task.phase != TaskPhase::kBlocked)
+        continue;
+      task.phase = TaskPhase::kQueued;
+      ++job.tasks_queued;
+    }
+  }
+}
+
+ScheduledJob MakeJob(const DaemonRef& receiver,
+                     const TransientJob& job,
+                     bool may_have_started,
+                     uint32_t redirects) {
+  ScheduledJob made;
+  made.job = job;
+  made.receiver = receiver;
+  made.may_have_started = may_have_started;
+  made.redirects = redirects;
+  for (const JobStep& step : job.steps) {
+    made.tasks.emplace_back(step.task_count);
+    made.tasks_left += step.task_count;
+  }
+  UnblockSteps(made);
+  return made;
+}
+
+/** Makes runs that were found on endpoints taken over part of their job. */
+void ClaimRuns(Scheduler& scheduler, ScheduledJob& job) {
+  for (auto& [id, endpoint] : scheduler.endpoints) {
+    for (auto& [key, run] : endpoint.runs) {
+      const JobTask& task = key.first;
+      if (task.job != job.job.id || run.state != RunState::kUnclaimed ||
+          task.step >= job.tasks.size() ||
+          task.index >= job.tasks[task.step].size())
+        continue;
+      TaskProgress& progress = job.tasks[task.step][task.index];
+      if (progress.phase != TaskPhase::kQueued)
+        continue;
+      progress.phase = TaskPhase::kPlaced;
+      progress.attempt = std::max(progress.attempt, key.second);
+      progress.endpoint = id;
+      --job.tasks_queued;
+      job.has_started = true;
+      run.state = RunState::kRunning;
+      run.room = job.job.steps[task.step].room;
+      run.expected = ExpectedTaskTime(scheduler.run_times, job.job,
+                                      job.job.steps[task.step]);
+      endpoint.used = endpoint.used + run.room;
+    }
+  }
+}
+
+LogEvent JobEvent(const char* name, const ScheduledJob& job, Millis now) {
+  return {name,
+          {{"job", job.job.id.value},
+           {"route", job.job.route},
+           {"receiver", job.receiver.id.value},
+           {"age_ms", std::to_string((now - job.received).count)},
+           {"slack_ms", std::to_string((job.latest_start - now).count)}}};
+}
+
+void StopRuns(Scheduler& scheduler,
+              const ScheduledJob& job,
+              Millis now,
+              Actions& actions) {
+  for (auto& [id, endpoint] : scheduler.endpoints) {
+    auto run = endpoint.runs.lower_bound({{job.job.id, 0, 0}, 0});
+    for (; run != endpoint.runs.end() && run->first.first.job == job.job.id;
+         ++run) {
+      run->second.requeue = false;
+      OrderStop(scheduler, endpoint, run->first, now, actions);
+    }
+  }
+}
+
+void PlaceTasksOf(Scheduler& scheduler,
+                  ScheduledJob& job,
+                  Millis now,
+                  Actions& actions) {
+  for (uint32_t step = 0; step < job.tasks.size(); ++step) {
+    for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+      TaskProgress& task = job.tasks[step][index];
+      if (task.phase != TaskPhase::kQueued)
+        continue;
+      ManagedEndpoint* endpoint =
+          ChooseEndpoint(scheduler, job, step, task, now);
+      if (endpoint == nullptr)
+        break;  // The other tasks of the step need the same room.
+      task.phase = TaskPhase::kPlaced;
+      task.endpoint = endpoint->entry.id;
+      ++task.attempt;
+      --job.tasks_queued;
+      job.has_started = true;
+      OrderStart(scheduler, *endpoint, job, {job.job.id, step, index}, now,
+                 actions);
+    }
+  }
+}
+
+}  // namespace
+
+void TakeJob(Scheduler& scheduler,
+             const DaemonRef& receiver,
+             const TransientJob& job,
+             bool may_have_started,
+             uint32_t redirects,
+             Millis now,
+             Actions& actions) {
+  const auto known = scheduler.jobs.find(job.id);
+  if (known != scheduler.jobs.end()) {
+    known->second.receiver = receiver;
+    known->second.gives_up_at =
+        std::max(known->second.gives_up_at, now + job.time_left);
+    actions.push_back(JobEvent("job_joined", known->second, now));
+    return;
+  }
+  ++scheduler.counters.jobs;
+  ScheduledJob& taken =
+      scheduler.jobs
+          .emplace(job.id, MakeJob(receiver, job, may_have_started, redirects))
+          .first->second;
+  SetJobTimes(taken, scheduler.run_times, now);
+  ClaimRuns(scheduler, taken);
+  actions.push_back(JobEvent("job_taken", taken, now));
+  const std::optional<JobOutcome> refusal =
+      AdmissionDecision(scheduler, taken, now);
+  if (refusal) {
+    EndJob(scheduler, job.id, *refusal, now, actions);
+    return;
+  }
+  InsertIntoQueue(scheduler, taken, now);
+  PlaceTasks(scheduler, now, actions);
+}
+
+void EndJob(Scheduler& scheduler,
+            const SubmissionId& id,
+            const JobOutcome& outcome,
+            Millis now,
+            Actions& actions) {
+  const auto found = scheduler.jobs.find(id);
+  if (found == scheduler.jobs.end())
+    return;
+  const ScheduledJob job = std::move(found->second);
+  scheduler.queue.erase(job.order_key);
+  scheduler.jobs.erase(found);
+  StopRuns(scheduler, job, now, actions);
+  ++scheduler.counters.job_ends[static_cast<size_t>(outcome.end)];
+  LogEvent event = JobEvent("job_ended", job, now);
+  event.fields.emplace_back("end",
+                            std::to_string(static_cast<int>(outcome.end)));
+  event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
+  event.fields.emplace_back("reason", outcome.reason);
+  actions.push_back(std::move(event));
+  scheduler.finished.push_back({job.receiver, id, outcome, {}, false});
+}
+
+void CancelJob(Scheduler& scheduler,
+               const SubmissionId& id,
+               const std::string& reason,
+               Millis now,
+               Actions& actions) {
+  if (scheduler.jobs.count(id) == 0)
+    return;
+  EndJob(scheduler, id, {JobEnd::kAbandoned, {}, reason}, now, actions);
+  scheduler.finished.pop_back();
+}
+
+void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
+  const bool is_looking = IsLooking(scheduler, now);
+  std::vector<SubmissionId> order;
+  for (const JobOrderKey& key : scheduler.queue)
+    order.push_back(key.second);
+  for (const SubmissionId& id : order) {
+    ScheduledJob& job = scheduler.jobs.at(id);
+    if (job.may_have_started && is_looking)
+      continue;
+    PlaceTasksOf(scheduler, job, now, actions);
+    if (job.tasks_queued == 0)
+      scheduler.queue.erase(job.order_key);
+  }
+}
+
+void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions) {
+  std::vector<SubmissionId> waiting;
+  for (const JobOrderKey& key : scheduler.queue)
+    waiting.push_back(key.second);
+  for (const SubmissionId& id : waiting) {
+    ScheduledJob& job = scheduler.jobs.at(id);
+    const std::optional<JobOutcome> refusal =
+        ReviewDecision(scheduler, job, now);
+    if (refusal)
+      EndJob(scheduler, id, *refusal, now, actions);
+    else
+      InsertIntoQueue(scheduler, job, now);
+  }
+  std::vector<SubmissionId> expired;
+  for (const auto& [id, job] : scheduler.jobs) {
+    if (job.gives_up_at <= now)
+      expired.push_back(id);
+  }
+  for (const SubmissionId& id : expired) {
+    const bool started = scheduler.jobs.at(id).has_started;
+    EndJob(scheduler, id,
+           {started ? JobEnd::kAbandoned : JobEnd::kRefused, {}, "time_limit"},
+           now, actions);
+  }
+}
+
+TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task) {
+  const auto job = scheduler.jobs.find(task.job);
+  if (job == scheduler.jobs.end() || task.step >= job->second.tasks.size() ||
+      task.index >= job->second.tasks[task.step].size())
+    return nullptr;
+  return &job->second.tasks[task.step][task.index];
+}
+
+void NoteTaskDone(Scheduler& scheduler,
+                  const JobTask& task,
+                  Millis now,
+                  Actions& actions) {
+  TaskProgress* progress = FindTask(scheduler, task);
+  if (progress == nullptr || progress->phase == TaskPhase::kDone)
+    return;
+  ScheduledJob& job = scheduler.jobs.at(task.job);
+  if (progress->phase == TaskPhase::kQueued)
+    --job.tasks_queued;
+  progress->phase = TaskPhase::kDone;
+  --job.tasks_left;
+  if (job.tasks_left == 0) {
+    EndJob(scheduler, task.job, {JobEnd::kCompleted, {}, "all_done"}, now,
+           actions);
+    return;
+  }
+  UnblockSteps(job);
+  InsertIntoQueue(scheduler, job, now);
+}
+
+void NoteTaskFailed(Scheduler& scheduler,
+                    const JobTask& task,
+                    Millis now,
+                    Actions& actions) {
+  TaskProgress* progress = FindTask(scheduler, task);
+  if (progress == nullptr)
+    return;
+  ++progress->failures;
+  if (progress->failures >= scheduler.jobs.at(task.job).job.max_attempts) {
+    EndJob(scheduler, task.job, {JobEnd::kFailed, {}, "attempts_used"}, now,
+           actions);
+  }
+}
+
+void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now) {
+  TaskProgress* progress = FindTask(scheduler, run.first);
+  if (progress == nullptr || progress->phase != TaskPhase::kPlaced ||
+      progress->attempt != run.second)
+    return;
+  ScheduledJob& job = scheduler.jobs.at(run.first.job);
+  progress->phase = TaskPhase::kQueued;
+  ++job.tasks_queued;
+  InsertIntoQueue(scheduler, job, now);
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/scheduling/job_flow.h
@@ -0,0 +1,61 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_JOB_FLOW_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_JOB_FLOW_H_
+
+#include <string>
+
+#include "core/scheduling/scheduler.h"
+
+namespace dogwoodfall {
+
+/** Takes a job. One that is known already is joined: its end is told to the
+ * receiver that sent it last.
+ */
+void TakeJob(Scheduler& scheduler,
+             const DaemonRef& receiver,
+             const TransientJob& job,
+             bool may_have_started,
+             uint32_t redirects,
+             Millis now,
+             Actions& actions);
+
+/** Stops a job whose caller no longer waits; nobody is told. */
+void CancelJob(Scheduler& scheduler,
+               const SubmissionId& id,
+               const std::string& reason,
+               Millis now,
+               Actions& actions);
+
+/** Ends a job: stops what runs of it and notes its end for the receiver. */
+void EndJob(Scheduler& scheduler,
+            const SubmissionId& id,
+            const JobOutcome& outcome,
+            Millis now,
+            Actions& actions);
+
+/** Starts what fits, in the order of the queue. */
+void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions);
+
+/** Puts late jobs behind, and ends those that can't be served any more. */
+void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions);
+
+/** Notes that a task has ended well. */
+void NoteTaskDone(Scheduler& scheduler,
+                  const JobTask& task,
+                  Millis now,
+                  Actions& actions);
+
+/** Notes that a run of a task failed by its own or the endpoint's fault. */
+void NoteTaskFailed(Scheduler& scheduler,
+                    const JobTask& task,
+                    Millis now,
+                    Actions& actions);
+
+/** Puts a task whose run is gone back into the queue. */
+void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now);
+
+/** The progress of a task, or null when the job is not known. */
+TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_JOB_FLOW_H_
--- /dev/null
+++ b/modules/core/scheduling/job_order.cc
@@ -0,0 +1,61 @@
+#include "core/scheduling/job_order.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace dogwoodfall {
+namespace {
+
+/** Puts late jobs behind all others; larger than any time in ms. */
+constexpr int64_t kLateBand = int64_t{1} << 60;
+/** Samples of a route after which what was learned counts. */
+constexpr uint32_t kEnoughSamples = 5;
+
+}  // namespace
+
+Millis ExpectedTaskTime(const RunTimes& times,
+                        const TransientJob& job,
+                        const JobStep& step) {
+  const auto declared =
+      static_cast<double>(std::max<int64_t>(step.declared_run_time.count, 1));
+  const LearnedTime* learned =
+      FindLearned(times, CustomerId(job.service), job.route);
+  if (learned == nullptr || learned->samples < kEnoughSamples)
+    return Millis{std::llround(declared)};
+  // Declared times are off by about as much as jobs of a route differ, so both
+  // say equally much; the errors are factors, hence the geometric mean.
+  const double mean = std::max(learned->mean_ms, 1.0);
+  return Millis{std::max<int64_t>(std::llround(std::sqrt(declared * mean)), 1)};
+}
+
+Millis ExpectedJobTime(const RunTimes& times, const TransientJob& job) {
+  std::vector<Millis> ends;
+  Millis longest;
+  for (const JobStep& step : job.steps) {
+    Millis begin;
+    for (const uint32_t earlier : step.after)
+      begin = std::max(begin, ends[earlier]);
+    ends.push_back(begin + ExpectedTaskTime(times, job, step));
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+void SetJobTimes(ScheduledJob& job, const RunTimes& times, Millis now) {
+  const Millis expected = ExpectedJobTime(times, job.job);
+  const auto objective =
+      std::llround(job.job.stretch * static_cast<double>(expected.count)) +
+      job.job.target_latency.count;
+  job.received = now - job.job.age;
+  job.objective_at = job.received + Millis{objective};
+  job.latest_start = job.objective_at - expected;
+  job.gives_up_at = now + job.job.time_left;
+}
+
+JobOrderKey OrderKeyOf(const ScheduledJob& job, Millis now) {
+  const bool is_late = job.latest_start < now;
+  return {job.latest_start.count + (is_late ? kLateBand : 0), job.job.id};
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/scheduling/placement.h
@@ -0,0 +1,30 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_PLACEMENT_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_PLACEMENT_H_
+
+#include "base/millis.h"
+#include "core/scheduling/managed_endpoint.h"
+#include "core/scheduling/scheduled_job.h"
+#include "core/scheduling/scheduler.h"
+
+namespace dogwoodfall {
+
+/** True when an endpoint may ever run tasks of a step. */
+bool CanEverRun(const EndpointEntry& endpoint,
+                const TransientJob& job,
+                const JobStep& step);
+
+/** Chooses the endpoint for a queued task, or null when none has room.
+ *
+ * Answers load near the room there is, on endpoints of unlike size, speed and
+ * soundness: takes the one where the task ends soonest, and among alike ones
+ * the one that it fills best, so that room for wide tasks stays in one piece.
+ */
+ManagedEndpoint* ChooseEndpoint(Scheduler& scheduler,
+                                const ScheduledJob& job,
+                                uint32_t step,
+                                const TaskProgress& task,
+                                Millis now);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_PLACEMENT_H_
--- /dev/null
+++ b/modules/core/scheduling/scheduled_job.h
@@ -0,0 +1,65 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULED_JOB_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULED_JOB_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "core/scheduling/job_order_key.h"
+#include "model/daemon_ref.h"
+#include "model/transient_job.h"
+
+namespace dogwoodfall {
+
+/** Where a task of a scheduled job stands. */
+enum class TaskPhase : uint8_t {
+  /** Earlier steps have not ended. */
+  kBlocked = 0,
+  kQueued = 1,
+  /** A run of it is on an endpoint, or may be. */
+  kPlaced = 2,
+  kDone = 3,
+};
+
+/** Progress of one task. */
+struct TaskProgress {
+  TaskPhase phase = TaskPhase::kBlocked;
+  /** Number of its latest run. */
+  uint32_t attempt = 0;
+  uint32_t failures = 0;
+  /** Where the latest run is or was. */
+  EndpointId endpoint;
+};
+
+/** A job that a scheduler has taken. */
+struct ScheduledJob {
+  TransientJob job;
+  /** Who is told of its end. */
+  DaemonRef receiver;
+  /** When the receiver got it, on this daemon's clock. */
+  Millis received;
+  /** Answers that come later miss the objective. */
+  Millis objective_at;
+  /** Its last task has to start by then to meet the objective. */
+  Millis latest_start;
+  /** The caller stops waiting. */
+  Millis gives_up_at;
+  /** True when another daemon may have started some of it: nothing starts
+   * until all endpoints taken over have been looked at.
+   */
+  bool may_have_started = false;
+  uint32_t redirects = 0;
+  /** True once any run of it was ordered or found. */
+  bool has_started = false;
+  /** Where it stands in the queue; the key it was inserted under. */
+  JobOrderKey order_key;
+  /** Tasks by step and index. */
+  std::vector<std::vector<TaskProgress>> tasks;
+  uint32_t tasks_left = 0;
+  uint32_t tasks_queued = 0;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULED_JOB_H_
--- /dev/null
+++ b/modules/core/scheduling/scheduler.h
@@ -0,0 +1,70 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULER_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULER_H_
+
+/** @file
+ * Module scheduling: starts the tasks of transient jobs on the endpoints that
+ * this daemon owns, keeps their leases, and notices what has become of them.
+ *
+ * job_order.h says who goes first, placement.h where a task runs, admission.h
+ * what is refused; endpoint_flow.h gives orders and takes their answers,
+ * job_flow.h takes jobs and ends them.
+ */
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/millis.h"
+#include "core/dispatch/run_times.h"
+#include "core/scheduling/job_order_key.h"
+#include "core/scheduling/managed_endpoint.h"
+#include "core/scheduling/scheduled_job.h"
+#include "core/scheduling/scheduling_counters.h"
+#include "ports/action.h"
+
+namespace dogwoodfall {
+
+/** An order that is not answered. */
+struct OpenOrder {
+  EndpointId endpoint;
+  /** Token it was given under; answers to an older one say nothing. */
+  uint64_t fencing_token = 0;
+  Millis sent;
+  /** The run of a start or a stop. */
+  RunKey run;
+  enum class Kind : uint8_t { kStart, kStop, kRenew } kind = Kind::kRenew;
+};
+
+/** A job that ended here, for its receiver. */
+struct FinishedJob {
+  DaemonRef receiver;
+  SubmissionId job;
+  JobOutcome outcome;
+  /** Set when the job did not end and this daemon should get it instead. */
+  DaemonId redirect_to;
+  /** Whether some of a redirected job may run. */
+  bool may_have_started = false;
+};
+
+/** State of a daemon as a scheduler. */
+struct Scheduler {
+  std::map<EndpointId, ManagedEndpoint> endpoints;
+  std::unordered_map<SubmissionId, ScheduledJob> jobs;
+  /** Jobs with tasks that wait. */
+  std::set<JobOrderKey> queue;
+  std::unordered_map<OrderId, OpenOrder> orders;
+  uint64_t last_order = 0;
+  /** Run times learned by route. */
+  RunTimes run_times;
+  /** Jobs that ended since the caller of the scheduler last looked. */
+  std::vector<FinishedJob> finished;
+  SchedulingCounters counters;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULER_H_
--- /dev/null
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -0,0 +1,28 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULING_COUNTERS_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULING_COUNTERS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace dogwoodfall {
+
+/** What a scheduler has done, by outcome. */
+struct SchedulingCounters {
+  uint64_t jobs = 0;
+  uint64_t starts = 0;
+  uint64_t stops = 0;
+  uint64_t renewals = 0;
+  /** Starts by OrderOutcome. */
+  std::array<uint64_t, 16> start_outcomes = {};
+  /** Ends of runs by RunEnd. */
+  std::array<uint64_t, 8> run_ends = {};
+  /** Jobs by JobEnd. */
+  std::array<uint64_t, 8> job_ends = {};
+  /** Runs stopped since they took far longer than expected. */
+  uint64_t overdue_runs = 0;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULING_COUNTERS_H_
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -13,6 +13,7 @@
 #include "model/submission.h"
 #include "model/task_assignment.h"
 #include "model/task_report.h"
+#include "model/transient_job.h"
 
 namespace dogwoodfall {
 
@@ -115,6 +116,38 @@
   std::string text;
 };
 
+/** A job for the receiver's endpoints. */
+struct JobSubmission {
+  TransientJob job;
+  /** True when another daemon may have started some of it. */
+  bool may_have_started = false;
+  /** Schedulers that have passed it on so far. */
+  uint32_t redirects = 0;
+  /** Revision of the view that made the receiver its scheduler. */
+  uint64_t view_revision = 0;
+};
+
+/** A job whose caller no longer waits. */
+struct JobCancellation {
+  SubmissionId job;
+};
+
+/** A job that ended. */
+struct JobReport {
+  SubmissionId job;
+  JobOutcome outcome;
+};
+
+/** A job that another daemon should get: it can serve it sooner, or has taken
+ * over the endpoints.
+ */
+struct JobRedirect {
+  SubmissionId job;
+  DaemonId to;
+  bool may_have_started = false;
+  uint64_t view_revision = 0;
+};
+
 /** Everything that daemons send each other over TCP. */
 using PeerMessage = std::variant<SubmitForward,
                                  StatusForward,
@@ -127,7 +160,11 @@
                                  LedgerHandoverTaken,
                                  HomeNotice,
                                  ConfigurationRequest,
-                                 ConfigurationNotice>;
+                                 ConfigurationNotice,
+                                 JobSubmission,
+                                 JobCancellation,
+                                 JobReport,
+                                 JobRedirect>;
 
 }  // namespace dogwoodfall
 
--- a/modules/ports/action.h
+++ b/modules/ports/action.h
@@ -8,10 +8,14 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "model/answer.h"
+#include "model/daemon_member.h"
 #include "model/daemon_ref.h"
 #include "model/heartbeat.h"
 #include "model/peer_frame.h"
 #include "model/task_spec.h"
+#include "model/transient_job.h"
+#include "ports/endpoint_order.h"
+#include "ports/key_value_call.h"
 #include "ports/log_event.h"
 #include "ports/store_call.h"
 
@@ -63,6 +67,30 @@
   StoreRequest request;
 };
 
+/** Sends an order to an endpoint; answered by exactly one EndpointReply. */
+struct CallEndpoint {
+  EndpointOrder order;
+};
+
+/** Calls the platform's store; answered by exactly one KeyValueReply. */
+struct CallKeyValue {
+  StoreToken token;
+  KeyValueCall call;
+  /** Time without an answer after which it counts as unanswered. */
+  Millis timeout;
+};
+
+/** Answers the request that brought a job. */
+struct AnswerJob {
+  CallerToken caller;
+  JobOutcome outcome;
+};
+
+/** Tells the network who the other daemons are. */
+struct UpdatePeers {
+  std::vector<DaemonMember> members;
+};
+
 /** Ends the process: the planned stop is over. */
 struct ExitProcess {
   /** True when everything was handed on. */
@@ -77,6 +105,10 @@
                             AnswerCaller,
                             CallStore,
                             LogEvent,
+                            CallEndpoint,
+                            CallKeyValue,
+                            AnswerJob,
+                            UpdatePeers,
                             ExitProcess>;
 
 /** Actions in the order in which they are to be carried out. */
