Gather endpoints' changes at intervals; watch the daemons' items only

Cause: endpoints write their items every 1.5 s, each write ended the waiting call of each daemon: 281 store calls a second. Ruled out: lease renewals (a tenth of a call each). Change: one waiting call on the daemons' items, one gathering of all changes each 400 ms.

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -48,6 +48,11 @@
                 {"members", std::to_string(node.view.members.size())}}});
 }
 
+bool IsAboutDaemon(const StoreChange& change) {
+  return std::holds_alternative<MemberChanged>(change) ||
+         std::holds_alternative<MemberGone>(change);
+}
+
 /** @return true when the view of the daemons has changed */
 bool ApplyChange(FleetNode& node,
                  const StoreChange& change,
@@ -76,37 +81,45 @@
   return false;
 }
 
-/** Removes what a reading of all items does not show any more. */
-bool DropMissing(FleetNode& node,
-                 const StoreNews& news,
-                 Millis now,
-                 Actions& actions) {
-  std::set<EndpointId> endpoints;
-  std::set<DaemonId> daemons;
+/** Removes endpoints that a reading of all items does not show any more. */
+void DropMissingEndpoints(FleetNode& node,
+                          const StoreNews& news,
+                          Millis now,
+                          Actions& actions) {
+  std::set<EndpointId> listed;
   for (const StoreChange& change : news.changes) {
     if (const auto* endpoint = std::get_if<EndpointChanged>(&change))
-      endpoints.insert(endpoint->entry.id);
-    else if (const auto* member = std::get_if<MemberChanged>(&change))
-      daemons.insert(member->member.address.id);
+      listed.insert(endpoint->entry.id);
   }
   std::vector<EndpointId> gone;
   for (const auto& [id, entry] : node.entries) {
-    if (endpoints.count(id) == 0)
+    if (listed.count(id) == 0)
       gone.push_back(id);
   }
   for (const EndpointId& id : gone) {
     node.entries.erase(id);
     UnlistEndpoint(node.scheduler, id, now, actions);
   }
+}
+
+/** Removes daemons that a reading of their items does not show any more.
+ * @return true when there were some
+ */
+bool DropMissingMembers(FleetNode& node,
+                        const StoreNews& news,
+                        Actions& actions) {
+  std::set<DaemonId> listed;
+  for (const StoreChange& change : news.changes) {
+    if (const auto* member = std::get_if<MemberChanged>(&change))
+      listed.insert(member->member.address.id);
+  }
   std::vector<DaemonId> left;
   for (const auto& [id, member] : node.view.members) {
-    if (daemons.count(id) == 0)
+    if (listed.count(id) == 0)
       left.push_back(id);
   }
   for (const DaemonId& id : left) {
-    node.view.members.erase(id);
-    node.view.revision =
-        std::max(node.view.revision, node.store.first_page_revision);
+    RemoveMemberAt(node.view, id, news.revision);
     LogMember(node, "member_gone", id, actions);
   }
   return !left.empty();
@@ -206,10 +219,14 @@
                     Millis now,
                     Actions& actions) {
   bool view_changed = false;
-  if (news.is_snapshot)
-    view_changed = DropMissing(node, news, now, actions);
-  for (const StoreChange& change : news.changes)
-    view_changed |= ApplyChange(node, change, now, actions);
+  if (news.is_snapshot && news.scope == ItemScope::kDaemons)
+    view_changed = DropMissingMembers(node, news, actions);
+  else if (news.is_snapshot)
+    DropMissingEndpoints(node, news, now, actions);
+  for (const StoreChange& change : news.changes) {
+    if (IsAboutDaemon(change) == (news.scope == ItemScope::kDaemons))
+      view_changed |= ApplyChange(node, change, now, actions);
+  }
   if (view_changed) {
     MeetMembers(node, now, actions);
     KeepOwnItem(node, now, actions);
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -14,8 +14,12 @@
 /** Time that a call waits for a change. Short enough to notice within a second
  * that a connection has gone silent.
  */
-constexpr Millis kWatchWait{800};
+constexpr Millis kWatchWait{1'000};
 constexpr Millis kWatchSlack{300};
+/** Pause between two gatherings of all changes. Routes and leaving endpoints
+ * have 2 s to take effect; a quarter of it leaves time for a retry.
+ */
+constexpr Millis kGatherPeriod{400};
 /** The store answers in 4 ms, and some 60 times slower on bad days. */
 constexpr Millis kCallTimeout{600};
 /** First and longest pause after a failed call. */
@@ -47,14 +51,18 @@
   actions.push_back(CallKeyValue{token, std::move(call), timeout});
 }
 
-void Follow(StoreSession& session, Actions& actions) {
-  session.follow_out = true;
-  if (!session.is_following) {
-    Call(session, StoreDuty::kFollow, ReadItems{session.last_page_key},
+void Follow(StoreSession& session, StoreFollower& follower, Actions& actions) {
+  const StoreDuty duty = follower.scope == ItemScope::kDaemons
+                             ? StoreDuty::kFollowDaemons
+                             : StoreDuty::kFollowEverything;
+  follower.is_call_out = true;
+  if (!follower.is_following) {
+    Call(session, duty, ReadItems{follower.scope, follower.last_page_key},
          kCallTimeout, actions);
     return;
   }
-  Call(session, StoreDuty::kFollow, WatchItems{session.followed_to, kWatchWait},
+  Call(session, duty,
+       WatchItems{follower.scope, follower.followed_to, kWatchWait},
        kWatchWait + kWatchSlack, actions);
 }
 
@@ -68,47 +76,51 @@
   Call(session, StoreDuty::kRegister, std::move(call), kCallTimeout, actions);
 }
 
-void ReadAgain(StoreSession& session) {
-  session.is_following = false;
-  session.pages.clear();
-  session.last_page_key.clear();
-  session.first_page_revision = 0;
+void ReadAgain(StoreFollower& follower) {
+  follower.is_following = false;
+  follower.pages.clear();
+  follower.last_page_key.clear();
+  follower.first_page_revision = 0;
 }
 
-StoreNews TakePage(StoreSession& session, const KeyValueReply& reply) {
-  if (session.first_page_revision == 0)
-    session.first_page_revision = reply.store_revision;
-  session.pages.insert(session.pages.end(), reply.changes.begin(),
-                       reply.changes.end());
-  session.last_page_key = reply.last_key;
+StoreNews TakePage(StoreFollower& follower, const KeyValueReply& reply) {
+  if (follower.first_page_revision == 0)
+    follower.first_page_revision = reply.store_revision;
+  follower.pages.insert(follower.pages.end(), reply.changes.begin(),
+                        reply.changes.end());
+  follower.last_page_key = reply.last_key;
   if (reply.has_more_pages)
     return {};
   // Pages are not of one moment; what changed meanwhile is followed from the
   // first page on.
-  session.is_following = true;
-  session.followed_to = session.first_page_revision;
-  StoreNews news{true, std::move(session.pages)};
-  session.pages.clear();
+  follower.is_following = true;
+  follower.followed_to = follower.first_page_revision;
+  StoreNews news{follower.scope, true, follower.first_page_revision,
+                 std::move(follower.pages)};
+  follower.pages.clear();
   return news;
 }
 
-StoreNews TakeFollowReply(StoreSession& session,
+StoreNews TakeFollowReply(const StoreSession& session,
+                          StoreFollower& follower,
                           const KeyValueReply& reply,
                           Millis now) {
-  session.follow_out = false;
+  follower.is_call_out = false;
   if (reply.outcome == KeyValueOutcome::kHistoryGone) {
-    ReadAgain(session);
+    ReadAgain(follower);
     return {};
   }
   if (reply.outcome != KeyValueOutcome::kDone) {
-    session.next_follow = now + PauseAfter(session, session.follow_failures++);
+    follower.next_call = now + PauseAfter(session, follower.failures++);
     return {};
   }
-  session.follow_failures = 0;
-  if (!session.is_following)
-    return TakePage(session, reply);
-  session.followed_to = std::max(session.followed_to, reply.store_revision);
-  return {false, reply.changes};
+  follower.failures = 0;
+  if (!follower.is_following)
+    return TakePage(follower, reply);
+  if (follower.scope == ItemScope::kEverything)
+    follower.next_call = now + kGatherPeriod;
+  follower.followed_to = std::max(follower.followed_to, reply.store_revision);
+  return {follower.scope, false, follower.followed_to, reply.changes};
 }
 
 void TakeRegisterReply(StoreSession& session,
@@ -148,14 +160,17 @@
   actions.push_back(
       LogEvent{answered ? "store_regained" : "store_lost",
                {{"outcome", std::to_string(static_cast<int>(reply.outcome))},
-                {"followed_to", std::to_string(session.followed_to)}}});
+                {"followed_to",
+                 std::to_string(session.everything.followed_to)}}});
 }
 
 }  // namespace
 
 void AdvanceStoreSession(StoreSession& session, Millis now, Actions& actions) {
-  if (!session.follow_out && session.next_follow <= now)
-    Follow(session, actions);
+  for (StoreFollower* follower : {&session.daemons, &session.everything}) {
+    if (!follower->is_call_out && follower->next_call <= now)
+      Follow(session, *follower, actions);
+  }
   if (!session.registration_out && session.next_registration <= now &&
       !session.is_leaving_store)
     Register(session, actions);
@@ -173,8 +188,10 @@
   session.calls.erase(call);
   NoteReach(session, reply, actions);
   StoreNews news;
-  if (duty == StoreDuty::kFollow)
-    news = TakeFollowReply(session, reply, now);
+  if (duty == StoreDuty::kFollowDaemons)
+    news = TakeFollowReply(session, session.daemons, reply, now);
+  else if (duty == StoreDuty::kFollowEverything)
+    news = TakeFollowReply(session, session.everything, reply, now);
   else if (duty == StoreDuty::kRegister)
     TakeRegisterReply(session, reply, now);
   AdvanceStoreSession(session, now, actions);
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -15,18 +15,44 @@
 
 /** What a call to the store is for. */
 enum class StoreDuty : uint8_t {
-  /** Reading all items, then waiting for changes. */
-  kFollow = 0,
+  /** Reading the daemons' items, then waiting for changes. */
+  kFollowDaemons = 0,
+  /** The same for all items. */
+  kFollowEverything = 1,
   /** Keeping this daemon's item under a lease. */
-  kRegister = 1,
+  kRegister = 2,
   /** Removing the item of a daemon that is gone. */
-  kEvict = 2,
+  kEvict = 3,
+};
+
+/** Follows what changes in a part of the store. */
+struct StoreFollower {
+  static StoreFollower Of(ItemScope scope) {
+    StoreFollower follower;
+    follower.scope = scope;
+    return follower;
+  }
+
+  ItemScope scope = ItemScope::kEverything;
+  /** Pages read so far, while the items are being read. */
+  std::vector<StoreChange> pages;
+  std::string last_page_key;
+  uint64_t first_page_revision = 0;
+  /** True once all items were read; changes are followed from then on. */
+  bool is_following = false;
+  uint64_t followed_to = 0;
+  /** When the next call is due. */
+  Millis next_call;
+  uint32_t failures = 0;
+  bool is_call_out = false;
 };
 
 /** A daemon's dealings with the platform's store.
  *
- * One call follows what changes and one keeps the own item; each is made again
- * after a pause when it fails, so an outage costs few calls.
+ * One waiting call learns at once when a daemon comes or goes. Another gathers
+ * all other changes at intervals, as endpoints write far more often than
+ * anything changes. A third keeps the own item. Each is made again after a
+ * pause when it fails, so an outage costs few calls.
  */
 struct StoreSession {
   /** The item to keep; its revisions are the store's to fill in. */
@@ -34,16 +60,8 @@
   std::map<StoreToken, StoreDuty> calls;
   uint64_t last_token = 0;
 
-  /** Pages read so far, while the items are being read. */
-  std::vector<StoreChange> pages;
-  std::string last_page_key;
-  uint64_t first_page_revision = 0;
-  /** True once all items were read; changes are followed from then on. */
-  bool is_following = false;
-  uint64_t followed_to = 0;
-  Millis next_follow;
-  uint32_t follow_failures = 0;
-  bool follow_out = false;
+  StoreFollower daemons = StoreFollower::Of(ItemScope::kDaemons);
+  StoreFollower everything = StoreFollower::Of(ItemScope::kEverything);
 
   uint64_t lease = 0;
   /** True when the item as it stands in self is in the store. */
@@ -61,8 +79,11 @@
 
 /** What the store has told. */
 struct StoreNews {
+  ItemScope scope = ItemScope::kEverything;
   /** True when the changes are all there is: what is missing is gone. */
   bool is_snapshot = false;
+  /** Revision at which a snapshot holds. */
+  uint64_t revision = 0;
   std::vector<StoreChange> changes;
 };
 
--- a/modules/ports/key_value_call.h
+++ b/modules/ports/key_value_call.h
@@ -12,14 +12,24 @@
 
 namespace dogwoodfall {
 
-/** Reads one page of all items. */
+/** Which items of the store a call is about. */
+enum class ItemScope : uint8_t {
+  /** The daemons' own items; they change seldom. */
+  kDaemons = 0,
+  /** All items. Endpoints write theirs every second or two. */
+  kEverything = 1,
+};
+
+/** Reads one page of items. */
 struct ReadItems {
+  ItemScope scope = ItemScope::kEverything;
   /** The page begins behind this key; empty for the first. */
   std::string after_key;
 };
 
 /** Waits until an item changes. */
 struct WatchItems {
+  ItemScope scope = ItemScope::kEverything;
   /** Only changes behind this revision of the store. */
   uint64_t after_revision = 0;
   Millis wait;
