Move groups of endpoints with their jobs; let peers tell what the store does not

A job's tasks could lie on endpoints of several new owners, and a second scheduler said 'refused' of what a first one had started. Ruled out: repeats by callers (all overlaps had two daemons as starters). Change: endpoints of a zone form groups; a group changes hands whole, with the jobs that run in it and what is known of them. A job that may have started ends as abandoned, never as refused. Peers pass views and routes on, and daemons that lost their item are kept as guests.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <cereal/types/common.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
 #include <utility>
 
@@ -182,8 +183,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
-  archive(message.job, message.may_have_started, message.redirects,
-          message.view_revision);
+  archive(message.job, message.zone, message.may_have_started,
+          message.redirects, message.view_revision);
 }
 
 template <class Archive>
@@ -198,10 +199,46 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobRedirect& message) {
-  archive(message.job, message.to, message.may_have_started,
+  archive(message.job, message.to, message.zone, message.may_have_started,
           message.view_revision);
 }
 
+template <class Archive>
+void serialize(Archive& archive, JobProgress& message) {
+  archive(message.job, message.done);
+}
+
+template <class Archive>
+void serialize(Archive& archive, DaemonMember& member) {
+  archive(member.id, member.zone, member.ip, member.peer_tcp_port,
+          member.peer_udp_port, member.weight, member.leaving);
+}
+
+template <class Archive>
+void serialize(Archive& archive, FleetMember& member) {
+  archive(member.address, member.incarnation, member.created_revision,
+          member.revision);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ViewNotice& message) {
+  archive(message.revision, message.members);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobRoute& route) {
+  archive(route.name, route.host, route.prefix, route.service, route.priority,
+          route.max_attempts, route.stretch, route.target_latency,
+          route.timeout);
+  if (!(route.stretch >= 0 && route.stretch <= kMostStretch))
+    throw cereal::Exception("not a stretch");
+}
+
+template <class Archive>
+void serialize(Archive& archive, RoutesNotice& message) {
+  archive(message.routes.version, message.routes.routes);
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -30,6 +30,23 @@
  */
 constexpr Millis kTellJobAfter{700};
 
+/** Time that a peer may lag behind before it is told. The store tells it within
+ * 400 ms when it can.
+ */
+constexpr Millis kTellAfter{600};
+
+/** Daemons up to which everyone sends heartbeats to everyone. Beyond it, the
+ * square of their number counts, and only schedulers do.
+ */
+constexpr size_t kSmallFleet = 12;
+
+/** Silence after which a daemon that has lost its item is forgotten. */
+constexpr Millis kForgetGuestAfter{5'000};
+
+bool IsSmallFleet(const FleetNode& node) {
+  return node.view.members.size() <= kSmallFleet;
+}
+
 Heartbeat MakeHeartbeat(FleetNode& node, Millis now) {
   Heartbeat heartbeat;
   heartbeat.from = node.self;
@@ -57,11 +74,13 @@
     return;
   node.next_heartbeat = now + kHeartbeatPeriod;
   const Heartbeat heartbeat = MakeHeartbeat(node, now);
-  const bool is_scheduler = IsScheduler(node);
+    const bool to_all = IsScheduler(node) || IsSmallFleet(node);
   for (const auto& [id, member] : node.view.members) {
-    if (id == node.self.id)
-      continue;
-    if (is_scheduler || member.address.zone == node.zone)
+    if (id != node.self.id && (to_all || member.address.zone == node.zone))
+      actions.push_back(SendHeartbeat{id, heartbeat});
+  }
+  for (const auto& [id, member] : node.guests) {
+    if (id != node.self.id)
       actions.push_back(SendHeartbeat{id, heartbeat});
   }
 }
@@ -85,6 +104,20 @@
   }
 }
 
+/** Forgets daemons that have lost their item and are silent. */
+void ForgetGuests(FleetNode& node, Millis now, Actions& actions) {
+  bool forgot = false;
+  for (auto guest = node.guests.begin(); guest != node.guests.end();) {
+    const auto sight = node.peers.find(guest->first);
+    const bool is_heard = sight != node.peers.end() &&
+                          now - sight->second.heard < kForgetGuestAfter;
+    forgot |= !is_heard;
+    guest = is_heard ? std::next(guest) : node.guests.erase(guest);
+  }
+  if (forgot)
+    TellNetwork(node, actions);
+}
+
 /** Stops the jobs of receivers that are gone: nobody waits for them here. */
 void DropOrphans(FleetNode& node, Millis now, Actions& actions) {
   std::vector<SubmissionId> orphans;
@@ -93,8 +126,9 @@
       continue;
     const auto sight = node.peers.find(job.receiver.id);
     const bool is_gone = !HasSession(node.sessions, job.receiver);
-    const bool is_silent = sight != node.peers.end() &&
-                           sight->second.last.zone == node.zone &&
+        const bool is_silent = sight != node.peers.end() &&
+                           (sight->second.last.zone == node.zone ||
+                            IsSmallFleet(node)) &&
                            now - sight->second.heard >= kSilentAfter;
     if (is_gone || is_silent)
       orphans.push_back(id);
@@ -120,6 +154,34 @@
   actions.push_back(ExitProcess{is_idle});
 }
 
+/** Tells a peer what it still does not know after a while: the store may turn
+ * it away.
+ */
+void TellNews(FleetNode& node, PeerSight& sight, Millis now, Actions& actions) {
+  const bool lacks_view = sight.last.store_revision < node.view.revision;
+  const bool lacks_routes = sight.last.revision < node.routes.version;
+  if (!lacks_view && !lacks_routes) {
+    sight.behind_since = Millis();
+    return;
+  }
+  if (sight.behind_since == Millis())
+    sight.behind_since = now;
+  if (now - sight.behind_since < kTellAfter)
+    return;
+  sight.behind_since = now;
+  if (lacks_view) {
+    ViewNotice notice;
+    notice.revision = node.view.revision;
+    for (const auto& [id, member] : node.view.members)
+      notice.members.push_back(member);
+    Send(node.sessions, sight.last.from, std::move(notice), SessionLimits(),
+         now, actions);
+  }
+  if (lacks_routes)
+    Send(node.sessions, sight.last.from, RoutesNotice{node.routes},
+         SessionLimits(), now, actions);
+}
+
 void TakePeerMessage(FleetNode& node,
                      const DaemonRef& from,
                      const PeerMessage& message,
@@ -134,6 +196,12 @@
     if (pending != node.reception.pending.end() &&
         pending->second.scheduler == from)
       AnswerCallers(node, now, report->job, report->outcome, actions);
+  } else if (const auto* view = std::get_if<ViewNotice>(&message)) {
+    ApplyViewNotice(node, *view, now, actions);
+  } else if (const auto* routes = std::get_if<RoutesNotice>(&message)) {
+    ApplyRoutesNotice(node, *routes, actions);
+  } else if (const auto* progress = std::get_if<JobProgress>(&message)) {
+    TakeProgress(node.scheduler, *progress, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
     RedirectJob(node, now, from, *redirect, actions);
   }
@@ -213,7 +281,10 @@
     actions.push_back(
         LogEvent{"peer_heard_again", {{"daemon", heartbeat.from.id.value}}});
   }
-  sight = PeerSight{now, heartbeat, false};
+  sight.heard = now;
+  sight.last = heartbeat;
+  sight.is_evicted = false;
+  TellNews(node, sight, now, actions);
 }
 
 void OnTick(FleetNode& node, Millis now, Actions& actions) {
@@ -224,6 +295,7 @@
     return;
   node.next_review = now + kReviewPeriod;
   EvictSilentPeers(node, now, actions);
+    ForgetGuests(node, now, actions);
   DropOrphans(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -32,6 +32,8 @@
   Heartbeat last;
   /** True once its item was asked to be removed. */
   bool is_evicted = false;
+  /** Since when it is known to lag behind; zero while it does not. */
+  Millis behind_since;
 };
 
 /** A job that came before the view which makes this daemon its scheduler. */
@@ -51,7 +53,11 @@
   std::map<EndpointId, EndpointEntry> entries;
   StoreSession store;
   PeerSessions sessions;
-  std::map<DaemonId, PeerSight> peers;
+    std::map<DaemonId, PeerSight> peers;
+  /** Daemons that live but have lost their item: the store may turn them away.
+   * They get no endpoints, and their callers' jobs are served.
+   */
+  std::map<DaemonId, FleetMember> guests;
   Scheduler scheduler;
   Reception reception;
   std::vector<EarlyJob> early_jobs;
--- a/modules/core/fleet/fleet_view.h
+++ b/modules/core/fleet/fleet_view.h
@@ -3,10 +3,11 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
+#include <set>
 #include <vector>
 
 #include "base/ids.h"
+#include "model/endpoint_group.h"
 #include "model/fleet_member.h"
 
 namespace dogwoodfall {
@@ -22,35 +23,54 @@
   std::map<DaemonId, FleetMember> members;
 };
 
-/** Daemons of a zone for which one of them schedules. A scheduler that knows
- * all endpoints of a zone packs best; a quarter of a zone's daemons carry its
- * starts on the smallest instances in use.
+/** Daemons of a zone for which its endpoints form one group. A scheduler that
+ * knows all endpoints of a zone packs best; a quarter of a zone's daemons carry
+ * its starts on the smallest instances in use.
  */
-inline constexpr size_t kMembersPerScheduler = 4;
+inline constexpr size_t kMembersPerGroup = 4;
 
-/** Takes over a member. @return false when it is older than what is known */
+/** Takes over a change of a member.
+ * @return false when the view knows of it, or of a later one, already
+ */
 bool ApplyMember(FleetView& view, const FleetMember& member);
 
-/** Removes a member. @return false when it is not known or came later */
+/** Removes a member.
+ * @return false when the view knows of it, or of a later change, already
+ */
 bool RemoveMemberAt(FleetView& view, const DaemonId& id, uint64_t revision);
 
-/** The daemons that give orders to a zone's endpoints: of those that are not
- * leaving the large ones first, then the oldest. Empty when the zone has none.
+/** Takes over all members as they stood at a revision.
+ * @return false when the view is as new
  */
-std::vector<const FleetMember*> SchedulersOfZone(const FleetView& view,
-                                                 const ZoneId& zone);
+bool ReplaceMembers(FleetView& view,
+                    const std::vector<FleetMember>& members,
+                    uint64_t revision);
 
-/** The daemon that gives orders to an endpoint: one of its zone, or of any
- * zone when its own has none. Null when there is no daemon at all.
+/** Number of groups that a zone's endpoints form. Daemons that are leaving
+ * count, so that a planned stop does not form the groups anew.
  */
-const FleetMember* OwnerOfEndpoint(const FleetView& view,
-                                   const ZoneId& zone,
-                                   const EndpointId& endpoint);
-
-/** The scheduler for a job that came in at a zone. Null when there is none. */
-const FleetMember* SchedulerForJob(const FleetView& view,
-                                   const ZoneId& zone,
-                                   const SubmissionId& job);
+uint32_t GroupCount(const FleetView& view, const ZoneId& zone);
+
+/** The group of an endpoint. */
+EndpointGroup GroupOfEndpoint(const FleetView& view,
+                              const ZoneId& zone,
+                              const EndpointId& endpoint);
+
+/** The group that a job of a zone runs in. */
+EndpointGroup GroupOfJob(const FleetView& view,
+                         const ZoneId& zone,
+                         const SubmissionId& job);
+
+/** The daemon that gives orders to a group: of its zone's daemons that are not
+ * leaving a large one that is old, or one of another zone when there is none.
+ * No daemon has two groups while another one that is as large has none. Null
+ * when there is no daemon at all.
+ */
+const FleetMember* OwnerOfGroup(const FleetView& view,
+                                const EndpointGroup& group);
+
+/** Zones in which there are daemons. */
+std::set<ZoneId> ZonesOf(const FleetView& view);
 
 }  // namespace dogwoodfall
 
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -71,6 +71,9 @@
     LogMember(node, "member_listed", member->member.address.id, actions);
     return true;
   } else if (const auto* left = std::get_if<MemberGone>(&change)) {
+        const auto known = node.view.members.find(left->id);
+    if (known != node.view.members.end())
+      node.guests[left->id] = known->second;
     if (!RemoveMemberAt(node.view, left->id, left->revision))
       return false;
     LogMember(node, "member_gone", left->id, actions);
@@ -102,42 +105,49 @@
   }
 }
 
-/** Removes daemons that a reading of their items does not show any more.
- * @return true when there were some
+/** Takes over a reading of all daemons' items.
+ * @return true when the view has changed
  */
-bool DropMissingMembers(FleetNode& node,
-                        const StoreNews& news,
-                        Actions& actions) {
-  std::set<DaemonId> listed;
+bool ApplyMembers(FleetNode& node,
+                  const std::vector<FleetMember>& members,
+                  uint64_t revision,
+                  const char* source,
+                  Actions& actions) {
+    const std::map<DaemonId, FleetMember> before = node.view.members;
+  if (!ReplaceMembers(node.view, members, revision))
+    return false;
+  for (const auto& [id, member] : before) {
+    if (node.view.members.count(id) == 0)
+      node.guests[id] = member;
+  }
+  actions.push_back(
+      LogEvent{"members_read",
+               {{"source", source},
+                {"view", std::to_string(node.view.revision)},
+                {"members", std::to_string(node.view.members.size())}}});
+  return true;
+}
+
+std::vector<FleetMember> MembersIn(const StoreNews& news) {
+  std::vector<FleetMember> members;
   for (const StoreChange& change : news.changes) {
     if (const auto* member = std::get_if<MemberChanged>(&change))
-      listed.insert(member->member.address.id);
+      members.push_back(member->member);
   }
-  std::vector<DaemonId> left;
-  for (const auto& [id, member] : node.view.members) {
-    if (listed.count(id) == 0)
-      left.push_back(id);
-  }
-  for (const DaemonId& id : left) {
-    RemoveMemberAt(node.view, id, news.revision);
-    LogMember(node, "member_gone", id, actions);
-  }
-  return !left.empty();
+  return members;
 }
 
 /** Starts sessions with daemons that are new or live anew. */
 void MeetMembers(FleetNode& node, Millis now, Actions& actions) {
-  UpdatePeers peers;
   for (const auto& [id, member] : node.view.members) {
-    if (id == node.self.id)
-      continue;
-    peers.members.push_back(member.address);
-    if (HasSession(node.sessions, RefOf(member)))
+    node.guests.erase(id);
+    if (id == node.self.id || HasSession(node.sessions, RefOf(member)))
       continue;
     StartSession(node.sessions, RefOf(member));
-    node.peers[id] = PeerSight{now, {}, false};
+    node.peers[id] = PeerSight();
+    node.peers[id].heard = now;
   }
-  actions.push_back(std::move(peers));
+  TellNetwork(node, actions);
 }
 
 /** Has the own item written again when it is gone from the store. */
@@ -152,48 +162,62 @@
   RegisterAgain(node.store, now);
 }
 
-/** Gives away all jobs after this daemon stopped being a scheduler. */
+/** Gives a job with what is known of it to the new owner of its endpoints. */
+void GiveJobAway(FleetNode& node,
+                 const SubmissionId& id,
+                 const FleetMember& next,
+                 Millis now,
+                 Actions& actions) {
+  const ScheduledJob job = std::move(node.scheduler.jobs.at(id));
+  node.scheduler.queue.erase(job.order_key);
+  node.scheduler.jobs.erase(id);
+  actions.push_back(
+      LogEvent{"job_given_away",
+               {{"job", id.value},
+                {"to", next.address.id.value},
+                {"started", job.has_started ? "true" : "false"},
+                {"age_ms", std::to_string((now - job.received).count)}}});
+  if (job.has_started)
+    Send(node.sessions, RefOf(next), ProgressOf(job), SessionLimits(), now,
+         actions);
+  node.scheduler.finished.push_back({job.receiver,
+                                     id,
+                                     {},
+                                     next.address.id,
+                                     job.group.zone,
+                                     job.has_started || job.may_have_started});
+}
+
+/** Gives away the jobs whose endpoints have another owner now. */
 void GiveJobsAway(FleetNode& node, Millis now, Actions& actions) {
   std::vector<SubmissionId> ids;
-  for (const auto& [id, job] : node.scheduler.jobs)
-    ids.push_back(id);
+  for (const auto& [id, job] : node.scheduler.jobs) {
+    if (!IsOwn(node, job.group))
+      ids.push_back(id);
+  }
   for (const SubmissionId& id : ids) {
-    const ScheduledJob job = std::move(node.scheduler.jobs.at(id));
-    node.scheduler.queue.erase(job.order_key);
-    node.scheduler.jobs.erase(id);
-    const FleetMember* next = SchedulerForJob(node.view, node.zone, id);
-    if (next == nullptr)
-      continue;
-    actions.push_back(
-        LogEvent{"job_given_away",
-                 {{"job", id.value},
-                  {"to", next->address.id.value},
-                  {"started", job.has_started ? "true" : "false"},
-                  {"age_ms", std::to_string((now - job.received).count)}}});
-    node.scheduler.finished.push_back(
-        {job.receiver, id, {}, next->address.id, job.has_started});
+    const FleetMember* next =
+        OwnerOfGroup(node.view, node.scheduler.jobs.at(id).group);
+    if (next != nullptr)
+      GiveJobAway(node, id, *next, now, actions);
   }
 }
 
 /** Takes over and gives away endpoints as the view says. */
 void ReviewOwnership(FleetNode& node, Millis now, Actions& actions) {
-  const bool was_scheduler = !node.scheduler.endpoints.empty();
+  GiveJobsAway(node, now, actions);
   std::vector<EndpointId> given;
   for (const auto& [id, endpoint] : node.scheduler.endpoints) {
-    const FleetMember* owner =
-        OwnerOfEndpoint(node.view, endpoint.entry.zone, id);
-    if (owner != nullptr && RefOf(*owner) != node.self)
+    if (!IsOwn(node, endpoint.group))
       given.push_back(id);
   }
-  if (was_scheduler && !given.empty() &&
-      given.size() == node.scheduler.endpoints.size())
-    GiveJobsAway(node, now, actions);
   for (const EndpointId& id : given)
     ReleaseEndpoint(node.scheduler, id, now);
   for (const auto& [id, entry] : node.entries) {
-    const FleetMember* owner = OwnerOfEndpoint(node.view, entry.zone, id);
-    if (owner != nullptr && RefOf(*owner) == node.self)
-      TakeEndpoint(node.scheduler, entry, node.view.revision, now, actions);
+    const EndpointGroup group = GroupOfEndpoint(node.view, entry.zone, id);
+    if (IsOwn(node, group))
+      TakeEndpoint(node.scheduler, entry, group, node.view.revision, now,
+                   actions);
   }
 }
 
@@ -208,36 +232,78 @@
   }
 }
 
+/** Draws all conclusions from what has changed. */
+void FollowChanges(FleetNode& node,
+                   bool view_changed,
+                   Millis now,
+                   Actions& actions) {
+  if (view_changed) {
+    MeetMembers(node, now, actions);
+    KeepOwnItem(node, now, actions);
+  }
+  ReviewOwnership(node, now, actions);
+  TakeEarlyJobs(node, now, actions);
+  AssignJobs(node, now, actions);
+  PlaceTasks(node.scheduler, now, actions);
+  ReportFinished(node, now, actions);
+}
+
 }  // namespace
 
+bool IsOwn(const FleetNode& node, const EndpointGroup& group) {
+  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  return owner != nullptr && RefOf(*owner) == node.self;
+}
+
 bool IsScheduler(const FleetNode& node) {
   return !node.scheduler.endpoints.empty();
 }
 
+void TellNetwork(const FleetNode& node, Actions& actions) {
+  UpdatePeers peers;
+  for (const auto& [id, member] : node.view.members) {
+    if (id != node.self.id)
+      peers.members.push_back(member.address);
+  }
+  for (const auto& [id, member] : node.guests) {
+    if (id != node.self.id)
+      peers.members.push_back(member.address);
+  }
+  actions.push_back(std::move(peers));
+}
+
 void ApplyStoreNews(FleetNode& node,
                     const StoreNews& news,
                     Millis now,
                     Actions& actions) {
   bool view_changed = false;
-  if (news.is_snapshot && news.scope == ItemScope::kDaemons)
-    view_changed = DropMissingMembers(node, news, actions);
-  else if (news.is_snapshot)
-    DropMissingEndpoints(node, news, now, actions);
-  for (const StoreChange& change : news.changes) {
-    if (IsAboutDaemon(change) == (news.scope == ItemScope::kDaemons))
-      view_changed |= ApplyChange(node, change, now, actions);
+  if (news.is_snapshot && news.scope == ItemScope::kDaemons) {
+    view_changed =
+        ApplyMembers(node, MembersIn(news), news.revision, "store", actions);
+  } else {
+    if (news.is_snapshot)
+      DropMissingEndpoints(node, news, now, actions);
+    for (const StoreChange& change : news.changes) {
+      if (IsAboutDaemon(change) == (news.scope == ItemScope::kDaemons))
+        view_changed |= ApplyChange(node, change, now, actions);
+    }
   }
-  if (view_changed) {
-    MeetMembers(node, now, actions);
-    KeepOwnItem(node, now, actions);
-  }
-  if (news.changes.empty() && !view_changed)
-    return;
-  ReviewOwnership(node, now, actions);
-  TakeEarlyJobs(node, now, actions);
-  AssignJobs(node, now, actions);
-  PlaceTasks(node.scheduler, now, actions);
-  ReportFinished(node, now, actions);
+  if (view_changed || !news.changes.empty())
+    FollowChanges(node, view_changed, now, actions);
+}
+
+void ApplyViewNotice(FleetNode& node,
+                     const ViewNotice& notice,
+                     Millis now,
+                     Actions& actions) {
+  if (ApplyMembers(node, notice.members, notice.revision, "peer", actions))
+    FollowChanges(node, true, now, actions);
+}
+
+void ApplyRoutesNotice(FleetNode& node,
+                       const RoutesNotice& notice,
+                       Actions& actions) {
+  ApplyRoutes(node, notice.routes, actions);
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/ownership_flow.h
+++ b/modules/core/fleet/ownership_flow.h
@@ -11,6 +11,23 @@
                     Millis now,
                     Actions& actions);
 
+/** Tells the network whom to take messages from. */
+void TellNetwork(const FleetNode& node, Actions& actions);
+
+/** Takes over a peer's newer view of the daemons. */
+void ApplyViewNotice(FleetNode& node,
+                     const ViewNotice& notice,
+                     Millis now,
+                     Actions& actions);
+
+/** Takes over a peer's newer routes. */
+void ApplyRoutesNotice(FleetNode& node,
+                       const RoutesNotice& notice,
+                       Actions& actions);
+
+/** True when this daemon gives orders to a group's endpoints. */
+bool IsOwn(const FleetNode& node, const EndpointGroup& group);
+
 /** True when this daemon schedules by its present view. */
 bool IsScheduler(const FleetNode& node);
 
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "model/daemon_ref.h"
+#include "model/endpoint_group.h"
 #include "model/transient_job.h"
 
 namespace dogwoodfall {
@@ -24,10 +25,12 @@
   Millis gives_up_at;
   /** Who schedules it; none while nobody has it. */
   DaemonRef scheduler;
+  /** Endpoints that run it; without a zone before it was first given away. */
+  EndpointGroup group;
   bool may_have_started = false;
   uint32_t redirects = 0;
-  /** Nothing is done with it before. */
-  Millis not_before;
+  /** It waits for this revision of the view. */
+  uint64_t view_needed = 0;
 };
 
 /** Answers given, by JobEnd, and how long callers waited for them. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -13,18 +13,6 @@
 constexpr uint32_t kMostRedirects = 3;
 /** Retry-After of a job that nobody could take. */
 constexpr Millis kNobodyRetryAfter{1'000};
-/** A scheduler that was not heard for this long has lost the leases of what it
- * started: its peers count it as silent, or its runs have ended.
- */
-constexpr Millis kAbandonAfter{1'100};
-
-const FleetMember* MemberOf(const FleetNode& node, const DaemonRef& daemon) {
-  const auto found = node.view.members.find(daemon.id);
-  if (found == node.view.members.end() || RefOf(found->second) != daemon)
-    return nullptr;
-  return &found->second;
-}
-
 void CountAnswer(ReceptionCounters& counters, JobEnd end, Millis waited) {
   const auto row = static_cast<size_t>(end);
   size_t bucket = 0;
@@ -36,20 +24,28 @@
   counters.latency_sum_ms[row] += static_cast<double>(waited.count);
 }
 
-/** Gives a pending job to a scheduler. @return false when it can't be sent */
-bool GiveTo(FleetNode& node,
-            PendingJob& pending,
-            const FleetMember& scheduler,
-            Millis now,
-            Actions& actions) {
+/** Gives a pending job to the scheduler of a zone's endpoints.
+ * @return false when there is none, or it can't be sent
+ */
+bool GiveToZone(FleetNode& node,
+                PendingJob& pending,
+                const ZoneId& zone,
+                Millis now,
+                Actions& actions) {
+  const EndpointGroup group = GroupOfJob(node.view, zone, pending.job.id);
+  const FleetMember* scheduler = OwnerOfGroup(node.view, group);
+  if (scheduler == nullptr)
+    return false;
+  pending.group = group;
   JobSubmission submission;
   submission.job = pending.job;
+  submission.zone = zone;
   submission.job.age = now - pending.received;
   submission.job.time_left = pending.gives_up_at - now;
   submission.may_have_started = pending.may_have_started;
   submission.redirects = pending.redirects;
   submission.view_revision = node.view.revision;
-  const DaemonRef to = RefOf(scheduler);
+  const DaemonRef to = RefOf(*scheduler);
   if (to == node.self) {
     pending.scheduler = to;
     ScheduleHere(node, now, node.self, submission, actions);
@@ -61,15 +57,10 @@
   return true;
 }
 
-/** True when a job's scheduler can no longer end it. */
+/** True when another daemon owns the endpoints that run a job. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
-  const FleetMember* member = MemberOf(node, pending.scheduler);
-  if (member == nullptr)
-    return true;
-  const auto schedulers = SchedulersOfZone(node.view, member->address.zone);
-  return std::find(schedulers.begin(), schedulers.end(), member) ==
-             schedulers.end() &&
-         !member->address.leaving;
+  const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
+  return owner == nullptr || RefOf(*owner) != pending.scheduler;
 }
 
 }  // namespace
@@ -95,9 +86,7 @@
   pending.gives_up_at = now + job.time_left;
   node.reception.pending.emplace(job.id, std::move(pending));
   PendingJob& added = node.reception.pending.at(job.id);
-  const FleetMember* scheduler = SchedulerForJob(node.view, node.zone, job.id);
-  if (scheduler != nullptr)
-    GiveTo(node, added, *scheduler, now, actions);
+  GiveToZone(node, added, node.zone, now, actions);
   ReportFinished(node, now, actions);
 }
 
@@ -178,9 +167,10 @@
         actions);
     return;
   }
-  const auto target = node.view.members.find(redirect.to);
-  if (target != node.view.members.end())
-    GiveTo(node, pending, target->second, now, actions);
+  pending.group = {redirect.zone, 0};
+  pending.view_needed = redirect.view_revision;
+  if (node.view.revision >= redirect.view_revision)
+    GiveToZone(node, pending, redirect.zone, now, actions);
 }
 
 void AssignJobs(FleetNode& node, Millis now, Actions& actions) {
@@ -190,6 +180,8 @@
       expired.push_back(id);
       continue;
     }
+    if (pending.view_needed > node.view.revision)
+      continue;
     const bool has_scheduler = pending.scheduler != DaemonRef();
     if (has_scheduler && !HasLostScheduler(node, pending))
       continue;
@@ -200,9 +192,9 @@
       pending.scheduler = DaemonRef();
       pending.may_have_started = true;
     }
-    const FleetMember* scheduler = SchedulerForJob(node.view, node.zone, id);
-    if (scheduler != nullptr)
-      GiveTo(node, pending, *scheduler, now, actions);
+    const bool has_zone = !pending.group.zone.value.empty();
+    GiveToZone(node, pending, has_zone ? pending.group.zone : node.zone, now,
+               actions);
   }
   for (const SubmissionId& id : expired) {
     const PendingJob& pending = node.reception.pending.at(id);
@@ -224,8 +216,20 @@
     node.early_jobs.push_back({receiver, submission, now});
     return;
   }
-  TakeJob(node.scheduler, receiver, submission.job, submission.may_have_started,
-          submission.redirects, now, actions);
+  const EndpointGroup group =
+      GroupOfJob(node.view, submission.zone, submission.job.id);
+  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  if (owner != nullptr && RefOf(*owner) != node.self) {
+    // The sender does not know the present owner yet.
+    node.scheduler.finished.push_back({receiver,
+                                       submission.job.id,
+                                       {},
+                                       owner->address.id,
+                                       submission.zone,
+                                       submission.may_have_started});
+    return;
+  }
+  TakeJob(node.scheduler, receiver, group, submission, now, actions);
 }
 
 void ReportFinished(FleetNode& node, Millis now, Actions& actions) {
@@ -234,8 +238,8 @@
         std::exchange(node.scheduler.finished, {});
     for (const FinishedJob& job : finished) {
       const bool is_redirect = !job.redirect_to.value.empty();
-      const JobRedirect redirect{job.job, job.redirect_to, job.may_have_started,
-                                 node.view.revision};
+      const JobRedirect redirect{job.job, job.redirect_to, job.zone,
+                                 job.may_have_started, node.view.revision};
       if (job.receiver != node.self) {
         PeerMessage message = JobReport{job.job, job.outcome};
         if (is_redirect)
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -24,7 +24,8 @@
       job.job.steps.begin(), job.job.steps.end(), [&](const JobStep& step) {
         return std::any_of(scheduler.endpoints.begin(),
                            scheduler.endpoints.end(), [&](const auto& entry) {
-                             return CanEverRun(entry.second.entry, job.job,
+                             return entry.second.group == job.group &&
+                                    CanEverRun(entry.second.entry, job.job,
                                                step);
                            });
       });
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -407,17 +407,21 @@
 
 void TakeEndpoint(Scheduler& scheduler,
                   const EndpointEntry& entry,
+                  const EndpointGroup& group,
                   uint64_t fencing_token,
                   Millis now,
                   Actions& actions) {
   const auto known = scheduler.endpoints.find(entry.id);
-  if (known != scheduler.endpoints.end() &&
-      known->second.standing != EndpointStanding::kLost) {
+  const bool is_new_token = known != scheduler.endpoints.end() &&
+                            known->second.standing == EndpointStanding::kLost &&
+                            known->second.fencing_token < fencing_token;
+  if (known != scheduler.endpoints.end() && !is_new_token) {
     UpdateEndpoint(scheduler, entry, now, actions);
     return;
   }
   ManagedEndpoint& endpoint = scheduler.endpoints[entry.id];
   endpoint.entry = entry;
+  endpoint.group = group;
   endpoint.is_listed = true;
   endpoint.fencing_token = fencing_token;
   endpoint.renewal = OrderId();
@@ -474,11 +478,14 @@
   }
 }
 
-bool IsLooking(const Scheduler& scheduler, Millis now) {
+bool IsLooking(const Scheduler& scheduler,
+               const EndpointGroup& group,
+               Millis now) {
   return std::any_of(scheduler.endpoints.begin(), scheduler.endpoints.end(),
-                     [now](const auto& entry) {
+                     [&group, now](const auto& entry) {
                        const ManagedEndpoint& endpoint = entry.second;
-                       return endpoint.standing == EndpointStanding::kLooking &&
+                       return endpoint.group == group &&
+                              endpoint.standing == EndpointStanding::kLooking &&
                               now - endpoint.standing_since < kLongestLease;
                      });
 }
--- a/modules/core/scheduling/endpoint_flow.h
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -20,6 +20,7 @@
  */
 void TakeEndpoint(Scheduler& scheduler,
                   const EndpointEntry& entry,
+                  const EndpointGroup& group,
                   uint64_t fencing_token,
                   Millis now,
                   Actions& actions);
@@ -42,7 +43,9 @@
 /** True while a look at an endpoint taken over is still to come and runs of
  * its former owner may be going on there.
  */
-bool IsLooking(const Scheduler& scheduler, Millis now);
+bool IsLooking(const Scheduler& scheduler,
+               const EndpointGroup& group,
+               Millis now);
 
 /** Starts a run of a task. */
 void OrderStart(Scheduler& scheduler,
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -11,6 +11,11 @@
 namespace dogwoodfall {
 namespace {
 
+/** Time that a job's progress is kept for the job; its receiver sends it within
+ * a few round trips.
+ */
+constexpr Millis kKeepEarlyProgress{2'000};
+
 void InsertIntoQueue(Scheduler& scheduler, ScheduledJob& job, Millis now) {
   scheduler.queue.erase(job.order_key);
   job.order_key = OrderKeyOf(job, now);
@@ -45,15 +50,15 @@
 }
 
 ScheduledJob MakeJob(const DaemonRef& receiver,
-                     const TransientJob& job,
-                     bool may_have_started,
-                     uint32_t redirects) {
+                     const EndpointGroup& group,
+                     const JobSubmission& submission) {
   ScheduledJob made;
-  made.job = job;
+  made.job = submission.job;
+  made.group = group;
   made.receiver = receiver;
-  made.may_have_started = may_have_started;
-  made.redirects = redirects;
-  for (const JobStep& step : job.steps) {
+  made.may_have_started = submission.may_have_started;
+  made.redirects = submission.redirects;
+  for (const JobStep& step : made.job.steps) {
     made.tasks.emplace_back(step.task_count);
     made.tasks_left += step.task_count;
   }
@@ -138,11 +143,11 @@
 
 void TakeJob(Scheduler& scheduler,
              const DaemonRef& receiver,
-             const TransientJob& job,
-             bool may_have_started,
-             uint32_t redirects,
+             const EndpointGroup& group,
+             const JobSubmission& submission,
              Millis now,
              Actions& actions) {
+  const TransientJob& job = submission.job;
   const auto known = scheduler.jobs.find(job.id);
   if (known != scheduler.jobs.end()) {
     known->second.receiver = receiver;
@@ -153,10 +158,17 @@
   }
   ++scheduler.counters.jobs;
   ScheduledJob& taken =
-      scheduler.jobs
-          .emplace(job.id, MakeJob(receiver, job, may_have_started, redirects))
+      scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
   SetJobTimes(taken, scheduler.run_times, now);
+  const auto early = scheduler.early_progress.find(job.id);
+  if (early != scheduler.early_progress.end()) {
+    const JobProgress progress = early->second.progress;
+    scheduler.early_progress.erase(early);
+    TakeProgress(scheduler, progress, now, actions);
+    if (scheduler.jobs.count(job.id) == 0)
+      return;
+  }
   ClaimRuns(scheduler, taken);
   actions.push_back(JobEvent("job_taken", taken, now));
   const std::optional<JobOutcome> refusal =
@@ -169,15 +181,44 @@
   PlaceTasks(scheduler, now, actions);
 }
 
+void TakeProgress(Scheduler& scheduler,
+                  const JobProgress& progress,
+                  Millis now,
+                  Actions& actions) {
+  if (scheduler.jobs.count(progress.job) == 0) {
+    scheduler.early_progress[progress.job] = {progress, now};
+    return;
+  }
+  for (const auto& [step, index] : progress.done)
+    NoteTaskDone(scheduler, {progress.job, step, index}, now, actions);
+}
+
+JobProgress ProgressOf(const ScheduledJob& job) {
+  JobProgress progress;
+  progress.job = job.job.id;
+  for (uint32_t step = 0; step < job.tasks.size(); ++step) {
+    for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
+      if (job.tasks[step][index].phase == TaskPhase::kDone)
+        progress.done.emplace_back(step, index);
+    }
+  }
+  return progress;
+}
+
 void EndJob(Scheduler& scheduler,
             const SubmissionId& id,
-            const JobOutcome& outcome,
+            const JobOutcome& wanted,
             Millis now,
             Actions& actions) {
   const auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end())
     return;
   const ScheduledJob job = std::move(found->second);
+  JobOutcome outcome = wanted;
+  // "Refused" says that nothing has run, here or at a former scheduler.
+  if (outcome.end == JobEnd::kRefused &&
+      (job.has_started || job.may_have_started))
+    outcome.end = JobEnd::kAbandoned;
   scheduler.queue.erase(job.order_key);
   scheduler.jobs.erase(found);
   StopRuns(scheduler, job, now, actions);
@@ -188,7 +229,7 @@
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
   event.fields.emplace_back("reason", outcome.reason);
   actions.push_back(std::move(event));
-  scheduler.finished.push_back({job.receiver, id, outcome, {}, false});
+  scheduler.finished.push_back({job.receiver, id, outcome, {}, {}, false});
 }
 
 void CancelJob(Scheduler& scheduler,
@@ -203,13 +244,12 @@
 }
 
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
-  const bool is_looking = IsLooking(scheduler, now);
   std::vector<SubmissionId> order;
   for (const JobOrderKey& key : scheduler.queue)
     order.push_back(key.second);
   for (const SubmissionId& id : order) {
     ScheduledJob& job = scheduler.jobs.at(id);
-    if (job.may_have_started && is_looking)
+    if (job.may_have_started && IsLooking(scheduler, job.group, now))
       continue;
     PlaceTasksOf(scheduler, job, now, actions);
     if (job.tasks_queued == 0)
@@ -230,6 +270,11 @@
     else
       InsertIntoQueue(scheduler, job, now);
   }
+  for (auto early = scheduler.early_progress.begin();
+       early != scheduler.early_progress.end();) {
+    const bool is_old = now - early->second.came > kKeepEarlyProgress;
+    early = is_old ? scheduler.early_progress.erase(early) : std::next(early);
+  }
   std::vector<SubmissionId> expired;
   for (const auto& [id, job] : scheduler.jobs) {
     if (job.gives_up_at <= now)
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -12,12 +12,20 @@
  */
 void TakeJob(Scheduler& scheduler,
              const DaemonRef& receiver,
-             const TransientJob& job,
-             bool may_have_started,
-             uint32_t redirects,
+             const EndpointGroup& group,
+             const JobSubmission& submission,
              Millis now,
              Actions& actions);
 
+/** Takes over what a former scheduler of a job knew of it. */
+void TakeProgress(Scheduler& scheduler,
+                  const JobProgress& progress,
+                  Millis now,
+                  Actions& actions);
+
+/** What is known of a job, for its next scheduler. */
+JobProgress ProgressOf(const ScheduledJob& job);
+
 /** Stops a job whose caller no longer waits; nobody is told. */
 void CancelJob(Scheduler& scheduler,
                const SubmissionId& id,
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -8,6 +8,7 @@
 
 #include "base/millis.h"
 #include "model/endpoint_entry.h"
+#include "model/endpoint_group.h"
 #include "model/transient_job.h"
 #include "ports/endpoint_order.h"
 
@@ -57,6 +58,7 @@
 /** An endpoint that this daemon gives orders to. */
 struct ManagedEndpoint {
   EndpointEntry entry;
+  EndpointGroup group;
   /** False once its item is gone from the store. */
   bool is_listed = true;
   uint64_t fencing_token = 0;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -40,7 +40,8 @@
                uint32_t step,
                Millis now) {
   const JobStep& spec = job.job.steps[step];
-  return endpoint.standing == EndpointStanding::kUsable && endpoint.is_listed &&
+  return endpoint.standing == EndpointStanding::kUsable &&
+         endpoint.group == job.group && endpoint.is_listed &&
          !endpoint.entry.draining && endpoint.avoid_until <= now &&
          endpoint.unanswered == 0 &&
          CanEverRun(endpoint.entry, job.job, spec) &&
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -8,6 +8,7 @@
 #include "base/millis.h"
 #include "core/scheduling/job_order_key.h"
 #include "model/daemon_ref.h"
+#include "model/endpoint_group.h"
 #include "model/transient_job.h"
 
 namespace dogwoodfall {
@@ -35,6 +36,8 @@
 /** A job that a scheduler has taken. */
 struct ScheduledJob {
   TransientJob job;
+  /** Where all of its tasks run. */
+  EndpointGroup group;
   /** Who is told of its end. */
   DaemonRef receiver;
   /** When the receiver got it, on this daemon's clock. */
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -24,6 +24,7 @@
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/scheduled_job.h"
 #include "core/scheduling/scheduling_counters.h"
+#include "model/peer_message.h"
 #include "ports/action.h"
 
 namespace dogwoodfall {
@@ -39,6 +40,12 @@
   enum class Kind : uint8_t { kStart, kStop, kRenew } kind = Kind::kRenew;
 };
 
+/** Progress of a job that came before the job. */
+struct EarlyProgress {
+  JobProgress progress;
+  Millis came;
+};
+
 /** A job that ended here, for its receiver. */
 struct FinishedJob {
   DaemonRef receiver;
@@ -46,6 +53,8 @@
   JobOutcome outcome;
   /** Set when the job did not end and this daemon should get it instead. */
   DaemonId redirect_to;
+  /** Zone whose endpoints are to run a redirected job. */
+  ZoneId zone;
   /** Whether some of a redirected job may run. */
   bool may_have_started = false;
 };
@@ -60,6 +69,8 @@
   uint64_t last_order = 0;
   /** Run times learned by route. */
   RunTimes run_times;
+  /** What former schedulers told of jobs that have not come yet. */
+  std::unordered_map<SubmissionId, EarlyProgress> early_progress;
   /** Jobs that ended since the caller of the scheduler last looked. */
   std::vector<FinishedJob> finished;
   SchedulingCounters counters;
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -10,6 +11,8 @@
 #include "base/millis.h"
 #include "model/answer.h"
 #include "model/daemon_ref.h"
+#include "model/fleet_member.h"
+#include "model/route_table.h"
 #include "model/submission.h"
 #include "model/task_assignment.h"
 #include "model/task_report.h"
@@ -119,6 +122,8 @@
 /** A job for the receiver's endpoints. */
 struct JobSubmission {
   TransientJob job;
+  /** Zone whose endpoints are to run it. */
+  ZoneId zone;
   /** True when another daemon may have started some of it. */
   bool may_have_started = false;
   /** Schedulers that have passed it on so far. */
@@ -144,10 +149,32 @@
 struct JobRedirect {
   SubmissionId job;
   DaemonId to;
+  /** Zone whose endpoints are to run it. */
+  ZoneId zone;
   bool may_have_started = false;
   uint64_t view_revision = 0;
 };
 
+/** Tasks of a job that have ended well, for its next scheduler. */
+struct JobProgress {
+  SubmissionId job;
+  /** Pairs of step and index. */
+  std::vector<std::pair<uint32_t, uint32_t>> done;
+};
+
+/** The daemons as the sender knows them from the store, for a peer that knows
+ * older ones.
+ */
+struct ViewNotice {
+  uint64_t revision = 0;
+  std::vector<FleetMember> members;
+};
+
+/** The routes in force at the sender, for a peer that knows older ones. */
+struct RoutesNotice {
+  RouteTable routes;
+};
+
 /** Everything that daemons send each other over TCP. */
 using PeerMessage = std::variant<SubmitForward,
                                  StatusForward,
@@ -164,7 +191,10 @@
                                  JobSubmission,
                                  JobCancellation,
                                  JobReport,
-                                 JobRedirect>;
+                                 JobRedirect,
+                                 JobProgress,
+                                 ViewNotice,
+                                 RoutesNotice>;
 
 }  // namespace dogwoodfall
 
--- a/modules/model/route_table.h
+++ b/modules/model/route_table.h
@@ -2,7 +2,7 @@
 #define DOGWOODFALL_MODULES_MODEL_ROUTE_TABLE_H_
 
 #include <cstdint>
-#include <set>
+
 #include <string>
 #include <vector>
 
@@ -30,7 +30,6 @@
   /** 0 while there is none. */
   uint64_t version = 0;
   std::vector<JobRoute> routes;
-  std::set<std::string> services;
 };
 
 /** The route of a request with the longest prefix, or null. */
