--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -1,15 +1,21 @@
 #include "core/scheduling/admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
+#include "core/scheduling/run_review.h"
 
 namespace dogwoodfall {
 namespace {
 
 /** An answer later than this times the objective is of no use to the caller. */
 constexpr int64_t kUsefulFactor = 3;
+/** Share of the expected run time that one job in ten stays below; what can't
+ * be served even so is refused.
+ */
+constexpr double kLuckyShare = 0.6;
 /** Shortest time after which a refused caller is asked to come back. */
 constexpr Millis kLeastRetryAfter{1'000};
 
@@ -51,7 +57,9 @@
   if (job.has_started)
     return std::nullopt;
   const Millis expected = ExpectedJobTime(scheduler.run_times, job.job);
-  if (now + expected <= LastUsefulEnd(job))
+  const Millis least{std::llround(kLuckyShare * FastestSlowness(scheduler) *
+                                  static_cast<double>(expected.count))};
+  if (now + least <= LastUsefulEnd(job))
     return std::nullopt;
   return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "too_late"};
 }
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -180,7 +180,8 @@
   LoseAllRuns(scheduler, endpoint, "new_life", now, actions);
   endpoint.born_ms = born_ms;
   endpoint.ends_seen = 0;
-  endpoint.slowness = 1;
+  endpoint.own_slowness = 1;
+  endpoint.slowness = KindSlowness(scheduler, endpoint.entry.kind);
   endpoint.failure_share = 0;
 }
 
@@ -252,6 +253,7 @@
     const auto known = endpoint.runs.find(key);
     if (known != endpoint.runs.end()) {
       known->second.percent = percent;
+      known->second.percent_at = now;
       continue;
     }
     Run found;
@@ -426,6 +428,8 @@
   endpoint.fencing_token = fencing_token;
   endpoint.renewal = OrderId();
   endpoint.unanswered = 0;
+  endpoint.slowness =
+      endpoint.own_slowness * KindSlowness(scheduler, entry.kind);
   endpoint.standing = EndpointStanding::kUsable;
   SetStanding(endpoint, EndpointStanding::kLooking, "taken_over", now, actions);
   EnsureRenewal(scheduler, endpoint, now, actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -7,6 +7,7 @@
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
+#include "core/scheduling/run_review.h"
 
 namespace dogwoodfall {
 namespace {
@@ -120,12 +121,14 @@
                   Millis now,
                   Actions& actions) {
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
+    const Millis expected =
+        ExpectedTaskTime(scheduler.run_times, job.job, job.job.steps[step]);
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
       TaskProgress& task = job.tasks[step][index];
       if (task.phase != TaskPhase::kQueued)
         continue;
       ManagedEndpoint* endpoint =
-          ChooseEndpoint(scheduler, job, step, task, now);
+          ChooseEndpoint(scheduler, job, step, task, expected, now);
       if (endpoint == nullptr)
         break;  // The other tasks of the step need the same room.
       task.phase = TaskPhase::kPlaced;
@@ -160,7 +163,7 @@
   ScheduledJob& taken =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
-  SetJobTimes(taken, scheduler.run_times, now);
+  SetJobTimes(taken, scheduler.run_times, FastestSlowness(scheduler), now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
     const JobProgress progress = early->second.progress;
--- a/modules/core/scheduling/job_order.cc
+++ b/modules/core/scheduling/job_order.cc
@@ -42,14 +42,19 @@
   return longest;
 }
 
-void SetJobTimes(ScheduledJob& job, const RunTimes& times, Millis now) {
+void SetJobTimes(ScheduledJob& job,
+                 const RunTimes& times,
+                 double fastest_slowness,
+                 Millis now) {
   const Millis expected = ExpectedJobTime(times, job.job);
   const auto objective =
       std::llround(job.job.stretch * static_cast<double>(expected.count)) +
       job.job.target_latency.count;
   job.received = now - job.job.age;
   job.objective_at = job.received + Millis{objective};
-  job.latest_start = job.objective_at - expected;
+  job.latest_start = job.objective_at -
+                     Millis{std::llround(fastest_slowness *
+                                         static_cast<double>(expected.count))};
   job.gives_up_at = now + job.job.time_left;
 }
 
--- a/modules/core/scheduling/job_order.h
+++ b/modules/core/scheduling/job_order.h
@@ -18,8 +18,15 @@
 /** The longest chain of steps, each at the run time to expect. */
 Millis ExpectedJobTime(const RunTimes& times, const TransientJob& job);
 
-/** Works out when a job has to start and end, from its age on arrival. */
-void SetJobTimes(ScheduledJob& job, const RunTimes& times, Millis now);
+/** Works out when a job has to start and end, from its age on arrival.
+ *
+ * @param fastest_slowness run time on the fastest kind of instance over the
+ *                         usual one
+ */
+void SetJobTimes(ScheduledJob& job,
+                 const RunTimes& times,
+                 double fastest_slowness,
+                 Millis now);
 
 /** Where a job stands in the queue: least slack first among those that can
  * still meet their objective, behind them those that can't.
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -35,6 +35,7 @@
   /** Run time to expect on an endpoint of usual speed. */
   Millis expected;
   int percent = 0;
+  Millis percent_at;
   /** Unanswered orders to stop it. */
   uint32_t stops_unanswered = 0;
   /** True when the task goes back to the queue once the run is gone. */
@@ -81,7 +82,9 @@
   Millis avoid_until;
   /** Pause after the next refusal for being unhealthy. */
   Millis avoid_pause;
-  /** Run times there over the usual ones, learned. */
+  /** Run times there over those of its kind of instance, learned. */
+  double own_slowness = 1;
+  /** Run times there over the declared ones: its kind's and its own. */
   double slowness = 1;
   /** Share of runs that failed, learned. */
   double failure_share = 0;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -1,6 +1,7 @@
 #include "core/scheduling/placement.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dogwoodfall {
 namespace {
@@ -63,11 +64,24 @@
   if (task.failures > 0 && task.endpoint == endpoint.entry.id)
     cost += kFailedHereWeight;
   if (!spec.preferred_rack.value.empty() &&
-      !HasLabel(endpoint.entry, spec.preferred_rack.value))
+      endpoint.entry.rack != spec.preferred_rack)
     cost += kRemoteRackWeight;
   return cost;
 }
 
+Millis TimeOn(const ManagedEndpoint& endpoint, Millis expected) {
+  return Millis{
+      std::llround(endpoint.slowness * static_cast<double>(expected.count))};
+}
+
+/** The time by which a task that starts now has to end to be of use: the
+ * objective while it can be met on a fast endpoint, then the caller's limit.
+ */
+Millis WantedEnd(const ScheduledJob& job, Millis now) {
+  return now <= job.latest_start ? std::min(job.objective_at, job.gives_up_at)
+                                 : job.gives_up_at;
+}
+
 }  // namespace
 
 bool CanEverRun(const EndpointEntry& endpoint,
@@ -83,11 +97,14 @@
                                 const ScheduledJob& job,
                                 uint32_t step,
                                 const TaskProgress& task,
+                                Millis expected,
                                 Millis now) {
   ManagedEndpoint* best = nullptr;
   double best_cost = 0;
+  const Millis end_by = WantedEnd(job, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
-    if (!MayRunNow(endpoint, job, step, now))
+    if (!MayRunNow(endpoint, job, step, now) ||
+        now + TimeOn(endpoint, expected) > end_by)
       continue;
     const double cost = CostOf(endpoint, job.job.steps[step], task);
     if (best == nullptr || cost < best_cost) {
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -13,16 +13,21 @@
                 const TransientJob& job,
                 const JobStep& step);
 
-/** Chooses the endpoint for a queued task, or null when none has room.
+/** Chooses the endpoint for a queued task, or null when it had better wait.
  *
  * Answers load near the room there is, on endpoints of unlike size, speed and
  * soundness: takes the one where the task ends soonest, and among alike ones
  * the one that it fills best, so that room for wide tasks stays in one piece.
+ * A task that would miss its objective on the slow endpoints that are free, but
+ * not on a fast one, waits for a fast one as long as that can still be met.
+ *
+ * @param expected run time to expect on an endpoint of slowness 1
  */
 ManagedEndpoint* ChooseEndpoint(Scheduler& scheduler,
                                 const ScheduledJob& job,
                                 uint32_t step,
                                 const TaskProgress& task,
+                                Millis expected,
                                 Millis now);
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/run_review.h
+++ b/modules/core/scheduling/run_review.h
@@ -1,10 +1,18 @@
 #ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_RUN_REVIEW_H_
 #define DOGWOODFALL_MODULES_CORE_SCHEDULING_RUN_REVIEW_H_
 
+#include <string>
+
 #include "core/scheduling/scheduler.h"
 
 namespace dogwoodfall {
 
+/** Run times on a kind of instance over the declared ones; 1 until learned. */
+double KindSlowness(const Scheduler& scheduler, const std::string& kind);
+
+/** Slowness of the fastest kind of instance that is known. */
+double FastestSlowness(const Scheduler& scheduler);
+
 /** Learns the run time of a route and the speed of an endpoint. */
 void LearnFromRun(Scheduler& scheduler,
                   ManagedEndpoint& endpoint,
--- a/modules/model/endpoint_entry.h
+++ b/modules/model/endpoint_entry.h
@@ -18,7 +18,10 @@
   std::string ip;
   uint16_t port = 0;
   ZoneId zone;
-  /** Kind of the instance and its rack. */
+  /** Kind of its instance; instances of a kind are about as fast. */
+  std::string kind;
+  RackId rack;
+  /** All labels that a step may require. */
   std::vector<std::string> labels;
   TaskRoom capacity;
   /** True when it takes no new work. */
