Learn speeds from tasks of one job; place by the risk of missing the caller's limit

Runs of large jobs were taken for lagging, doubled the slowness of their endpoints up to 17 and shut them out. Ruled out: late starts (all had started within 5 ms). Change: tasks of a job tell the speeds apart; laggards are judged against their job; fast endpoints are left to tasks that need them when room is short; jobs that can't be in time end at once; only lists asked for after a confirmed stop say that a run is gone; planned stops close connections and refuse late jobs.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -198,8 +198,13 @@
 
 void FleetDaemon::OnStopEvent(int, short, void* argument) {
   auto* self = static_cast<FleetDaemon*>(argument);
-  self->Feed([self](Millis now, Actions& actions) {
-    OnStop(self->node, now, actions);
+  self->BeginStop();
+}
+
+void FleetDaemon::BeginStop() {
+  this->caller_server->CloseAfterAnswers();
+  this->Feed([this](Millis now, Actions& actions) {
+    OnStop(this->node, now, actions);
   });
 }
 
@@ -223,9 +228,7 @@
                  DumpFleetState(this->node, this->clock.Now()));
   } else if (request.path == "/drain" && request.method == "POST") {
     server.Reply(token, kStatusOk, R"({"draining":true})");
-    this->Feed([this](Millis now, Actions& actions) {
-      OnStop(this->node, now, actions);
-    });
+    this->BeginStop();
   } else {
     server.Reply(token, kStatusNotFound,
                  FormatRefusal(ResultCode::kUnknownPath, request.path));
--- a/apps/daemon/fleet_daemon.h
+++ b/apps/daemon/fleet_daemon.h
@@ -55,6 +55,7 @@
                                              const HttpServerLimits& limits,
                                              HttpServer::Handler handler);
   Result<bool> OpenPeers();
+  void BeginStop();
   void AddSignal(int signal, void (*callback)(int, short, void*));
   void HandleOperator(HttpServer& server,
                       HttpToken token,
--- a/modules/adapters/http/http_server.cc
+++ b/modules/adapters/http/http_server.cc
@@ -108,6 +108,8 @@
   this->tokens.erase(request);
   this->open.erase(found);
   AddHeader(request, "Content-Type", content_type);
+  if (this->closes_after_answers)
+    evhtp_request_set_keepalive(request, 0);
   for (const auto& [name, value] : headers)
     AddHeader(request, name.c_str(), value.c_str());
   evbuffer_add(request->buffer_out, body.data(), body.size());
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -88,6 +88,11 @@
                const char* content_type,
                const HttpHeaders& headers = {});
 
+  /** From now on a connection is closed once its request is answered, so that
+   * callers move to another daemon.
+   */
+  void CloseAfterAnswers() { this->closes_after_answers = true; }
+
   /** Connections that are open. */
   uint32_t Connections() const { return this->connections; }
 
@@ -118,6 +123,7 @@
   /** The request whose handler is running. */
   HttpToken in_handler = 0;
   uint32_t connections = 0;
+  bool closes_after_answers = false;
 };
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -25,6 +25,12 @@
 constexpr Millis kLeastStop{2'500};
 /** Longest time of a planned stop; the platform kills after 6 s. */
 constexpr Millis kLongestStop{5'000};
+/** Time after the begin of a planned stop in which jobs are still taken; they
+ * have 1.5 s, and the process has to be gone after 5 s.
+ */
+constexpr Millis kTakeJobsFor{3'300};
+/** Retry-After for a job that comes later; another daemon takes it at once. */
+constexpr Millis kStoppingRetryAfter{1'000};
 /** A job that old is told to all daemons, as its caller may send it again to
  * any of them from 1,300 ms on.
  */
@@ -74,7 +80,7 @@
     return;
   node.next_heartbeat = now + kHeartbeatPeriod;
   const Heartbeat heartbeat = MakeHeartbeat(node, now);
-    const bool to_all = IsScheduler(node) || IsSmallFleet(node);
+  const bool to_all = IsScheduler(node) || IsSmallFleet(node);
   for (const auto& [id, member] : node.view.members) {
     if (id != node.self.id && (to_all || member.address.zone == node.zone))
       actions.push_back(SendHeartbeat{id, heartbeat});
@@ -126,10 +132,10 @@
       continue;
     const auto sight = node.peers.find(job.receiver.id);
     const bool is_gone = !HasSession(node.sessions, job.receiver);
-        const bool is_silent = sight != node.peers.end() &&
-                           (sight->second.last.zone == node.zone ||
-                            IsSmallFleet(node)) &&
-                           now - sight->second.heard >= kSilentAfter;
+    const bool is_silent =
+        sight != node.peers.end() &&
+        (sight->second.last.zone == node.zone || IsSmallFleet(node)) &&
+        now - sight->second.heard >= kSilentAfter;
     if (is_gone || is_silent)
       orphans.push_back(id);
   }
@@ -230,6 +236,13 @@
            CallerToken caller,
            const TransientJob& job,
            Actions& actions) {
+  if (node.is_stopping && now - node.stop_began >= kTakeJobsFor) {
+    actions.push_back(LogEvent{
+        "job_refused", {{"job", job.id.value}, {"reason", "stopping"}}});
+    actions.push_back(
+        AnswerJob{caller, {JobEnd::kRefused, kStoppingRetryAfter, "stopping"}});
+    return;
+  }
   ReceiveJob(node, now, caller, job, actions);
 }
 
@@ -295,7 +308,7 @@
     return;
   node.next_review = now + kReviewPeriod;
   EvictSilentPeers(node, now, actions);
-    ForgetGuests(node, now, actions);
+  ForgetGuests(node, now, actions);
   DropOrphans(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -5,7 +5,6 @@
 
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
-#include "core/scheduling/run_review.h"
 
 namespace dogwoodfall {
 namespace {
@@ -57,7 +56,7 @@
   if (job.has_started)
     return std::nullopt;
   const Millis expected = ExpectedJobTime(scheduler.run_times, job.job);
-  const Millis least{std::llround(kLuckyShare * FastestSlowness(scheduler) *
+  const Millis least{std::llround(kLuckyShare * scheduler.fast_slowness *
                                   static_cast<double>(expected.count))};
   if (now + least <= LastUsefulEnd(job))
     return std::nullopt;
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/run_review.h"
+#include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
 namespace {
@@ -26,6 +28,8 @@
 /** First and longest pause after an endpoint says that it is unhealthy. */
 constexpr Millis kFirstAvoidPause{100};
 constexpr Millis kLongestAvoidPause{2'000};
+/** Time of a run's confirmation while there is none: later than all lists. */
+constexpr Millis kNotConfirmed{std::numeric_limits<int64_t>::max()};
 /** Unanswered orders in a row after which an endpoint counts as silent. */
 constexpr uint32_t kSilentAfter = 2;
 /** Pause between looks at a silent endpoint, in ms. */
@@ -180,8 +184,7 @@
   LoseAllRuns(scheduler, endpoint, "new_life", now, actions);
   endpoint.born_ms = born_ms;
   endpoint.ends_seen = 0;
-  endpoint.own_slowness = 1;
-  endpoint.slowness = KindSlowness(scheduler, endpoint.entry.kind);
+  endpoint.slowness = 1;
   endpoint.failure_share = 0;
 }
 
@@ -208,13 +211,17 @@
                                  std::to_string(end.task.index)},
                     {"attempt", std::to_string(end.attempt.value)},
                     {"endpoint", endpoint.entry.id.value},
+                    {"kind", endpoint.entry.kind},
+                    {"slowness", std::to_string(endpoint.slowness)},
+                    {"percent", std::to_string(run.percent)},
+                    {"expected_ms", std::to_string(run.expected.count)},
                     {"how", NameOf(end.end)},
                     {"ran_ms", std::to_string((now - run.ordered_at).count)}}});
     }
     if (end.end == RunEnd::kDone) {
-      if (is_known)
-        LearnFromRun(scheduler, endpoint, end.task, run, now);
-      NoteTaskDone(scheduler, end.task, now, actions);
+      LearnFromSuccess(endpoint);
+      const Millis run_time = is_known ? now - run.ordered_at : Millis();
+      NoteTaskDone(scheduler, end.task, run_time, now, actions);
       continue;
     }
     if (end.end == RunEnd::kFailed && is_known) {
@@ -352,8 +359,9 @@
     return;
   Run& run = found->second;
   if (reply.outcome == OrderOutcome::kDone) {
-    // It ends within 50 ms, or was never there: the lists tell.
-    run.confirmed_at = std::max(run.confirmed_at, order.sent);
+    // It ends within 50 ms, or was never there and will not start any more:
+    // lists that are asked for from now on tell.
+    run.confirmed_at = std::min(run.confirmed_at, now);
     return;
   }
   ++run.stops_unanswered;
@@ -428,8 +436,7 @@
   endpoint.fencing_token = fencing_token;
   endpoint.renewal = OrderId();
   endpoint.unanswered = 0;
-  endpoint.slowness =
-      endpoint.own_slowness * KindSlowness(scheduler, entry.kind);
+
   endpoint.standing = EndpointStanding::kUsable;
   SetStanding(endpoint, EndpointStanding::kLooking, "taken_over", now, actions);
   EnsureRenewal(scheduler, endpoint, now, actions);
@@ -498,6 +505,7 @@
                 ManagedEndpoint& endpoint,
                 const ScheduledJob& job,
                 const JobTask& task,
+                Millis expected,
                 Millis now,
                 Actions& actions) {
   const JobStep& step = job.job.steps[task.step];
@@ -506,7 +514,8 @@
   Run run;
   run.room = step.room;
   run.ordered_at = now;
-  run.expected = ExpectedTaskTime(scheduler.run_times, job.job, step);
+  run.confirmed_at = kNotConfirmed;
+  run.expected = expected;
   endpoint.used = endpoint.used + run.room;
   endpoint.runs.emplace(key, run);
   const Millis until = now + kRunLease;
@@ -574,6 +583,8 @@
 }
 
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
+  ReviewSpeeds(scheduler, now);
+  EndHopelessJobs(scheduler, now, actions);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (endpoint.standing == EndpointStanding::kLooking &&
         HasUnclaimed(endpoint) &&
--- a/modules/core/scheduling/endpoint_flow.h
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -47,11 +47,15 @@
                const EndpointGroup& group,
                Millis now);
 
-/** Starts a run of a task. */
+/** Starts a run of a task.
+ *
+ * @param expected run time to expect on an endpoint of slowness 1
+ */
 void OrderStart(Scheduler& scheduler,
                 ManagedEndpoint& endpoint,
                 const ScheduledJob& job,
                 const JobTask& task,
+                Millis expected,
                 Millis now,
                 Actions& actions);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -7,7 +7,7 @@
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
-#include "core/scheduling/run_review.h"
+#include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
 namespace {
@@ -121,8 +121,9 @@
                   Millis now,
                   Actions& actions) {
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
-    const Millis expected =
-        ExpectedTaskTime(scheduler.run_times, job.job, job.job.steps[step]);
+    if (job.tasks_queued == 0)
+      return;
+    const Millis expected = TaskTimeOf(scheduler, job, step, nullptr);
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
       TaskProgress& task = job.tasks[step][index];
       if (task.phase != TaskPhase::kQueued)
@@ -136,8 +137,8 @@
       ++task.attempt;
       --job.tasks_queued;
       job.has_started = true;
-      OrderStart(scheduler, *endpoint, job, {job.job.id, step, index}, now,
-                 actions);
+      OrderStart(scheduler, *endpoint, job, {job.job.id, step, index}, expected,
+                 now, actions);
     }
   }
 }
@@ -163,7 +164,7 @@
   ScheduledJob& taken =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
-  SetJobTimes(taken, scheduler.run_times, FastestSlowness(scheduler), now);
+  SetJobTimes(taken, scheduler.run_times, scheduler.fast_slowness, now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
     const JobProgress progress = early->second.progress;
@@ -193,7 +194,7 @@
     return;
   }
   for (const auto& [step, index] : progress.done)
-    NoteTaskDone(scheduler, {progress.job, step, index}, now, actions);
+    NoteTaskDone(scheduler, {progress.job, step, index}, {}, now, actions);
 }
 
 JobProgress ProgressOf(const ScheduledJob& job) {
@@ -301,6 +302,7 @@
 
 void NoteTaskDone(Scheduler& scheduler,
                   const JobTask& task,
+                  Millis run_time,
                   Millis now,
                   Actions& actions) {
   TaskProgress* progress = FindTask(scheduler, task);
@@ -310,8 +312,10 @@
   if (progress->phase == TaskPhase::kQueued)
     --job.tasks_queued;
   progress->phase = TaskPhase::kDone;
+  progress->run_time = run_time;
   --job.tasks_left;
   if (job.tasks_left == 0) {
+    LearnFromJob(scheduler, job);
     EndJob(scheduler, task.job, {JobEnd::kCompleted, {}, "all_done"}, now,
            actions);
     return;
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -46,9 +46,13 @@
 /** Puts late jobs behind, and ends those that can't be served any more. */
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions);
 
-/** Notes that a task has ended well. */
+/** Notes that a task has ended well.
+ *
+ * @param run_time zero when it is not known
+ */
 void NoteTaskDone(Scheduler& scheduler,
                   const JobTask& task,
+                  Millis run_time,
                   Millis now,
                   Actions& actions);
 
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -82,9 +82,7 @@
   Millis avoid_until;
   /** Pause after the next refusal for being unhealthy. */
   Millis avoid_pause;
-  /** Run times there over those of its kind of instance, learned. */
-  double own_slowness = 1;
-  /** Run times there over the declared ones: its kind's and its own. */
+  /** Run times there over the declared ones, learned. */
   double slowness = 1;
   /** Share of runs that failed, learned. */
   double failure_share = 0;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -6,19 +6,34 @@
 namespace dogwoodfall {
 namespace {
 
-/** Weight of the room left over against the run time to expect: a task that
- * leaves a whole endpoint's room unused counts as this much slower. Best-fit
- * has to win between endpoints whose learned speeds differ by noise only.
+/** Weights of what speaks against an endpoint, as shares of a job's worth. The
+ * risk of missing the caller's limit is such a share by itself.
+ *
+ * Room left over: packing decides only between endpoints that are alike.
  */
-constexpr double kLeftoverWeight = 0.3;
-/** Times an endpoint's failures lengthen the run time to expect: each failed
- * run is made again elsewhere.
+constexpr double kLeftoverWeight = 0.1;
+/** A longer wait for the caller, while there is room for everyone. */
+constexpr double kTimeWeight = 0.15;
+/** Use of a fast endpoint by a task that a slow one serves as well, while room
+ * is short.
  */
-constexpr double kFailureWeight = 3;
-/** An endpoint where the task failed counts as this much slower. */
+constexpr double kReserveWeight = 0.15;
+/** A run that fails is made again elsewhere, mostly still in time. */
+constexpr double kFailureWeight = 0.5;
+/** An endpoint where the task failed before is the last choice. */
 constexpr double kFailedHereWeight = 10;
-/** Factor of the run time away from the data. */
+/** Run away from the data. */
 constexpr double kRemoteRackWeight = 0.5;
+/** Spread of run times around what is expected, as a standard deviation of
+ * their logarithm: jobs differ by 0.28, tasks of a job by 0.15.
+ */
+constexpr double kRunTimeSpread = 0.32;
+/** A task is not put where its risk is higher by this than on a fast endpoint,
+ * as long as there is time to wait for one.
+ */
+constexpr double kRiskWorthWaiting = 0.1;
+/** Share of a job's slack in which it waits for a fast endpoint. */
+constexpr double kWaitShare = 0.3;
 
 bool HasLabel(const EndpointEntry& endpoint, const std::string& label) {
   return std::find(endpoint.labels.begin(), endpoint.labels.end(), label) !=
@@ -51,16 +66,37 @@
           TasksThere(job, step, endpoint.entry.id) < spec.most_per_endpoint);
 }
 
-double CostOf(const ManagedEndpoint& endpoint,
+Millis TimeAt(double slowness, Millis expected) {
+  return Millis{std::llround(slowness * static_cast<double>(expected.count))};
+}
+
+/** The chance that a run that starts now ends after the caller's limit. */
+double RiskAt(double slowness,
+              const ScheduledJob& job,
+              Millis expected,
+              Millis now) {
+  const auto left = static_cast<double>((job.gives_up_at - now).count);
+  const auto time = static_cast<double>(TimeAt(slowness, expected).count);
+  if (left <= 0)
+    return 1;
+  const double deviations =
+      std::log(left / std::max(time, 1.0)) / kRunTimeSpread;
+  return std::erfc(deviations / std::sqrt(2.0)) / 2;
+}
+
+double CostOf(const Scheduler& scheduler,
+              const ManagedEndpoint& endpoint,
               const JobStep& spec,
               const TaskProgress& task) {
   const TaskRoom left = endpoint.entry.capacity - endpoint.used - spec.room;
   const double leftover = static_cast<double>(left.cpu_millicores) /
                           static_cast<double>(std::max<int64_t>(
                               endpoint.entry.capacity.cpu_millicores, 1));
-  double cost =
-      endpoint.slowness * (1 + kFailureWeight * endpoint.failure_share) +
-      kLeftoverWeight * leftover;
+  const double relative = endpoint.slowness / scheduler.usual_slowness;
+  double cost = kLeftoverWeight * leftover +
+                kFailureWeight * endpoint.failure_share +
+                kTimeWeight * (1 - scheduler.load) * relative +
+                kReserveWeight * scheduler.load * std::max(1 - relative, 0.0);
   if (task.failures > 0 && task.endpoint == endpoint.entry.id)
     cost += kFailedHereWeight;
   if (!spec.preferred_rack.value.empty() &&
@@ -69,9 +105,18 @@
   return cost;
 }
 
-Millis TimeOn(const ManagedEndpoint& endpoint, Millis expected) {
-  return Millis{
-      std::llround(endpoint.slowness * static_cast<double>(expected.count))};
+/** The most risk that a task takes now instead of waiting. */
+double MostRisk(const Scheduler& scheduler,
+                const ScheduledJob& job,
+                Millis expected,
+                Millis now) {
+  const auto slack =
+      static_cast<double>((job.latest_start - job.received).count);
+  const auto waited = static_cast<double>((now - job.received).count);
+  if (waited > kWaitShare * slack)
+    return 1;
+  return RiskAt(scheduler.fast_slowness, job, expected, now) +
+         kRiskWorthWaiting;
 }
 
 /** The time by which a task that starts now has to end to be of use: the
@@ -102,11 +147,16 @@
   ManagedEndpoint* best = nullptr;
   double best_cost = 0;
   const Millis end_by = WantedEnd(job, now);
+  const double most_risk = MostRisk(scheduler, job, expected, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step, now) ||
-        now + TimeOn(endpoint, expected) > end_by)
+        now + TimeAt(endpoint.slowness, expected) > end_by)
+      continue;
+    const double risk = RiskAt(endpoint.slowness, job, expected, now);
+    if (risk > most_risk)
       continue;
-    const double cost = CostOf(endpoint, job.job.steps[step], task);
+    const double cost =
+        risk + CostOf(scheduler, endpoint, job.job.steps[step], task);
     if (best == nullptr || cost < best_cost) {
       best = &endpoint;
       best_cost = cost;
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -16,10 +16,12 @@
 /** Chooses the endpoint for a queued task, or null when it had better wait.
  *
  * Answers load near the room there is, on endpoints of unlike size, speed and
- * soundness: takes the one where the task ends soonest, and among alike ones
- * the one that it fills best, so that room for wide tasks stays in one piece.
- * A task that would miss its objective on the slow endpoints that are free, but
- * not on a fast one, waits for a fast one as long as that can still be met.
+ * soundness. While there is room, the task goes where it ends soonest; when
+ * room gets short, fast endpoints are left to tasks that would miss the
+ * caller's limit elsewhere. Among alike ones it fills the fullest, so that room
+ * for wide tasks stays in one piece. A task that would miss its objective on
+ * the slow endpoints that are free, but not on a fast one, waits for a fast one
+ * as long as that can still be met.
  *
  * @param expected run time to expect on an endpoint of slowness 1
  */
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -2,23 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/job_flow.h"
+#include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
 namespace {
 
-/** Weight of one run in what is learned of an endpoint and of its kind.
- * Declared times are off by a factor of 1.5, which has to average out.
- */
-constexpr double kOwnGain = 0.05;
-constexpr double kKindGain = 0.02;
-/** Weight of one run in the share of failures; a failing endpoint has to show
- * after two or three runs.
- */
-constexpr double kFailureGain = 0.3;
-/** Times the expected run time after which a run that lags behind is stopped;
- * jobs of a route differ by a factor of 2 within two standard deviations.
+/** Times the usual run time from which on a run counts as lagging: jobs differ
+ * from what is expected by a factor of 2 within two standard deviations.
  */
 constexpr double kOverdueFactor = 2.5;
 /** Least time before a run can count as overdue: two rounds of lists. */
@@ -27,106 +21,123 @@
 constexpr Millis kJudgedAfter{150};
 /** A run is moved when more than this times its usual run time is left. */
 constexpr double kWorthMoving = 1.5;
-/** Bounds of a learned slowness. */
-constexpr double kLeastSlowness = 0.2;
-constexpr double kMostSlowness = 20;
 
-double Bounded(double slowness) {
-  return std::clamp(slowness, kLeastSlowness, kMostSlowness);
-}
+/** Share of its work from which on a run tells how long it takes. */
+constexpr int kTellingPercent = 15;
+/** Share of the projected time that a run takes at the least: the share of the
+ * work that is done is told in whole percent and some ms late.
+ */
+constexpr double kSureFactor = 0.92;
 
-/** Run time to expect in all, from the share of the work that is done. */
-double ProjectedTime(const Run& run, Millis now) {
-  constexpr double kWhole = 100;
-  if (run.percent <= 0)
-    return kWhole * static_cast<double>((now - run.ordered_at).count);
-  return kWhole * static_cast<double>((run.percent_at - run.ordered_at).count) /
-         run.percent;
-}
+/** What is known of a run that may be overdue, in ms. */
+struct RunPace {
+  double ran = 0;
+  /** In all, from the share of its work that is done. */
+  double projected = 0;
+  /** On this endpoint at its usual speed. */
+  double usual = 0;
+};
 
-}  // namespace
+bool IsOverdue(const RunPace& pace) {
+  // Before this time a share of the work in whole percent says little.
+  const double judged_after =
+      std::min(pace.usual, static_cast<double>(kJudgedAfter.count)) +
+      static_cast<double>(kOverdueSlack.count);
+  // A run that is nearly done would lose more by starting again.
+  return pace.ran >= judged_after &&
+         pace.projected >= kOverdueFactor * pace.usual &&
+         pace.projected - pace.ran >= kWorthMoving * pace.usual;
+}
 
-double KindSlowness(const Scheduler& scheduler, const std::string& kind) {
-  const auto found = scheduler.kind_slowness.find(kind);
-  return found == scheduler.kind_slowness.end() ? 1 : found->second;
+/** The pace of a run; its job's other tasks are asked only when it seems
+ * overdue without them.
+ */
+RunPace PaceOf(const Scheduler& scheduler,
+               const ManagedEndpoint& endpoint,
+               const RunKey& key,
+               const Run& run,
+               Millis now) {
+  RunPace pace;
+  pace.ran = static_cast<double>((now - run.ordered_at).count);
+  pace.projected = ProjectedTime(run, now);
+  pace.usual = endpoint.slowness * static_cast<double>(run.expected.count);
+  const auto job = scheduler.jobs.find(key.first.job);
+  if (!IsOverdue(pace) || job == scheduler.jobs.end())
+    return pace;
+  const Millis task_time =
+      TaskTimeOf(scheduler, job->second, key.first.step, &key);
+  pace.usual = endpoint.slowness * static_cast<double>(task_time.count);
+  return pace;
 }
 
-double FastestSlowness(const Scheduler& scheduler) {
-  double fastest = 1;
-  for (const auto& [kind, slowness] : scheduler.kind_slowness)
-    fastest = std::min(fastest, slowness);
-  return fastest;
+LogEvent OverdueEvent(const ManagedEndpoint& endpoint,
+                      const RunKey& key,
+                      const RunPace& pace) {
+  return {"run_overdue",
+          {{"job", key.first.job.value},
+           {"task", std::to_string(key.first.step) + "." +
+                        std::to_string(key.first.index)},
+           {"attempt", std::to_string(key.second)},
+           {"endpoint", endpoint.entry.id.value},
+           {"ran_ms", std::to_string(std::llround(pace.ran))},
+           {"projected_ms", std::to_string(std::llround(pace.projected))},
+           {"usual_ms", std::to_string(std::llround(pace.usual))}}};
 }
 
-void LearnFromRun(Scheduler& scheduler,
-                  ManagedEndpoint& endpoint,
-                  const JobTask& task,
-                  const Run& run,
-                  Millis now) {
-  endpoint.failure_share *= 1 - kFailureGain;
-  const auto job = scheduler.jobs.find(task.job);
-  if (job == scheduler.jobs.end())
-    return;
-  const Millis ran = now - run.ordered_at;
-  LearnRun(scheduler.run_times, CustomerId(job->second.job.service),
-           job->second.job.route, ran, endpoint.slowness);
-  const int64_t declared =
-      job->second.job.steps[task.step].declared_run_time.count;
-  if (declared <= 0 || ran.count <= 0)
-    return;
-  // Errors are factors, so logarithms are averaged.
-  double& kind =
-      scheduler.kind_slowness.emplace(endpoint.entry.kind, 1).first->second;
-  const double sample =
-      static_cast<double>(ran.count) / static_cast<double>(declared);
-  kind = Bounded(kind * std::pow(sample / kind, kKindGain));
-  endpoint.own_slowness =
-      Bounded(endpoint.own_slowness *
-              std::pow(sample / kind / endpoint.own_slowness, kOwnGain));
-  endpoint.slowness = Bounded(kind * endpoint.own_slowness);
+/** True when the job of a run can't be done any more before its caller stops
+ * waiting, neither here nor on a fast endpoint.
+ */
+bool IsHopeless(const Scheduler& scheduler,
+                const RunKey& key,
+                const Run& run,
+                Millis now) {
+  const auto job = scheduler.jobs.find(key.first.job);
+  if (job == scheduler.jobs.end() || run.percent < kTellingPercent)
+    return false;
+  const Millis limit = job->second.gives_up_at;
+  const Millis ends{run.ordered_at.count +
+                    std::llround(kSureFactor * ProjectedTime(run, now))};
+  if (ends <= limit)
+    return false;
+  const auto task_time = static_cast<double>(
+      TaskTimeOf(scheduler, job->second, key.first.step, nullptr).count);
+  return now + Millis{std::llround(kSureFactor * scheduler.fast_slowness *
+                                   task_time)} >
+         limit;
 }
 
-void LearnFromFailure(ManagedEndpoint& endpoint) {
-  endpoint.failure_share += kFailureGain * (1 - endpoint.failure_share);
+}  // namespace
+
+void EndHopelessJobs(Scheduler& scheduler, Millis now, Actions& actions) {
+  std::vector<SubmissionId> hopeless;
+  for (const auto& [id, endpoint] : scheduler.endpoints) {
+    for (const auto& [key, run] : endpoint.runs) {
+      if (run.state == RunState::kRunning &&
+          IsHopeless(scheduler, key, run, now))
+        hopeless.push_back(key.first.job);
+    }
+  }
+  for (const SubmissionId& id : hopeless)
+    EndJob(scheduler, id, {JobEnd::kAbandoned, {}, "can_not_be_in_time"}, now,
+           actions);
 }
 
 void StopOverdueRuns(Scheduler& scheduler,
                      ManagedEndpoint& endpoint,
                      Millis now,
                      Actions& actions) {
-  std::vector<RunKey> overdue;
+  std::vector<std::pair<RunKey, RunPace>> overdue;
   for (const auto& [key, run] : endpoint.runs) {
     if (run.state != RunState::kRunning)
       continue;
-    const double usual =
-        endpoint.slowness * static_cast<double>(run.expected.count);
-    const auto ran = static_cast<double>((now - run.ordered_at).count);
-    const double projected = ProjectedTime(run, now);
-    // Before this time a share of the work in whole percent says little.
-    const double judged_after =
-        std::min(usual, static_cast<double>(kJudgedAfter.count)) +
-        static_cast<double>(kOverdueSlack.count);
-    // A run that is nearly done would lose more by starting again.
-    if (ran < judged_after || projected < kOverdueFactor * usual ||
-        projected - ran < kWorthMoving * usual)
-      continue;
-    overdue.push_back(key);
+    const RunPace pace = PaceOf(scheduler, endpoint, key, run, now);
+    if (IsOverdue(pace))
+      overdue.emplace_back(key, pace);
   }
-  for (const RunKey& key : overdue) {
+  for (const auto& [key, pace] : overdue) {
     ++scheduler.counters.overdue_runs;
-    const Run& run = endpoint.runs.at(key);
-    actions.push_back(
-        LogEvent{"run_overdue",
-                 {{"job", key.first.job.value},
-                  {"task", std::to_string(key.first.step) + "." +
-                               std::to_string(key.first.index)},
-                  {"attempt", std::to_string(key.second)},
-                  {"endpoint", endpoint.entry.id.value},
-                  {"ran_ms", std::to_string((now - run.ordered_at).count)},
-                  {"expected_ms", std::to_string(run.expected.count)},
-                  {"percent", std::to_string(run.percent)}}});
-    endpoint.own_slowness = Bounded(endpoint.own_slowness * 2);
-    endpoint.slowness = Bounded(endpoint.slowness * 2);
+    actions.push_back(OverdueEvent(endpoint, key, pace));
+    LearnFromLaggard(endpoint, pace.projected / pace.usual);
     OrderStop(scheduler, endpoint, key, now, actions);
   }
 }
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -29,6 +29,8 @@
   /** Number of its latest run. */
   uint32_t attempt = 0;
   uint32_t failures = 0;
+  /** How long the run took that ended well. */
+  Millis run_time;
   /** Where the latest run is or was. */
   EndpointId endpoint;
 };
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -69,8 +69,13 @@
   uint64_t last_order = 0;
   /** Run times learned by route. */
   RunTimes run_times;
-  /** Run times on a kind of instance over the declared ones, learned. */
-  std::map<std::string, double> kind_slowness;
+  /** Slowness of the fast endpoints. */
+  double fast_slowness = 1;
+  /** Slowness of the endpoint in the middle. */
+  double usual_slowness = 1;
+  /** Share of all room that is in use. */
+  double load = 0;
+  Millis speeds_reviewed;
   /** What former schedulers told of jobs that have not come yet. */
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
   /** Jobs that ended since the caller of the scheduler last looked. */
