Hand jobs over with their runs, also on endpoints the next owner does not know

Ruled out: fencing (the successor had never called that endpoint). Change: a receiver that finds its job's scheduler replaced asks the former one for a handover; the next one waits for it, and takes over endpoints it names.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -184,7 +184,24 @@
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
   archive(message.job, message.zone, message.may_have_started,
-          message.redirects, message.view_revision);
+          message.redirects, message.view_revision, message.former);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobRelease& message) {
+  archive(message.job, message.to);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EndpointEntry& entry) {
+  archive(entry.id, entry.service, entry.ip, entry.port, entry.zone, entry.kind,
+          entry.rack, entry.labels, entry.capacity, entry.draining,
+          entry.born_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, PlacedRun& run) {
+  archive(run.step, run.index, run.attempt, run.endpoint);
 }
 
 template <class Archive>
@@ -205,7 +222,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobProgress& message) {
-  archive(message.job, message.done);
+  archive(message.job, message.done, message.placed);
 }
 
 template <class Archive>
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -202,12 +202,14 @@
     if (pending != node.reception.pending.end() &&
         pending->second.scheduler == from)
       AnswerCallers(node, now, report->job, report->outcome, actions);
+  } else if (const auto* release = std::get_if<JobRelease>(&message)) {
+    ReleaseJob(node, *release, now, actions);
   } else if (const auto* view = std::get_if<ViewNotice>(&message)) {
     ApplyViewNotice(node, *view, now, actions);
   } else if (const auto* routes = std::get_if<RoutesNotice>(&message)) {
     ApplyRoutesNotice(node, *routes, actions);
   } else if (const auto* progress = std::get_if<JobProgress>(&message)) {
-    TakeProgress(node.scheduler, *progress, now, actions);
+    TakeProgress(node.scheduler, *progress, node.view.revision, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
     RedirectJob(node, now, from, *redirect, actions);
   }
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -71,7 +71,7 @@
     LogMember(node, "member_listed", member->member.address.id, actions);
     return true;
   } else if (const auto* left = std::get_if<MemberGone>(&change)) {
-        const auto known = node.view.members.find(left->id);
+    const auto known = node.view.members.find(left->id);
     if (known != node.view.members.end())
       node.guests[left->id] = known->second;
     if (!RemoveMemberAt(node.view, left->id, left->revision))
@@ -113,7 +113,7 @@
                   uint64_t revision,
                   const char* source,
                   Actions& actions) {
-    const std::map<DaemonId, FleetMember> before = node.view.members;
+  const std::map<DaemonId, FleetMember> before = node.view.members;
   if (!ReplaceMembers(node.view, members, revision))
     return false;
   for (const auto& [id, member] : before) {
@@ -168,18 +168,8 @@
                  const FleetMember& next,
                  Millis now,
                  Actions& actions) {
-  const ScheduledJob job = std::move(node.scheduler.jobs.at(id));
-  node.scheduler.queue.erase(job.order_key);
-  node.scheduler.jobs.erase(id);
-  actions.push_back(
-      LogEvent{"job_given_away",
-               {{"job", id.value},
-                {"to", next.address.id.value},
-                {"started", job.has_started ? "true" : "false"},
-                {"age_ms", std::to_string((now - job.received).count)}}});
-  if (job.has_started)
-    Send(node.sessions, RefOf(next), ProgressOf(job), SessionLimits(), now,
-         actions);
+  const ScheduledJob job = node.scheduler.jobs.at(id);
+  ReleaseJob(node, {id, RefOf(next)}, now, actions);
   node.scheduler.finished.push_back({job.receiver,
                                      id,
                                      {},
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -29,6 +29,8 @@
   EndpointGroup group;
   bool may_have_started = false;
   uint32_t redirects = 0;
+  /** Who scheduled it before and is asked to hand it over. */
+  DaemonRef former;
   /** It waits for this revision of the view. */
   uint64_t view_needed = 0;
 };
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -45,6 +45,7 @@
   submission.may_have_started = pending.may_have_started;
   submission.redirects = pending.redirects;
   submission.view_revision = node.view.revision;
+  submission.former = pending.former;
   const DaemonRef to = RefOf(*scheduler);
   if (to == node.self) {
     pending.scheduler = to;
@@ -57,6 +58,25 @@
   return true;
 }
 
+/** Has a job handed over by its scheduler, which is no longer its owner. */
+void AskForRelease(FleetNode& node,
+                   PendingJob& pending,
+                   Millis now,
+                   Actions& actions) {
+  const FleetMember* next = OwnerOfGroup(node.view, pending.group);
+  pending.former = pending.scheduler;
+  pending.scheduler = DaemonRef();
+  pending.may_have_started = true;
+  if (next == nullptr || RefOf(*next) == pending.former)
+    return;
+  const JobRelease release{pending.job.id, RefOf(*next)};
+  if (pending.former == node.self)
+    ReleaseJob(node, release, now, actions);
+  else if (!Send(node.sessions, pending.former, release, SessionLimits(), now,
+                 actions))
+    pending.former = DaemonRef();
+}
+
 /** True when another daemon owns the endpoints that run a job. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
   const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
@@ -158,6 +178,7 @@
     return;
   PendingJob& pending = entry->second;
   pending.scheduler = DaemonRef();
+  pending.former = DaemonRef();
   pending.may_have_started |= redirect.may_have_started;
   if (++pending.redirects > kMostRedirects) {
     AnswerCallers(
@@ -189,8 +210,7 @@
       actions.push_back(LogEvent{
           "scheduler_lost",
           {{"job", id.value}, {"scheduler", pending.scheduler.id.value}}});
-      pending.scheduler = DaemonRef();
-      pending.may_have_started = true;
+      AskForRelease(node, pending, now, actions);
     }
     const bool has_zone = !pending.group.zone.value.empty();
     GiveToZone(node, pending, has_zone ? pending.group.zone : node.zone, now,
@@ -232,6 +252,30 @@
   TakeJob(node.scheduler, receiver, group, submission, now, actions);
 }
 
+void ReleaseJob(FleetNode& node,
+                const JobRelease& release,
+                Millis now,
+                Actions& actions) {
+  JobProgress progress;
+  progress.job = release.job;
+  const auto job = node.scheduler.jobs.find(release.job);
+  if (job != node.scheduler.jobs.end()) {
+    progress = ProgressOf(node.scheduler, job->second);
+    ForgetJob(node.scheduler, release.job);
+  }
+  actions.push_back(
+      LogEvent{"job_released",
+               {{"job", release.job.value},
+                {"to", release.to.id.value},
+                {"done", std::to_string(progress.done.size())},
+                {"running", std::to_string(progress.placed.size())}}});
+  if (release.to == node.self)
+    TakeProgress(node.scheduler, progress, node.view.revision, now, actions);
+  else
+    Send(node.sessions, release.to, std::move(progress), SessionLimits(), now,
+         actions);
+}
+
 void ReportFinished(FleetNode& node, Millis now, Actions& actions) {
   while (!node.scheduler.finished.empty()) {
     const std::vector<FinishedJob> finished =
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -35,6 +35,12 @@
 /** Gives jobs that have no scheduler, or whose scheduler is gone, to one. */
 void AssignJobs(FleetNode& node, Millis now, Actions& actions);
 
+/** Hands a job to its next scheduler, with all that is known of it. */
+void ReleaseJob(FleetNode& node,
+                const JobRelease& release,
+                Millis now,
+                Actions& actions);
+
 /** Passes on what the own scheduler has finished. */
 void ReportFinished(FleetNode& node, Millis now, Actions& actions);
 
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -77,6 +77,13 @@
                      });
 }
 
+/** True while something of a former owner runs that no job here wants. */
+bool HasForeignRun(const ManagedEndpoint& endpoint) {
+  return std::any_of(
+      endpoint.runs.begin(), endpoint.runs.end(),
+      [](const auto& entry) { return entry.second.room == TaskRoom(); });
+}
+
 bool HasOwnRun(const ManagedEndpoint& endpoint) {
   return std::any_of(endpoint.runs.begin(), endpoint.runs.end(),
                      [](const auto& entry) {
@@ -269,12 +276,11 @@
     found.confirmed_at = now;
     found.percent = percent;
     endpoint.runs.emplace(key, found);
-    const TaskProgress* task = FindTask(scheduler, key.first);
-    const bool is_wanted =
-        endpoint.standing == EndpointStanding::kLooking &&
-        (task == nullptr || task->phase == TaskPhase::kQueued);
-    if (!is_wanted)
-      OrderStop(scheduler, endpoint, key, now, actions);
+    if (endpoint.standing == EndpointStanding::kLooking &&
+        (FindTask(scheduler, key.first) == nullptr ||
+         ClaimRun(scheduler, endpoint, key)))
+      continue;
+    OrderStop(scheduler, endpoint, key, now, actions);
   }
 }
 
@@ -292,7 +298,8 @@
   TakeRunning(scheduler, endpoint, reply, order.sent, now, actions);
   if (endpoint.standing == EndpointStanding::kSilent)
     SetStanding(endpoint, EndpointStanding::kUsable, "answers", now, actions);
-  if (endpoint.standing == EndpointStanding::kLooking && endpoint.runs.empty())
+  if (endpoint.standing == EndpointStanding::kLooking &&
+      !HasForeignRun(endpoint))
     SetStanding(endpoint, EndpointStanding::kUsable, "looked", now, actions);
 }
 
@@ -597,14 +604,6 @@
       for (const RunKey& key : unclaimed)
         OrderStop(scheduler, endpoint, key, now, actions);
     }
-    if (endpoint.standing == EndpointStanding::kLooking &&
-        !HasUnclaimed(endpoint) && endpoint.clock_ahead &&
-        std::none_of(endpoint.runs.begin(), endpoint.runs.end(),
-                     [](const auto& run) {
-                       return run.second.state == RunState::kStopping &&
-                              run.second.room == TaskRoom();
-                     }))
-      SetStanding(endpoint, EndpointStanding::kUsable, "claimed", now, actions);
     ExpireLease(scheduler, endpoint, now, actions);
     StopOverdueRuns(scheduler, endpoint, now, actions);
     EnsureRenewal(scheduler, endpoint, now, actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -12,6 +12,10 @@
 namespace dogwoodfall {
 namespace {
 
+/** Longest wait for word from a job's former scheduler. When none comes, the
+ * former one is gone, and the leases of what it ran have ended.
+ */
+constexpr Millis kWaitForFormer{650};
 /** Time that a job's progress is kept for the job; its receiver sends it within
  * a few round trips.
  */
@@ -59,6 +63,7 @@
   made.receiver = receiver;
   made.may_have_started = submission.may_have_started;
   made.redirects = submission.redirects;
+  made.waits_for = submission.former;
   for (const JobStep& step : made.job.steps) {
     made.tasks.emplace_back(step.task_count);
     made.tasks_left += step.task_count;
@@ -67,32 +72,29 @@
   return made;
 }
 
-/** Makes runs that were found on endpoints taken over part of their job. */
-void ClaimRuns(Scheduler& scheduler, ScheduledJob& job) {
+/** Makes runs that were found on endpoints part of a job. */
+void ClaimRuns(Scheduler& scheduler, const SubmissionId& job) {
   for (auto& [id, endpoint] : scheduler.endpoints) {
-    for (auto& [key, run] : endpoint.runs) {
-      const JobTask& task = key.first;
-      if (task.job != job.job.id || run.state != RunState::kUnclaimed ||
-          task.step >= job.tasks.size() ||
-          task.index >= job.tasks[task.step].size())
-        continue;
-      TaskProgress& progress = job.tasks[task.step][task.index];
-      if (progress.phase != TaskPhase::kQueued)
-        continue;
-      progress.phase = TaskPhase::kPlaced;
-      progress.attempt = std::max(progress.attempt, key.second);
-      progress.endpoint = id;
-      --job.tasks_queued;
-      job.has_started = true;
-      run.state = RunState::kRunning;
-      run.room = job.job.steps[task.step].room;
-      run.expected = ExpectedTaskTime(scheduler.run_times, job.job,
-                                      job.job.steps[task.step]);
-      endpoint.used = endpoint.used + run.room;
+    std::vector<RunKey> keys;
+    for (const auto& [key, run] : endpoint.runs) {
+      if (key.first.job == job && run.state == RunState::kUnclaimed)
+        keys.push_back(key);
     }
+    for (const RunKey& key : keys)
+      ClaimRun(scheduler, endpoint, key);
   }
 }
 
+/** True while runs of a job may go on that are not known here. */
+bool MayRunUnseen(const Scheduler& scheduler,
+                  const ScheduledJob& job,
+                  Millis now) {
+  if (!job.may_have_started)
+    return false;
+  const bool waits = job.waits_for != DaemonRef() && now < job.waits_until;
+  return waits || IsLooking(scheduler, job.group, now);
+}
+
 LogEvent JobEvent(const char* name, const ScheduledJob& job, Millis now) {
   return {name,
           {{"job", job.job.id.value},
@@ -164,16 +166,17 @@
   ScheduledJob& taken =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
+  taken.waits_until = now + kWaitForFormer;
   SetJobTimes(taken, scheduler.run_times, scheduler.fast_slowness, now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
     const JobProgress progress = early->second.progress;
     scheduler.early_progress.erase(early);
-    TakeProgress(scheduler, progress, now, actions);
+    TakeProgress(scheduler, progress, submission.view_revision, now, actions);
     if (scheduler.jobs.count(job.id) == 0)
       return;
   }
-  ClaimRuns(scheduler, taken);
+  ClaimRuns(scheduler, job.id);
   actions.push_back(JobEvent("job_taken", taken, now));
   const std::optional<JobOutcome> refusal =
       AdmissionDecision(scheduler, taken, now);
@@ -185,30 +188,81 @@
   PlaceTasks(scheduler, now, actions);
 }
 
+bool ClaimRun(Scheduler& scheduler,
+              ManagedEndpoint& endpoint,
+              const RunKey& key) {
+  TaskProgress* progress = FindTask(scheduler, key.first);
+  if (progress == nullptr || progress->phase != TaskPhase::kQueued)
+    return false;
+  ScheduledJob& job = scheduler.jobs.at(key.first.job);
+  progress->phase = TaskPhase::kPlaced;
+  progress->attempt = std::max(progress->attempt, key.second);
+  progress->endpoint = endpoint.entry.id;
+  --job.tasks_queued;
+  job.has_started = true;
+  Run& run = endpoint.runs.at(key);
+  run.state = RunState::kRunning;
+  run.room = job.job.steps[key.first.step].room;
+  run.expected = TaskTimeOf(scheduler, job, key.first.step, &key);
+  endpoint.used = endpoint.used + run.room;
+  return true;
+}
+
 void TakeProgress(Scheduler& scheduler,
                   const JobProgress& progress,
+                  uint64_t fencing_token,
                   Millis now,
                   Actions& actions) {
-  if (scheduler.jobs.count(progress.job) == 0) {
+  const auto found = scheduler.jobs.find(progress.job);
+  if (found == scheduler.jobs.end()) {
     scheduler.early_progress[progress.job] = {progress, now};
     return;
   }
+  ScheduledJob& job = found->second;
+  job.waits_for = DaemonRef();
+  for (const PlacedRun& run : progress.placed) {
+    job.has_started = true;
+    if (run.step < job.tasks.size() && run.index < job.tasks[run.step].size()) {
+      uint32_t& attempt = job.tasks[run.step][run.index].attempt;
+      attempt = std::max(attempt, run.attempt.value);
+    }
+    if (scheduler.endpoints.count(run.endpoint.id) > 0)
+      continue;
+    TakeEndpoint(scheduler, run.endpoint, job.group, fencing_token, now,
+                 actions);
+    scheduler.endpoints.at(run.endpoint.id).is_listed = false;
+  }
   for (const auto& [step, index] : progress.done)
     NoteTaskDone(scheduler, {progress.job, step, index}, {}, now, actions);
 }
 
-JobProgress ProgressOf(const ScheduledJob& job) {
+JobProgress ProgressOf(const Scheduler& scheduler, const ScheduledJob& job) {
   JobProgress progress;
   progress.job = job.job.id;
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
-      if (job.tasks[step][index].phase == TaskPhase::kDone)
+      const TaskProgress& task = job.tasks[step][index];
+      if (task.phase == TaskPhase::kDone)
         progress.done.emplace_back(step, index);
+      const auto endpoint = scheduler.endpoints.find(task.endpoint);
+      if (task.phase == TaskPhase::kPlaced &&
+          endpoint != scheduler.endpoints.end()) {
+        progress.placed.push_back(
+            {step, index, Attempt(task.attempt), endpoint->second.entry});
+      }
     }
   }
   return progress;
 }
 
+void ForgetJob(Scheduler& scheduler, const SubmissionId& id) {
+  const auto found = scheduler.jobs.find(id);
+  if (found == scheduler.jobs.end())
+    return;
+  scheduler.queue.erase(found->second.order_key);
+  scheduler.jobs.erase(found);
+}
+
 void EndJob(Scheduler& scheduler,
             const SubmissionId& id,
             const JobOutcome& wanted,
@@ -253,7 +307,7 @@
     order.push_back(key.second);
   for (const SubmissionId& id : order) {
     ScheduledJob& job = scheduler.jobs.at(id);
-    if (job.may_have_started && IsLooking(scheduler, job.group, now))
+    if (MayRunUnseen(scheduler, job, now))
       continue;
     PlaceTasksOf(scheduler, job, now, actions);
     if (job.tasks_queued == 0)
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -17,14 +17,28 @@
              Millis now,
              Actions& actions);
 
-/** Takes over what a former scheduler of a job knew of it. */
+/** Takes over what a former scheduler of a job knew of it.
+ *
+ * @param fencing_token for endpoints that are not known here
+ */
 void TakeProgress(Scheduler& scheduler,
                   const JobProgress& progress,
+                  uint64_t fencing_token,
                   Millis now,
                   Actions& actions);
 
 /** What is known of a job, for its next scheduler. */
-JobProgress ProgressOf(const ScheduledJob& job);
+JobProgress ProgressOf(const Scheduler& scheduler, const ScheduledJob& job);
+
+/** Forgets a job that another scheduler has now, without stopping it. */
+void ForgetJob(Scheduler& scheduler, const SubmissionId& id);
+
+/** Makes a run that was found on an endpoint part of its job.
+ * @return false when no job of this daemon wants it
+ */
+bool ClaimRun(Scheduler& scheduler,
+              ManagedEndpoint& endpoint,
+              const RunKey& key);
 
 /** Stops a job whose caller no longer waits; nobody is told. */
 void CancelJob(Scheduler& scheduler,
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -54,6 +54,9 @@
    * until all endpoints taken over have been looked at.
    */
   bool may_have_started = false;
+  /** Its former scheduler, whose word is waited for; none when it has come. */
+  DaemonRef waits_for;
+  Millis waits_until;
   uint32_t redirects = 0;
   /** True once any run of it was ordered or found. */
   bool has_started = false;
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -11,6 +11,7 @@
 #include "base/millis.h"
 #include "model/answer.h"
 #include "model/daemon_ref.h"
+#include "model/endpoint_entry.h"
 #include "model/fleet_member.h"
 #include "model/route_table.h"
 #include "model/submission.h"
@@ -130,6 +131,16 @@
   uint32_t redirects = 0;
   /** Revision of the view that made the receiver its scheduler. */
   uint64_t view_revision = 0;
+  /** Who had it before and will tell its progress; none when that daemon is
+   * gone or has told it.
+   */
+  DaemonRef former;
+};
+
+/** Asks a job's former scheduler to hand it to its next one. */
+struct JobRelease {
+  SubmissionId job;
+  DaemonRef to;
 };
 
 /** A job whose caller no longer waits. */
@@ -155,11 +166,21 @@
   uint64_t view_revision = 0;
 };
 
-/** Tasks of a job that have ended well, for its next scheduler. */
+/** A run of a job on an endpoint. */
+struct PlacedRun {
+  uint32_t step = 0;
+  uint32_t index = 0;
+  Attempt attempt;
+  EndpointEntry endpoint;
+};
+
+/** What a job's former scheduler knows of it, for its next one. */
 struct JobProgress {
   SubmissionId job;
-  /** Pairs of step and index. */
+  /** Step and index of tasks that have ended well. */
   std::vector<std::pair<uint32_t, uint32_t>> done;
+  /** Runs that go on, also on endpoints that the next one may not know. */
+  std::vector<PlacedRun> placed;
 };
 
 /** The daemons as the sender knows them from the store, for a peer that knows
@@ -192,6 +213,7 @@
                                  JobCancellation,
                                  JobReport,
                                  JobRedirect,
+                                 JobRelease,
                                  JobProgress,
                                  ViewNotice,
                                  RoutesNotice>;
