Tell a handover once; take frames as word of a peer

The next owner also dropped the job of a receiver it had not heard a heartbeat of since a cut, 2 ms after a message from it. Change: finished jobs are told before others are assigned; an empty handover does not replace one; any frame of a peer counts as hearing it.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -279,6 +279,9 @@
                  const PeerFrame& frame,
                  Actions& actions) {
   const std::optional<PeerMessage> message = Receive(node.sessions, frame, now);
+  const auto sight = node.peers.find(frame.from.id);
+  if (sight != node.peers.end() && HasSession(node.sessions, frame.from))
+    sight->second.heard = now;
   if (message)
     TakePeerMessage(node, frame.from, *message, now, actions);
 }
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -232,6 +232,7 @@
     KeepOwnItem(node, now, actions);
   }
   ReviewOwnership(node, now, actions);
+  ReportFinished(node, now, actions);
   TakeEarlyJobs(node, now, actions);
   AssignJobs(node, now, actions);
   PlaceTasks(node.scheduler, now, actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -215,7 +215,12 @@
                   Actions& actions) {
   const auto found = scheduler.jobs.find(progress.job);
   if (found == scheduler.jobs.end()) {
-    scheduler.early_progress[progress.job] = {progress, now};
+    EarlyProgress& early = scheduler.early_progress[progress.job];
+    early.came = now;
+    // A former scheduler that has handed the job over already tells nothing.
+    if (!progress.done.empty() || !progress.placed.empty())
+      early.progress = progress;
+    early.progress.job = progress.job;
     return;
   }
   ScheduledJob& job = found->second;
