Answer every receiver of a job; wait out the lease of a scheduler's former life

Cause: a job that two receivers had sent was answered to the last one only (found by the test of repeats).

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -126,7 +126,7 @@
 
 /** Stops the jobs of receivers that are gone: nobody waits for them here. */
 void DropOrphans(FleetNode& node, Millis now, Actions& actions) {
-  std::vector<SubmissionId> orphans;
+  std::vector<std::pair<SubmissionId, DaemonRef>> orphans;
   for (const auto& [id, job] : node.scheduler.jobs) {
     if (job.receiver == node.self)
       continue;
@@ -137,10 +137,10 @@
         (sight->second.last.zone == node.zone || IsSmallFleet(node)) &&
         now - sight->second.heard >= kSilentAfter;
     if (is_gone || is_silent)
-      orphans.push_back(id);
+      orphans.emplace_back(id, job.receiver);
   }
-  for (const SubmissionId& id : orphans)
-    CancelJob(node.scheduler, id, "receiver_gone", now, actions);
+  for (const auto& [id, receiver] : orphans)
+    CancelJob(node.scheduler, id, receiver, "receiver_gone", now, actions);
 }
 
 void FinishStop(FleetNode& node, Millis now, Actions& actions) {
@@ -196,7 +196,7 @@
   if (const auto* submission = std::get_if<JobSubmission>(&message)) {
     ScheduleHere(node, now, from, *submission, actions);
   } else if (const auto* cancel = std::get_if<JobCancellation>(&message)) {
-    CancelJob(node.scheduler, cancel->job, "caller_gone", now, actions);
+    CancelJob(node.scheduler, cancel->job, from, "caller_gone", now, actions);
   } else if (const auto* report = std::get_if<JobReport>(&message)) {
     const auto pending = node.reception.pending.find(report->job);
     if (pending != node.reception.pending.end() &&
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -29,6 +29,8 @@
 /** What is heard of a peer. */
 struct PeerSight {
   Millis heard;
+  /** When its former process life was last heard. */
+  Millis former_heard;
   Heartbeat last;
   /** True once its item was asked to be removed. */
   bool is_evicted = false;
@@ -53,7 +55,7 @@
   std::map<EndpointId, EndpointEntry> entries;
   StoreSession store;
   PeerSessions sessions;
-    std::map<DaemonId, PeerSight> peers;
+  std::map<DaemonId, PeerSight> peers;
   /** Daemons that live but have lost their item: the store may turn them away.
    * They get no endpoints, and their callers' jobs are served.
    */
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -144,8 +144,10 @@
     if (id == node.self.id || HasSession(node.sessions, RefOf(member)))
       continue;
     StartSession(node.sessions, RefOf(member));
-    node.peers[id] = PeerSight();
-    node.peers[id].heard = now;
+    PeerSight sight;
+    sight.former_heard = node.peers[id].heard;
+    sight.heard = now;
+    node.peers[id] = sight;
   }
   TellNetwork(node, actions);
 }
@@ -170,12 +172,12 @@
                  Actions& actions) {
   const ScheduledJob job = node.scheduler.jobs.at(id);
   ReleaseJob(node, {id, RefOf(next)}, now, actions);
-  node.scheduler.finished.push_back({job.receiver,
-                                     id,
-                                     {},
-                                     next.address.id,
-                                     job.group.zone,
-                                     job.has_started || job.may_have_started});
+  const bool may_run = job.has_started || job.may_have_started;
+  for (const DaemonRef& receiver : job.more_receivers)
+    node.scheduler.finished.push_back(
+        {receiver, id, {}, next.address.id, job.group.zone, may_run});
+  node.scheduler.finished.push_back(
+      {job.receiver, id, {}, next.address.id, job.group.zone, may_run});
 }
 
 /** Gives away the jobs whose endpoints have another owner now. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -39,7 +39,10 @@
   const auto sight = node.peers.find(former.id);
   if (former == DaemonRef() || former == node.self || sight == node.peers.end())
     return {};
-  const Millis left = sight->second.heard + kRunLease + kFormerSlack - now;
+  const Millis heard = HasSession(node.sessions, former)
+                           ? sight->second.heard
+                           : sight->second.former_heard;
+  const Millis left = heard + kRunLease + kFormerSlack - now;
   return std::max(left, Millis());
 }
 
@@ -107,9 +110,8 @@
   const JobRelease release{pending.job.id, RefOf(*next)};
   if (pending.former == node.self)
     ReleaseJob(node, release, now, actions);
-  else if (!Send(node.sessions, pending.former, release, SessionLimits(), now,
-                 actions))
-    pending.former = DaemonRef();
+  else
+    Send(node.sessions, pending.former, release, SessionLimits(), now, actions);
 }
 
 /** True when another daemon owns the endpoints that run a job. */
@@ -172,7 +174,7 @@
        {"waited_ms", std::to_string((now - pending.received).count)}}});
   node.reception.pending.erase(entry);
   if (scheduler == node.self)
-    CancelJob(node.scheduler, id, "caller_gone", now, actions);
+    CancelJob(node.scheduler, id, node.self, "caller_gone", now, actions);
   else
     Send(node.sessions, scheduler, JobCancellation{id}, SessionLimits(), now,
          actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -152,7 +152,10 @@
   const TransientJob& job = submission.job;
   const auto known = scheduler.jobs.find(job.id);
   if (known != scheduler.jobs.end()) {
-    known->second.receiver = receiver;
+    std::vector<DaemonRef>& more = known->second.more_receivers;
+    if (receiver != known->second.receiver &&
+        std::find(more.begin(), more.end(), receiver) == more.end())
+      more.push_back(receiver);
     known->second.gives_up_at =
         std::max(known->second.gives_up_at, now + job.time_left);
     actions.push_back(JobEvent("job_joined", known->second, now));
@@ -292,15 +295,29 @@
   event.fields.emplace_back("reason", outcome.reason);
   actions.push_back(std::move(event));
   scheduler.finished.push_back({job.receiver, id, outcome, {}, {}, false});
+  for (const DaemonRef& receiver : job.more_receivers)
+    scheduler.finished.push_back({receiver, id, outcome, {}, {}, false});
 }
 
 void CancelJob(Scheduler& scheduler,
                const SubmissionId& id,
+               const DaemonRef& receiver,
                const std::string& reason,
                Millis now,
                Actions& actions) {
-  if (scheduler.jobs.count(id) == 0)
+  const auto found = scheduler.jobs.find(id);
+  if (found == scheduler.jobs.end())
+    return;
+  ScheduledJob& job = found->second;
+  std::vector<DaemonRef>& more = job.more_receivers;
+  more.erase(std::remove(more.begin(), more.end(), receiver), more.end());
+  if (job.receiver != receiver)
+    return;
+  if (!more.empty()) {
+    job.receiver = more.back();
+    more.pop_back();
     return;
+  }
   EndJob(scheduler, id, {JobEnd::kAbandoned, {}, reason}, now, actions);
   scheduler.finished.pop_back();
 }
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -7,8 +7,8 @@
 
 namespace dogwoodfall {
 
-/** Takes a job. One that is known already is joined: its end is told to the
- * receiver that sent it last.
+/** Takes a job. One that is known already is joined: its end is told to all
+ * receivers that sent it.
  */
 void TakeJob(Scheduler& scheduler,
              const DaemonRef& receiver,
@@ -40,9 +40,12 @@
               ManagedEndpoint& endpoint,
               const RunKey& key);
 
-/** Stops a job whose caller no longer waits; nobody is told. */
+/** Notes that a receiver's callers no longer wait for a job. When nobody else
+ * does, it is stopped, and nobody is told.
+ */
 void CancelJob(Scheduler& scheduler,
                const SubmissionId& id,
+               const DaemonRef& receiver,
                const std::string& reason,
                Millis now,
                Actions& actions);
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -42,6 +42,8 @@
   EndpointGroup group;
   /** Who is told of its end. */
   DaemonRef receiver;
+  /** Others that have sent it as well. */
+  std::vector<DaemonRef> more_receivers;
   /** When the receiver got it, on this daemon's clock. */
   Millis received;
   /** Answers that come later miss the objective. */
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -125,7 +125,8 @@
   world.Run({100});
   EXPECT_EQ(endpoint.running.size(), 2U);
   Actions actions;
-  CancelJob(world.scheduler, SubmissionId("job"), "test", world.now, actions);
+  CancelJob(world.scheduler, SubmissionId("job"),
+            {DaemonId("d1"), Incarnation(1)}, "test", world.now, actions);
   int stops = 0;
   for (const Action& action : actions) {
     const auto* call = std::get_if<CallEndpoint>(&action);
@@ -284,12 +285,12 @@
   JobProgress progress;
   progress.job = SubmissionId("job");
   progress.placed = {{0, 0, Attempt(1), dark.entry}};
+  Actions actions;
+  TakeProgress(world.scheduler, progress, 5, world.now, actions);
   JobSubmission submission =
       SchedulerWorld::MakeSubmission("job", 1, 7, {300}, "route");
   submission.may_have_started = true;
   world.SubmitJob(submission, {300});
-  Actions actions;
-  TakeProgress(world.scheduler, progress, 5, world.now, actions);
   world.Run({50});
   is_cut = false;
   world.Run({900});
