Go on while nobody owns a group; wait for runs on endpoints given away

Ruled out: overdue runs and unanswered stops (none before the overlap). Change: without an owner the former one goes on; a task whose endpoint is given away while its job stays waits for the end of the lease; a repeat that may have started makes the joined job wait as well. Figures: the focused test has an overlap without the change and none with it. The test of dropped items passed before as well, since all looks are answered at once there.

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -164,6 +164,14 @@
   RegisterAgain(node.store, now);
 }
 
+/** True when another daemon owns a group. While nobody does, as when the store
+ * has dropped all items, its former owner goes on.
+ */
+bool HasOtherOwner(const FleetNode& node, const EndpointGroup& group) {
+  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  return owner != nullptr && RefOf(*owner) != node.self;
+}
+
 /** Gives a job with what is known of it to the new owner of its endpoints. */
 void GiveJobAway(FleetNode& node,
                  const SubmissionId& id,
@@ -184,7 +192,7 @@
 void GiveJobsAway(FleetNode& node, Millis now, Actions& actions) {
   std::vector<SubmissionId> ids;
   for (const auto& [id, job] : node.scheduler.jobs) {
-    if (!IsOwn(node, job.group))
+    if (HasOtherOwner(node, job.group))
       ids.push_back(id);
   }
   for (const SubmissionId& id : ids) {
@@ -200,7 +208,7 @@
   GiveJobsAway(node, now, actions);
   std::vector<EndpointId> given;
   for (const auto& [id, endpoint] : node.scheduler.endpoints) {
-    if (!IsOwn(node, endpoint.group))
+    if (HasOtherOwner(node, endpoint.group))
       given.push_back(id);
   }
   for (const EndpointId& id : given)
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -117,7 +117,7 @@
 /** True when another daemon owns the endpoints that run a job. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
   const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
-  return owner == nullptr || RefOf(*owner) != pending.scheduler;
+  return owner != nullptr && RefOf(*owner) != pending.scheduler;
 }
 
 }  // namespace
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -499,7 +499,7 @@
   scheduler.endpoints.erase(known);
   for (const auto& [key, run] : runs) {
     if (run.requeue)
-      RequeueTask(scheduler, key, now);
+      RequeueUnseenTask(scheduler, key, now);
   }
 }
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -59,7 +59,7 @@
   made.receiver = receiver;
   made.may_have_started = submission.may_have_started;
   made.redirects = submission.redirects;
-  made.waits_for = submission.former;
+
   for (const JobStep& step : made.job.steps) {
     made.tasks.emplace_back(step.task_count);
     made.tasks_left += step.task_count;
@@ -87,8 +87,7 @@
                   Millis now) {
   if (!job.may_have_started)
     return false;
-  const bool waits = job.waits_for != DaemonRef() && now < job.waits_until;
-  return waits || IsLooking(scheduler, job.group, now);
+  return now < job.waits_until || IsLooking(scheduler, job.group, now);
 }
 
 LogEvent JobEvent(const char* name, const ScheduledJob& job, Millis now) {
@@ -152,6 +151,7 @@
   const TransientJob& job = submission.job;
   const auto known = scheduler.jobs.find(job.id);
   if (known != scheduler.jobs.end()) {
+    known->second.may_have_started |= submission.may_have_started;
     std::vector<DaemonRef>& more = known->second.more_receivers;
     if (receiver != known->second.receiver &&
         std::find(more.begin(), more.end(), receiver) == more.end())
@@ -223,7 +223,7 @@
     return;
   }
   ScheduledJob& job = found->second;
-  job.waits_for = DaemonRef();
+  job.waits_until = Millis();
   for (const PlacedRun& run : progress.placed) {
     job.has_started = true;
     if (run.step < job.tasks.size() && run.index < job.tasks[run.step].size()) {
@@ -413,6 +413,16 @@
   }
 }
 
+void RequeueUnseenTask(Scheduler& scheduler, const RunKey& run, Millis now) {
+  const auto job = scheduler.jobs.find(run.first.job);
+  if (job == scheduler.jobs.end())
+    return;
+  job->second.may_have_started = true;
+  job->second.waits_until =
+      std::max(job->second.waits_until, now + kLongestLease);
+  RequeueTask(scheduler, run, now);
+}
+
 void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now) {
   TaskProgress* progress = FindTask(scheduler, run.first);
   if (progress == nullptr || progress->phase != TaskPhase::kPlaced ||
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -82,6 +82,11 @@
 /** Puts a task whose run is gone back into the queue. */
 void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now);
 
+/** The same for a task whose run may go on where it can't be seen: its job
+ * starts nothing until the run's lease is over.
+ */
+void RequeueUnseenTask(Scheduler& scheduler, const RunKey& run, Millis now);
+
 /** The progress of a task, or null when the job is not known. */
 TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task);
 
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -56,8 +56,9 @@
    * until all endpoints taken over have been looked at.
    */
   bool may_have_started = false;
-  /** Its former scheduler, whose word is waited for; none when it has come. */
-  DaemonRef waits_for;
+  /** Nothing starts before, as runs may go on that can't be seen from here:
+   * word from its former scheduler is waited for, or the end of their leases.
+   */
   Millis waits_until;
   uint32_t redirects = 0;
   /** True once any run of it was ordered or found. */
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -204,6 +204,21 @@
   EXPECT_EQ(world.ends["job"], JobEnd::kCompleted);
 }
 
+// The store may drop the items of all daemons at once, while they live.
+TEST(FleetTest, WorkGoesOnWhenAllItemsAreDropped) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  for (int i = 0; i < 6; ++i)
+    world.Submit(i % 2 == 0 ? "north0" : "north1", "job" + std::to_string(i), 1,
+                 {500});
+  world.Run({100});
+  world.RemoveAllMembers();
+  world.Run({1'300});
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(world.ends["job" + std::to_string(i)], JobEnd::kCompleted);
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 TEST(FleetTest, AllDaemonsKilledAtOnceComeBack) {
   FleetWorld world;
   SetUpTwoZones(world);
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -298,6 +298,20 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// An endpoint that is given away while its job stays: the run may go on there.
+TEST(SchedulingTest, ARunOnAnEndpointGivenAwayIsNotStartedElsewhere) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.Submit("job", 1, 7, {200});
+  world.Run({50});
+  world.AddEndpoint("e2", 16, 1);
+  world.Run({20});
+  ReleaseEndpoint(world.scheduler, EndpointId("e1"), world.now);
+  world.Run({400});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 // "Refused" says that nothing has run; a second scheduler can't say so of what
 // a first one may have started.
 TEST(SchedulingTest, WhatMayHaveStartedIsNeverRefused) {
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -60,6 +60,12 @@
   this->history.emplace_back(++this->revision, EndpointChanged{endpoint.entry});
 }
 
+void FleetWorld::RemoveAllMembers() {
+  const std::map<DaemonId, StoredMember> all = this->members;
+  for (const auto& [id, stored] : all)
+    this->RemoveMember(id);
+}
+
 void FleetWorld::UnlistEndpoint(const std::string& id) {
   this->items.erase(EndpointId(id));
   this->history.emplace_back(++this->revision, EndpointGone{EndpointId(id)});
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -23,6 +23,8 @@
   void KillDaemon(const std::string& id);
   void StopDaemon(const std::string& id);
   void AddEndpoint(const std::string& id, const std::string& zone);
+  /** Takes the items of all daemons out of the store; their leases live on. */
+  void RemoveAllMembers();
   /** Takes an endpoint's item out of the store; it lives on. */
   void UnlistEndpoint(const std::string& id);
 
