--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -6,10 +6,10 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "adapters/http/http_address.h"
 #include "base/millis.h"
 
 struct event_base;
@@ -35,16 +35,6 @@
   bool was_refused = false;
 };
 
-/** Address of an HTTP server. */
-struct HttpAddress {
-  std::string ip;
-  uint16_t port = 0;
-
-  friend bool operator<(const HttpAddress& a, const HttpAddress& b) {
-    return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
-  }
-};
-
 /** Headers of a request beside its host and content type. */
 using HttpClientHeaders = std::vector<std::pair<std::string, std::string>>;
 
--- a/modules/settings/fleet_settings.cc
+++ b/modules/settings/fleet_settings.cc
@@ -1,12 +1,8 @@
 #include "settings/fleet_settings.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <utility>
 
 namespace dogwoodfall {
@@ -41,25 +37,11 @@
   return {};
 }
 
-std::optional<HttpAddress> AddressFrom(const std::string& text) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  HttpAddress address;
-  address.ip = text.substr(0, colon);
-  in_addr number = {};
-  const char* end = text.data() + text.size();
-  const auto read = std::from_chars(text.data() + colon + 1, end, address.port);
-  const bool is_valid = inet_pton(AF_INET, address.ip.c_str(), &number) == 1 &&
-                        read.ec == std::errc() && read.ptr == end &&
-                        address.port > 0;
-  return is_valid ? std::optional<HttpAddress>(address) : std::nullopt;
-}
-
 HttpAddress ReadAddress(const Json& json, const char* path, Faults& faults) {
   const Json* found = Find(json, path);
   if (found != nullptr && found->is_string()) {
-    if (const auto address = AddressFrom(found->get<std::string>()))
+    const auto address = ParseHttpAddress(found->get<std::string>());
+    if (address && IsIpNumber(address->ip))
       return *address;
   }
   AddFault(faults, path, found, "an IPv4 number, a colon and a port");
--- a/modules/settings/settings.cc
+++ b/modules/settings/settings.cc
@@ -1,7 +1,5 @@
 #include "settings/settings.h"
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <functional>
 #include <limits>
@@ -29,11 +27,6 @@
              "0123456789_-") == std::string::npos;
 }
 
-bool IsIpNumber(const std::string& text) {
-  in_addr address = {};
-  return inet_pton(AF_INET, text.c_str(), &address) == 1;
-}
-
 /** One setting: where it stands, what is allowed, and how it is taken over. */
 struct Field {
   std::string path;
