Derive the owners of groups once a view, not at each look-up

Cause: OwnerOfGroup counted, sorted and hashed the daemons for each endpoint at each gathering of changes (400 ms), and for each pending job at each review (20 ms). Change: the owners are derived when the members change and looked up after. ZonesOf is no longer needed. Same owners: the tests of views and fleets are unchanged. Its effect on processor time was not measured.

--- a/modules/core/fleet/fleet_view.cc
+++ b/modules/core/fleet/fleet_view.cc
@@ -17,15 +17,16 @@
 
 using Members = std::vector<const FleetMember*>;
 
-const FleetMember* ChooseAmong(const FleetView& view,
-                               const Members& members,
-                               const std::string& key) {
-  if (members.empty())
-    return nullptr;
+const FleetMember& ChooseAmong(const Members& members, const std::string& key) {
   std::vector<Candidate> candidates;
   for (const FleetMember* member : members)
     candidates.push_back({member->address.id, member->address.weight});
-  return &view.members.at(ChooseByRendezvous(candidates, key).id);
+  const DaemonId& chosen = ChooseByRendezvous(candidates, key).id;
+  const auto found = std::find_if(members.begin(), members.end(),
+                                  [&chosen](const FleetMember* member) {
+                                    return member->address.id == chosen;
+                                  });
+  return **found;
 }
 
 /** Members of a zone that may schedule, the preferred ones first. */
@@ -50,24 +51,41 @@
   return members;
 }
 
-/** Owners of a zone's groups by their index; empty when it has no daemon. */
-Members OwnersInZone(const FleetView& view, const ZoneId& zone) {
+/** Owners of a zone's groups by their index; empty when all are leaving. */
+std::vector<DaemonId> OwnersInZone(const FleetView& view,
+                                   const ZoneId& zone,
+                                   size_t groups) {
   Members ranked = RankedMembers(view, zone);
   if (ranked.empty())
     return {};
-  const size_t groups = GroupCount(view, zone);
-  Members owners(groups, nullptr);
   ranked.resize(std::min(ranked.size(), groups));
+  std::vector<DaemonId> owners;
   Members free = ranked;
   for (uint32_t index = 0; index < groups; ++index) {
     if (free.empty())
       free = ranked;
-    owners[index] = ChooseAmong(view, free, NameOf(EndpointGroup{zone, index}));
-    free.erase(std::find(free.begin(), free.end(), owners[index]));
+    const FleetMember& owner =
+        ChooseAmong(free, NameOf(EndpointGroup{zone, index}));
+    owners.push_back(owner.address.id);
+    free.erase(std::find(free.begin(), free.end(), &owner));
   }
   return owners;
 }
 
+/** Works out the groups and their owners from the members. */
+void DeriveOwners(FleetView& view) {
+  std::map<ZoneId, size_t> members;
+  for (const auto& [id, member] : view.members)
+    ++members[member.address.zone];
+  view.owners.clear();
+  view.group_counts.clear();
+  for (const auto& [zone, count] : members) {
+    const size_t groups = (count + kMembersPerGroup - 1) / kMembersPerGroup;
+    view.group_counts[zone] = static_cast<uint32_t>(groups);
+    view.owners[zone] = OwnersInZone(view, zone, groups);
+  }
+}
+
 }  // namespace
 
 bool ApplyMember(FleetView& view, const FleetMember& member) {
@@ -75,6 +93,7 @@
     return false;
   view.members[member.address.id] = member;
   view.revision = member.revision;
+  DeriveOwners(view);
   return true;
 }
 
@@ -83,6 +102,7 @@
     return false;
   view.members.erase(id);
   view.revision = revision;
+  DeriveOwners(view);
   return true;
 }
 
@@ -95,23 +115,13 @@
   view.revision = revision;
   for (const FleetMember& member : members)
     view.members[member.address.id] = member;
+  DeriveOwners(view);
   return true;
 }
 
-std::set<ZoneId> ZonesOf(const FleetView& view) {
-  std::set<ZoneId> zones;
-  for (const auto& [id, member] : view.members)
-    zones.insert(member.address.zone);
-  return zones;
-}
-
 uint32_t GroupCount(const FleetView& view, const ZoneId& zone) {
-  const auto members = static_cast<size_t>(std::count_if(
-      view.members.begin(), view.members.end(), [&zone](const auto& entry) {
-        return entry.second.address.zone == zone;
-      }));
-  const size_t groups = (members + kMembersPerGroup - 1) / kMembersPerGroup;
-  return static_cast<uint32_t>(std::max<size_t>(groups, 1));
+  const auto found = view.group_counts.find(zone);
+  return found == view.group_counts.end() ? 1 : found->second;
 }
 
 EndpointGroup GroupOfEndpoint(const FleetView& view,
@@ -130,15 +140,15 @@
 
 const FleetMember* OwnerOfGroup(const FleetView& view,
                                 const EndpointGroup& group) {
-  const Members owners = OwnersInZone(view, group.zone);
-  if (!owners.empty())
-    return owners[group.index % owners.size()];
+  const auto own = view.owners.find(group.zone);
+  if (own != view.owners.end() && !own->second.empty())
+    return &view.members.at(own->second[group.index % own->second.size()]);
   Members others;
-  for (const ZoneId& zone : ZonesOf(view)) {
-    for (const FleetMember* owner : OwnersInZone(view, zone))
-      others.push_back(owner);
+  for (const auto& [zone, owners] : view.owners) {
+    for (const DaemonId& owner : owners)
+      others.push_back(&view.members.at(owner));
   }
-  return ChooseAmong(view, others, NameOf(group));
+  return others.empty() ? nullptr : &ChooseAmong(others, NameOf(group));
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_view.h
+++ b/modules/core/fleet/fleet_view.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+
 #include <vector>
 
 #include "base/ids.h"
@@ -21,6 +21,13 @@
   /** Revision of the latest change of any member. */
   uint64_t revision = 0;
   std::map<DaemonId, FleetMember> members;
+  /** Owners of each zone's groups by their index, derived whenever the members
+   * change: it is asked for each endpoint and job. Empty for a zone all of
+   * whose daemons are leaving; zones without a daemon are missing.
+   */
+  std::map<ZoneId, std::vector<DaemonId>> owners;
+  /** Number of each zone's groups, derived with the owners. */
+  std::map<ZoneId, uint32_t> group_counts;
 };
 
 /** Daemons of a zone for which its endpoints form one group. A scheduler that
@@ -69,9 +76,6 @@
 const FleetMember* OwnerOfGroup(const FleetView& view,
                                 const EndpointGroup& group);
 
-/** Zones in which there are daemons. */
-std::set<ZoneId> ZonesOf(const FleetView& view);
-
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_CORE_FLEET_FLEET_VIEW_H_
