Drop what nobody reads; ask for another owner and remove a job in one place each

Cause: heartbeats summed up free room that no daemon used; redirects, unanswered stops and the length of a lease were carried and never read; three places asked in their own words whether another daemon owns a group; two took a job out of the scheduler; the place of a task was spelled three times for logs. Change: the unread fields are gone (peer protocol 3); OtherOwnerOf, RemoveJob and PlaceOf serve all callers. No decision changes.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -184,8 +184,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
   archive(message.job, message.zone, message.may_have_started,
-          message.redirects, message.view_revision, message.former,
-          message.former_wait);
+          message.view_revision, message.former, message.former_wait);
 }
 
 template <class Archive>
@@ -275,7 +274,7 @@
           heartbeat.store_cluster_id, heartbeat.can_claim, heartbeat.free_slots,
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
           heartbeat.leaving_endpoints, heartbeat.demands,
-          heartbeat.free_millicores, heartbeat.queued_core_ms,
+
           heartbeat.jobs_in_progress);
 }
 
--- a/modules/adapters/peers/peer_codec.h
+++ b/modules/adapters/peers/peer_codec.h
@@ -11,7 +11,7 @@
 namespace dogwoodfall {
 
 /** Number of the form of frames and heartbeats; others are not read. */
-inline constexpr uint16_t kPeerProtocolVersion = 2;
+inline constexpr uint16_t kPeerProtocolVersion = 3;
 
 /** The bytes of a frame, without a length. */
 std::string EncodeFrame(const PeerFrame& frame);
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -61,13 +61,7 @@
   heartbeat.revision = node.routes.version;
   heartbeat.store_revision = node.view.revision;
   heartbeat.draining = node.is_stopping;
-  for (const auto& [id, endpoint] : node.scheduler.endpoints) {
-    if (endpoint.standing == EndpointStanding::kUsable &&
-        !endpoint.entry.draining) {
-      heartbeat.free_millicores +=
-          endpoint.entry.capacity.cpu_millicores - endpoint.used.cpu_millicores;
-    }
-  }
+
   for (const auto& [id, job] : node.scheduler.jobs) {
     if (now - job.received >= kTellJobAfter && job.has_started)
       heartbeat.jobs_in_progress.push_back(id);
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -164,12 +164,9 @@
   RegisterAgain(node.store, now);
 }
 
-/** True when another daemon owns a group. While nobody does, as when the store
- * has dropped all items, its former owner goes on.
- */
-bool HasOtherOwner(const FleetNode& node, const EndpointGroup& group) {
+bool IsOwn(const FleetNode& node, const EndpointGroup& group) {
   const FleetMember* owner = OwnerOfGroup(node.view, group);
-  return owner != nullptr && RefOf(*owner) != node.self;
+  return owner != nullptr && RefOf(*owner) == node.self;
 }
 
 /** Gives a job with what is known of it to the new owner of its endpoints. */
@@ -190,17 +187,13 @@
 
 /** Gives away the jobs whose endpoints have another owner now. */
 void GiveJobsAway(FleetNode& node, Millis now, Actions& actions) {
-  std::vector<SubmissionId> ids;
+  std::vector<std::pair<SubmissionId, const FleetMember*>> given;
   for (const auto& [id, job] : node.scheduler.jobs) {
-    if (HasOtherOwner(node, job.group))
-      ids.push_back(id);
-  }
-  for (const SubmissionId& id : ids) {
-    const FleetMember* next =
-        OwnerOfGroup(node.view, node.scheduler.jobs.at(id).group);
-    if (next != nullptr)
-      GiveJobAway(node, id, *next, now, actions);
+    if (const FleetMember* next = OtherOwnerOf(node, job.group))
+      given.emplace_back(id, next);
   }
+  for (const auto& [id, next] : given)
+    GiveJobAway(node, id, *next, now, actions);
 }
 
 /** Takes over and gives away endpoints as the view says. */
@@ -208,7 +201,7 @@
   GiveJobsAway(node, now, actions);
   std::vector<EndpointId> given;
   for (const auto& [id, endpoint] : node.scheduler.endpoints) {
-    if (HasOtherOwner(node, endpoint.group))
+    if (OtherOwnerOf(node, endpoint.group) != nullptr)
       given.push_back(id);
   }
   for (const EndpointId& id : given)
@@ -251,9 +244,10 @@
 
 }  // namespace
 
-bool IsOwn(const FleetNode& node, const EndpointGroup& group) {
+const FleetMember* OtherOwnerOf(const FleetNode& node,
+                                const EndpointGroup& group) {
   const FleetMember* owner = OwnerOfGroup(node.view, group);
-  return owner != nullptr && RefOf(*owner) == node.self;
+  return owner != nullptr && RefOf(*owner) != node.self ? owner : nullptr;
 }
 
 bool IsScheduler(const FleetNode& node) {
--- a/modules/core/fleet/ownership_flow.h
+++ b/modules/core/fleet/ownership_flow.h
@@ -25,8 +25,11 @@
                        const RoutesNotice& notice,
                        Actions& actions);
 
-/** True when this daemon gives orders to a group's endpoints. */
-bool IsOwn(const FleetNode& node, const EndpointGroup& group);
+/** The daemon other than this one that owns a group, or null. While nobody
+ * does, as when the store has dropped all items, its former owner goes on.
+ */
+const FleetMember* OtherOwnerOf(const FleetNode& node,
+                                const EndpointGroup& group);
 
 /** True when this daemon schedules by its present view. */
 bool IsScheduler(const FleetNode& node);
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -14,8 +14,6 @@
 
 namespace dogwoodfall {
 
-struct FleetNode;
-
 /** A job whose callers wait for its end at this daemon. */
 struct PendingJob {
   TransientJob job;
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/ownership_flow.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/job_flow.h"
 
@@ -21,6 +22,7 @@
 constexpr Millis kWordHolds{600};
 /** Retry-After of a job that nobody could take. */
 constexpr Millis kNobodyRetryAfter{1'000};
+
 void CountAnswer(ReceptionCounters& counters, JobEnd end, Millis waited) {
   const auto row = static_cast<size_t>(end);
   size_t bucket = 0;
@@ -65,7 +67,7 @@
   submission.job.age = now - pending.received;
   submission.job.time_left = pending.gives_up_at - now;
   submission.may_have_started = pending.may_have_started;
-  submission.redirects = pending.redirects;
+
   submission.view_revision = node.view.revision;
   submission.former = pending.former;
   submission.former_wait = FormerWait(node, pending.former, now);
@@ -275,9 +277,9 @@
   }
   const EndpointGroup group =
       GroupOfJob(node.view, submission.zone, submission.job.id);
-  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  const FleetMember* owner = OtherOwnerOf(node, group);
   const bool is_known = node.scheduler.jobs.count(submission.job.id) > 0;
-  if (!is_known && owner != nullptr && RefOf(*owner) != node.self) {
+  if (!is_known && owner != nullptr) {
     // The sender does not know the present owner yet.
     node.scheduler.finished.push_back({receiver,
                                        submission.job.id,
@@ -296,11 +298,8 @@
                 Actions& actions) {
   JobProgress progress;
   progress.job = release.job;
-  const auto job = node.scheduler.jobs.find(release.job);
-  if (job != node.scheduler.jobs.end()) {
-    progress = ProgressOf(node.scheduler, job->second);
-    ForgetJob(node.scheduler, release.job);
-  }
+  if (const auto job = RemoveJob(node.scheduler, release.job))
+    progress = ProgressOf(node.scheduler, *job);
   actions.push_back(
       LogEvent{"job_released",
                {{"job", release.job.value},
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -216,8 +216,7 @@
       actions.push_back(
           LogEvent{"run_ended",
                    {{"job", end.task.job.value},
-                    {"task", std::to_string(end.task.step) + "." +
-                                 std::to_string(end.task.index)},
+                    {"task", PlaceOf(end.task)},
                     {"attempt", std::to_string(end.attempt.value)},
                     {"endpoint", endpoint.entry.id.value},
                     {"kind", endpoint.entry.kind},
@@ -329,8 +328,7 @@
   actions.push_back(
       LogEvent{"start_not_done",
                {{"job", order.run.first.job.value},
-                {"task", std::to_string(order.run.first.step) + "." +
-                             std::to_string(order.run.first.index)},
+                {"task", PlaceOf(order.run.first)},
                 {"attempt", std::to_string(order.run.second)},
                 {"endpoint", endpoint.entry.id.value},
                 {"outcome", NameOf(reply.outcome)},
@@ -376,7 +374,7 @@
     run.confirmed_at = std::min(run.confirmed_at, now);
     return;
   }
-  ++run.stops_unanswered;
+
   run.state = RunState::kRunning;
   OrderStop(scheduler, endpoint, order.run, now, actions);
 }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -58,7 +58,6 @@
   made.group = group;
   made.receiver = receiver;
   made.may_have_started = submission.may_have_started;
-  made.redirects = submission.redirects;
 
   for (const JobStep& step : made.job.steps) {
     made.tasks.emplace_back(step.task_count);
@@ -262,12 +261,15 @@
   return progress;
 }
 
-void ForgetJob(Scheduler& scheduler, const SubmissionId& id) {
+std::optional<ScheduledJob> RemoveJob(Scheduler& scheduler,
+                                      const SubmissionId& id) {
   const auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end())
-    return;
+    return std::nullopt;
   scheduler.queue.erase(found->second.order_key);
+  ScheduledJob job = std::move(found->second);
   scheduler.jobs.erase(found);
+  return job;
 }
 
 void EndJob(Scheduler& scheduler,
@@ -275,17 +277,15 @@
             const JobOutcome& wanted,
             Millis now,
             Actions& actions) {
-  const auto found = scheduler.jobs.find(id);
-  if (found == scheduler.jobs.end())
+  const std::optional<ScheduledJob> removed = RemoveJob(scheduler, id);
+  if (!removed)
     return;
-  const ScheduledJob job = std::move(found->second);
+  const ScheduledJob& job = *removed;
   JobOutcome outcome = wanted;
   // "Refused" says that nothing has run, here or at a former scheduler.
   if (outcome.end == JobEnd::kRefused &&
       (job.has_started || job.may_have_started))
     outcome.end = JobEnd::kAbandoned;
-  scheduler.queue.erase(job.order_key);
-  scheduler.jobs.erase(found);
   StopRuns(scheduler, job, now, actions);
   ++scheduler.counters.job_ends[static_cast<size_t>(outcome.end)];
   LogEvent event = JobEvent("job_ended", job, now);
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -1,6 +1,7 @@
 #ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_JOB_FLOW_H_
 #define DOGWOODFALL_MODULES_CORE_SCHEDULING_JOB_FLOW_H_
 
+#include <optional>
 #include <string>
 
 #include "core/scheduling/scheduler.h"
@@ -30,8 +31,11 @@
 /** What is known of a job, for its next scheduler. */
 JobProgress ProgressOf(const Scheduler& scheduler, const ScheduledJob& job);
 
-/** Forgets a job that another scheduler has now, without stopping it. */
-void ForgetJob(Scheduler& scheduler, const SubmissionId& id);
+/** Takes a job out of the scheduler without stopping it; none when it is not
+ * known.
+ */
+std::optional<ScheduledJob> RemoveJob(Scheduler& scheduler,
+                                      const SubmissionId& id);
 
 /** Makes a run that was found on an endpoint part of its job.
  * @return false when no job of this daemon wants it
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -36,8 +36,7 @@
   Millis expected;
   int percent = 0;
   Millis percent_at;
-  /** Unanswered orders to stop it. */
-  uint32_t stops_unanswered = 0;
+
   /** True when the task goes back to the queue once the run is gone. */
   bool requeue = true;
 };
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -75,8 +75,7 @@
                       const RunPace& pace) {
   return {"run_overdue",
           {{"job", key.first.job.value},
-           {"task", std::to_string(key.first.step) + "." +
-                        std::to_string(key.first.index)},
+           {"task", PlaceOf(key.first)},
            {"attempt", std::to_string(key.second)},
            {"endpoint", endpoint.entry.id.value},
            {"ran_ms", std::to_string(std::llround(pace.ran))},
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -60,7 +60,7 @@
    * word from its former scheduler is waited for, or the end of their leases.
    */
   Millis waits_until;
-  uint32_t redirects = 0;
+
   /** True once any run of it was ordered or found. */
   bool has_started = false;
   /** Where it stands in the queue; the key it was inserted under. */
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -46,10 +46,7 @@
   /** Endpoints that the sender knows to be leaving. */
   std::vector<EndpointId> leaving_endpoints;
   std::vector<CustomerDemand> demands;
-  /** Processor room that is free on the sender's endpoints. */
-  int64_t free_millicores = 0;
-  /** Work that waits at the sender, in core-milliseconds. */
-  int64_t queued_core_ms = 0;
+
   /** Jobs that have run at the sender for so long that their callers may send
    * them again elsewhere.
    */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -127,8 +127,6 @@
   ZoneId zone;
   /** True when another daemon may have started some of it. */
   bool may_have_started = false;
-  /** Schedulers that have passed it on so far. */
-  uint32_t redirects = 0;
   /** Revision of the view that made the receiver its scheduler. */
   uint64_t view_revision = 0;
   /** Who had it before and will tell its progress; none when that daemon is
--- a/modules/model/transient_job.h
+++ b/modules/model/transient_job.h
@@ -70,6 +70,11 @@
   }
 };
 
+/** A task's place in its job, for logs. */
+inline std::string PlaceOf(const JobTask& task) {
+  return std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
 /** How a transient job ended. */
 enum class JobEnd : uint8_t {
   /** Every task has ended well. */
--- a/modules/ports/key_value_call.h
+++ b/modules/ports/key_value_call.h
@@ -95,7 +95,6 @@
   /** Revision of the store as a whole, or of the change made; 0 if unknown. */
   uint64_t store_revision = 0;
   uint64_t lease = 0;
-  Millis lease_length;
 };
 
 }  // namespace dogwoodfall
