Split the handling of endpoints by job: taking over, orders, answers, runs

What runs of a former owner look like was said twice, and not the same way: a task that asks for an accelerator only counted as neither, so its lease was not renewed. Change: endpoint_flow, endpoint_orders, endpoint_replies and endpoint_runs; one predicate for runs of a former owner. Functions moved as they were, but for that.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -6,6 +6,7 @@
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "core/fleet/ownership_flow.h"
-#include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_orders.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
--- a/modules/core/scheduling/endpoint_flow.h
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -5,11 +5,6 @@
 
 namespace dogwoodfall {
 
-/** Longest time that an endpoint goes on without word from its scheduler. A
- * caller sends a job again 1,300 ms after a loss; what a dead daemon started
- * must have ended well before, and a slow daemon needs several renewals in it.
- */
-inline constexpr Millis kRunLease{500};
 /** Time after which what an unreachable owner started is over: the longest
  * lease that endpoints grant (1,000 ms), on a clock that is 2 % slow.
  */
@@ -52,31 +47,6 @@
  */
 void AwaitLook(ManagedEndpoint& endpoint, Millis now);
 
-/** Starts a run of a task.
- *
- * @param expected run time to expect on an endpoint of slowness 1
- */
-void OrderStart(Scheduler& scheduler,
-                ManagedEndpoint& endpoint,
-                const ScheduledJob& job,
-                const JobTask& task,
-                Millis expected,
-                Millis now,
-                Actions& actions);
-
-/** Stops a run; does nothing when it is being stopped already. */
-void OrderStop(Scheduler& scheduler,
-               ManagedEndpoint& endpoint,
-               const RunKey& run,
-               Millis now,
-               Actions& actions);
-
-/** Takes the answer to an order. */
-void TakeEndpointReply(Scheduler& scheduler,
-                       const EndpointReply& reply,
-                       Millis now,
-                       Actions& actions);
-
 /** Sends renewals that are due and looks for runs that are overdue. */
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions);
 
--- /dev/null
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -0,0 +1,285 @@
+#include "core/scheduling/endpoint_replies.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_orders.h"
+#include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/job_flow.h"
+#include "core/scheduling/speed_learning.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** First and longest pause after an endpoint says that it is unhealthy. */
+constexpr Millis kFirstAvoidPause{100};
+constexpr Millis kLongestAvoidPause{2'000};
+/** Unanswered orders in a row after which an endpoint counts as silent. */
+constexpr uint32_t kSilentAfter = 2;
+
+void NoteAnswered(ManagedEndpoint& endpoint,
+                  const EndpointReply& reply,
+                  Millis now) {
+  endpoint.unanswered = 0;
+  if (reply.clock)
+    endpoint.clock_ahead = *reply.clock - now;
+}
+
+void NoteUnanswered(ManagedEndpoint& endpoint, Millis now, Actions& actions) {
+  ++endpoint.unanswered;
+  if (endpoint.unanswered >= kSilentAfter &&
+      endpoint.standing == EndpointStanding::kUsable) {
+    SetStanding(endpoint, EndpointStanding::kSilent, "unanswered", now,
+                actions);
+  }
+}
+
+void TakeEnds(Scheduler& scheduler,
+              ManagedEndpoint& endpoint,
+              const EndpointReply& reply,
+              Millis now,
+              Actions& actions) {
+  for (const ListedEnd& end : reply.ended) {
+    if (end.number <= endpoint.ends_seen)
+      continue;
+    endpoint.ends_seen = end.number;
+    ++scheduler.counters.run_ends[static_cast<size_t>(end.end)];
+    const RunKey key{end.task, end.attempt.value};
+    const auto found = endpoint.runs.find(key);
+    const bool is_known = found != endpoint.runs.end();
+    const Run run = is_known ? found->second : Run();
+    DropRun(endpoint, key);
+    if (end.end != RunEnd::kDone) {
+      actions.push_back(
+          LogEvent{"run_ended",
+                   {{"job", end.task.job.value},
+                    {"task", PlaceOf(end.task)},
+                    {"attempt", std::to_string(end.attempt.value)},
+                    {"endpoint", endpoint.entry.id.value},
+                    {"kind", endpoint.entry.kind},
+                    {"slowness", std::to_string(endpoint.slowness)},
+                    {"percent", std::to_string(run.percent)},
+                    {"expected_ms", std::to_string(run.expected.count)},
+                    {"how", NameOf(end.end)},
+                    {"ran_ms", std::to_string((now - run.ordered_at).count)}}});
+    }
+    if (end.end == RunEnd::kDone) {
+      LearnFromSuccess(endpoint);
+      const Millis run_time = is_known ? now - run.ordered_at : Millis();
+      NoteTaskDone(scheduler, end.task, run_time, now, actions);
+      continue;
+    }
+    if (end.end == RunEnd::kFailed && is_known) {
+      LearnFromFailure(endpoint);
+      NoteTaskFailed(scheduler, end.task, now, actions);
+    }
+    if (run.requeue)
+      RequeueTask(scheduler, key, now);
+  }
+}
+
+/** Compares the list of runs with what is known. */
+void TakeRunning(Scheduler& scheduler,
+                 ManagedEndpoint& endpoint,
+                 const EndpointReply& reply,
+                 Millis asked_at,
+                 Millis now,
+                 Actions& actions) {
+  std::map<RunKey, int> listed;
+  for (const ListedRun& run : reply.running)
+    listed[{run.task, run.attempt.value}] = run.percent;
+  std::vector<RunKey> gone;
+  for (const auto& [key, run] : endpoint.runs) {
+    // A run confirmed after the renewal left may be missing from its answer.
+    if (run.state != RunState::kStarting && run.confirmed_at < asked_at &&
+        listed.count(key) == 0)
+      gone.push_back(key);
+  }
+  for (const RunKey& key : gone) {
+    const bool requeue = endpoint.runs.at(key).requeue;
+    DropRun(endpoint, key);
+    if (requeue)
+      RequeueTask(scheduler, key, now);
+  }
+  for (const auto& [key, percent] : listed) {
+    const auto known = endpoint.runs.find(key);
+    if (known != endpoint.runs.end()) {
+      known->second.percent = percent;
+      known->second.percent_at = now;
+      continue;
+    }
+    Run found;
+    found.state = RunState::kUnclaimed;
+    found.ordered_at = now;
+    found.confirmed_at = now;
+    found.percent = percent;
+    endpoint.runs.emplace(key, found);
+    if (endpoint.standing == EndpointStanding::kLooking &&
+        (FindTask(scheduler, key.first) == nullptr ||
+         ClaimRun(scheduler, endpoint, key)))
+      continue;
+    OrderStop(scheduler, endpoint, key, now, actions);
+  }
+}
+
+void TakeRenewal(Scheduler& scheduler,
+                 ManagedEndpoint& endpoint,
+                 const EndpointReply& reply,
+                 const OpenOrder& order,
+                 Millis now,
+                 Actions& actions) {
+  if (endpoint.born_ms != 0 && reply.born_ms != 0 &&
+      endpoint.born_ms != reply.born_ms)
+    MeetNewLife(scheduler, endpoint, reply.born_ms, now, actions);
+  endpoint.born_ms = reply.born_ms;
+  TakeEnds(scheduler, endpoint, reply, now, actions);
+  TakeRunning(scheduler, endpoint, reply, order.sent, now, actions);
+  if (endpoint.standing == EndpointStanding::kSilent)
+    SetStanding(endpoint, EndpointStanding::kUsable, "answers", now, actions);
+  if (endpoint.standing == EndpointStanding::kLooking &&
+      !HasForeignRun(endpoint)) {
+    if (endpoint.runs.empty())
+      endpoint.lease_until = now;
+    SetStanding(endpoint, EndpointStanding::kUsable, "looked", now, actions);
+  }
+}
+
+void TakeStart(Scheduler& scheduler,
+               ManagedEndpoint& endpoint,
+               const EndpointReply& reply,
+               const OpenOrder& order,
+               Millis now,
+               Actions& actions) {
+  ++scheduler.counters.start_outcomes[static_cast<size_t>(reply.outcome)];
+  const auto found = endpoint.runs.find(order.run);
+  if (found == endpoint.runs.end())
+    return;  // Its end was listed before the answer to its start came.
+  Run& run = found->second;
+  if (reply.outcome == OrderOutcome::kDone) {
+    run.confirmed_at = now;
+    if (run.state == RunState::kStarting)
+      run.state = RunState::kRunning;
+    endpoint.avoid_pause = Millis();
+    return;
+  }
+  actions.push_back(
+      LogEvent{"start_not_done",
+               {{"job", order.run.first.job.value},
+                {"task", PlaceOf(order.run.first)},
+                {"attempt", std::to_string(order.run.second)},
+                {"endpoint", endpoint.entry.id.value},
+                {"outcome", NameOf(reply.outcome)},
+                {"waited_ms", std::to_string((now - order.sent).count)}}});
+  if (reply.outcome == OrderOutcome::kUnanswered) {
+    OrderStop(scheduler, endpoint, order.run, now, actions);
+    return;
+  }
+  const bool requeue = run.requeue;
+  DropRun(endpoint, order.run);
+  if (reply.outcome == OrderOutcome::kMalformed) {
+    EndJob(scheduler, order.run.first.job,
+           {JobEnd::kFailed, {}, "endpoint_can_not_read_it"}, now, actions);
+    return;
+  }
+  if (reply.outcome == OrderOutcome::kUnhealthy) {
+    endpoint.avoid_pause =
+        std::clamp(endpoint.avoid_pause + endpoint.avoid_pause,
+                   kFirstAvoidPause, kLongestAvoidPause);
+    endpoint.avoid_until = now + endpoint.avoid_pause;
+  }
+  if (reply.outcome == OrderOutcome::kNoRoom) {
+    // Something runs there that is not known; the next list shows it.
+    endpoint.avoid_until = now + kFirstAvoidPause;
+  }
+  if (requeue)
+    RequeueTask(scheduler, order.run, now);
+}
+
+void TakeStop(Scheduler& scheduler,
+              ManagedEndpoint& endpoint,
+              const EndpointReply& reply,
+              const OpenOrder& order,
+              Millis now,
+              Actions& actions) {
+  const auto found = endpoint.runs.find(order.run);
+  if (found == endpoint.runs.end())
+    return;
+  Run& run = found->second;
+  if (reply.outcome == OrderOutcome::kDone) {
+    // It ends within 50 ms, or was never there and will not start any more:
+    // lists that are asked for from now on tell.
+    run.confirmed_at = std::min(run.confirmed_at, now);
+    return;
+  }
+
+  run.state = RunState::kRunning;
+  OrderStop(scheduler, endpoint, order.run, now, actions);
+}
+
+/** What holds for answers to all kinds of orders. @return true when the order
+ * needs no more of its own handling.
+ */
+bool TakeCommonOutcome(Scheduler& scheduler,
+                       ManagedEndpoint& endpoint,
+                       const EndpointReply& reply,
+                       Millis now,
+                       Actions& actions) {
+  switch (reply.outcome) {
+    case OrderOutcome::kUnanswered:
+      NoteUnanswered(endpoint, now, actions);
+      return false;
+    case OrderOutcome::kFenced:
+      SetStanding(endpoint, EndpointStanding::kLost, "fenced", now, actions);
+      return false;
+    case OrderOutcome::kNoListener:
+    case OrderOutcome::kOtherIncarnation:
+      LoseAllRuns(scheduler, endpoint, NameOf(reply.outcome), now, actions);
+      endpoint.unanswered = kSilentAfter;
+      endpoint.ends_seen = 0;
+      endpoint.born_ms = 0;
+      SetStanding(endpoint, EndpointStanding::kSilent, NameOf(reply.outcome),
+                  now, actions);
+      return true;
+    default:
+      NoteAnswered(endpoint, reply, now);
+      return false;
+  }
+}
+
+}  // namespace
+
+void TakeEndpointReply(Scheduler& scheduler,
+                       const EndpointReply& reply,
+                       Millis now,
+                       Actions& actions) {
+  const auto found = scheduler.orders.find(reply.id);
+  if (found == scheduler.orders.end())
+    return;
+  const OpenOrder order = found->second;
+  scheduler.orders.erase(found);
+  const auto owned = scheduler.endpoints.find(order.endpoint);
+  if (owned == scheduler.endpoints.end() ||
+      owned->second.fencing_token != order.fencing_token)
+    return;
+  ManagedEndpoint& endpoint = owned->second;
+  if (endpoint.renewal == reply.id)
+    endpoint.renewal = OrderId();
+  if (!TakeCommonOutcome(scheduler, endpoint, reply, now, actions)) {
+    if (order.kind == OpenOrder::Kind::kStart)
+      TakeStart(scheduler, endpoint, reply, order, now, actions);
+    else if (order.kind == OpenOrder::Kind::kStop)
+      TakeStop(scheduler, endpoint, reply, order, now, actions);
+    else if (reply.outcome == OrderOutcome::kDone)
+      TakeRenewal(scheduler, endpoint, reply, order, now, actions);
+  }
+  if (!endpoint.is_listed && endpoint.runs.empty())
+    ReleaseEndpoint(scheduler, order.endpoint, now);
+  else
+    EnsureRenewal(scheduler, endpoint, now, actions);
+  PlaceTasks(scheduler, now, actions);
+}
+
+}  // namespace dogwoodfall
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -6,8 +6,9 @@
  * this daemon owns, keeps their leases, and notices what has become of them.
  *
  * job_order.h says who goes first, placement.h where a task runs, admission.h
- * what is refused; endpoint_flow.h gives orders and takes their answers,
- * job_flow.h takes jobs and ends them.
+ * what is refused; job_flow.h takes jobs and ends them. endpoint_flow.h takes
+ * endpoints over and reviews them, endpoint_orders.h gives them orders,
+ * endpoint_replies.h takes the answers, endpoint_runs.h keeps what runs there.
  */
 
 #include <cstdint>
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -312,6 +312,23 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// A task that asks for an accelerator and nothing else keeps its lease.
+TEST(SchedulingTest, ATaskOfAnAcceleratorOnlyKeepsItsLease) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e1", 16, 1);
+  endpoint.entry.capacity.accelerators = 1;
+  Actions actions;
+  UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 0, {900}, "route");
+  submission.job.steps[0].room = {0, 0, 1};
+  world.SubmitJob(submission, {900});
+  world.Run({1'000});
+  EXPECT_EQ(EndOf(world, "job"), JobEnd::kCompleted);
+  EXPECT_EQ(endpoint.starts, 1U);
+}
+
 // "Refused" says that nothing has run; a second scheduler can't say so of what
 // a first one may have started.
 TEST(SchedulingTest, WhatMayHaveStartedIsNeverRefused) {
--- a/tests/support/scheduler_world.h
+++ b/tests/support/scheduler_world.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/scheduler.h"
 #include "fake_endpoint.h"
