Pass on all that is known of a job when it changes hands twice

A zone that was cut off comes back; within 50 ms its endpoints go from their old owner to another zone's daemon and from there to one of their own. The daemon in the middle knew the runs only by word (it had not looked at the endpoints yet) and passed on "nothing runs"; or it had not had the word yet and passed on what it had as all there was; or it said "fits no endpoint" of a group whose items had not come back, and later "unknown" was taken for "nothing runs". The wait for word was counted from when the former scheduler was last heard, which for one that was cut off is long ago.

Change: runs that were told are told again until they are found; word that is still awaited is passed on as such; a release follows a job that was passed on, and word that comes late is forwarded; a daemon that knows nothing stays silent; a completed job's report counts also from its former scheduler; the wait starts when the job was given. A job whose group has no endpoints is refused, not failed.

Tests: five that fail without it (handover, told runs, open word, empty group). WhatMayHaveStartedIsNeverRefused expected the end at once; a job that may run on endpoints not listed yet is now kept until they would be too late, so the test checks that it is not ended before and is abandoned after: as strict.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -217,12 +217,12 @@
 template <class Archive>
 void serialize(Archive& archive, JobRedirect& message) {
   archive(message.job, message.to, message.zone, message.may_have_started,
-          message.view_revision);
+          message.view_revision, message.is_progress_told);
 }
 
 template <class Archive>
 void serialize(Archive& archive, JobProgress& message) {
-  archive(message.job, message.done, message.placed);
+  archive(message.job, message.done, message.placed, message.open_wait);
 }
 
 template <class Archive>
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_flow.h"
@@ -64,7 +65,7 @@
   heartbeat.draining = node.is_stopping;
 
   for (const auto& [id, job] : node.scheduler.jobs) {
-    if (now - job.received >= kTellJobAfter && job.has_started)
+    if (now - job.received >= kTellJobAfter)
       heartbeat.jobs_in_progress.push_back(id);
   }
   return heartbeat;
@@ -193,10 +194,7 @@
   } else if (const auto* cancel = std::get_if<JobCancellation>(&message)) {
     CancelJob(node.scheduler, cancel->job, from, "caller_gone", now, actions);
   } else if (const auto* report = std::get_if<JobReport>(&message)) {
-    const auto pending = node.reception.pending.find(report->job);
-    if (pending != node.reception.pending.end() &&
-        pending->second.scheduler == from)
-      AnswerCallers(node, now, report->job, report->outcome, actions);
+    TakeReport(node, now, from, *report, actions);
   } else if (const auto* release = std::get_if<JobRelease>(&message)) {
     ReleaseJob(node, *release, now, actions);
   } else if (const auto* view = std::get_if<ViewNotice>(&message)) {
@@ -204,7 +202,7 @@
   } else if (const auto* routes = std::get_if<RoutesNotice>(&message)) {
     ApplyRoutesNotice(node, *routes, actions);
   } else if (const auto* progress = std::get_if<JobProgress>(&message)) {
-    TakeProgress(node.scheduler, *progress, node.view.revision, now, actions);
+    TakeToldProgress(node, from, *progress, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
     RedirectJob(node, now, from, *redirect, actions);
   }
@@ -309,6 +307,7 @@
   node.next_review = now + kReviewPeriod;
   EvictSilentPeers(node, now, actions);
   ForgetGuests(node, now, actions);
+  ForgetPassedJobs(node, now);
   DropOrphans(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <unordered_map>
 #include <vector>
 
 #include "base/ids.h"
@@ -45,6 +46,14 @@
   Millis came;
 };
 
+/** A job that this daemon had or was told of, and that another one has now. */
+struct PassedJob {
+  DaemonRef to;
+  /** True when this daemon never took it and nobody else had it before. */
+  bool is_untouched = false;
+  Millis at;
+};
+
 /** The whole state of a daemon on the platform. */
 struct FleetNode {
   DaemonRef self;
@@ -63,6 +72,8 @@
   Scheduler scheduler;
   Reception reception;
   std::vector<EarlyJob> early_jobs;
+  /** Where jobs went, for word of them that comes later. */
+  std::unordered_map<SubmissionId, PassedJob> passed_jobs;
   uint64_t heartbeat_number = 0;
   Millis next_heartbeat;
   Millis next_review;
--- /dev/null
+++ b/modules/core/fleet/handover_flow.h
@@ -0,0 +1,38 @@
+#ifndef DOGWOODFALL_MODULES_CORE_FLEET_HANDOVER_FLOW_H_
+#define DOGWOODFALL_MODULES_CORE_FLEET_HANDOVER_FLOW_H_
+
+#include "core/fleet/fleet_node.h"
+
+namespace dogwoodfall {
+
+/** Hands a job to its next scheduler, with all that is known of it. When it has
+ * been passed on already, whoever has it now is asked instead. A daemon that
+ * knows nothing of the job stays silent: saying "nothing runs" would be a
+ * guess, and the next scheduler waits for the end of the leases by itself.
+ */
+void ReleaseJob(FleetNode& node,
+                const JobRelease& release,
+                Millis now,
+                Actions& actions);
+
+/** Takes what a former scheduler tells of a job, or passes it on when the job
+ * has gone to a third daemon meanwhile.
+ */
+void TakeToldProgress(FleetNode& node,
+                      const DaemonRef& from,
+                      const JobProgress& progress,
+                      Millis now,
+                      Actions& actions);
+
+/** Notes that a job was not taken, as another daemon owns its endpoints. */
+void NotePassedJob(FleetNode& node,
+                   const JobSubmission& submission,
+                   const DaemonRef& owner,
+                   Millis now);
+
+/** Forgets where jobs went whose callers have stopped waiting. */
+void ForgetPassedJobs(FleetNode& node, Millis now);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_FLEET_HANDOVER_FLOW_H_
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "core/fleet/handover_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/job_flow.h"
@@ -177,12 +178,17 @@
                  Actions& actions) {
   const ScheduledJob job = node.scheduler.jobs.at(id);
   ReleaseJob(node, {id, RefOf(next)}, now, actions);
-  const bool may_run = job.has_started || job.may_have_started;
+  JobRedirect redirect;
+  redirect.job = id;
+  redirect.to = next.address.id;
+  redirect.zone = job.group.zone;
+  redirect.may_have_started = job.has_started || job.may_have_started;
+  redirect.view_revision = node.view.revision;
+  redirect.is_progress_told = true;
+  std::vector<FinishedJob>& finished = node.scheduler.finished;
   for (const DaemonRef& receiver : job.more_receivers)
-    node.scheduler.finished.push_back(
-        {receiver, id, {}, next.address.id, job.group.zone, may_run});
-  node.scheduler.finished.push_back(
-      {job.receiver, id, {}, next.address.id, job.group.zone, may_run});
+    finished.push_back(FinishedJob::PassedOn(receiver, redirect));
+  finished.push_back(FinishedJob::PassedOn(job.receiver, redirect));
 }
 
 /** Gives away the jobs whose endpoints have another owner now. */
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -27,8 +27,14 @@
   EndpointGroup group;
   bool may_have_started = false;
   uint32_t redirects = 0;
+  /** When its scheduler got it. */
+  Millis given_at;
   /** Who scheduled it before and is asked to hand it over. */
   DaemonRef former;
+  /** When that daemon was last taken to live, apart from being heard. */
+  Millis former_since;
+  /** Who was told of its progress, or will be, without having taken it. */
+  DaemonRef progress_holder;
   /** It waits for this revision of the view. */
   uint64_t view_needed = 0;
 };
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/scheduling/endpoint_orders.h"
 #include "core/scheduling/job_flow.h"
@@ -35,19 +36,55 @@
 }
 
 /** How long word from a job's former scheduler may take: as long as runs may go
- * on that it has started, counted from when it was last heard.
+ * on that it has started, counted from when it was last heard, or was given the
+ * job: one that was cut off from here lives and was not heard.
  */
-Millis FormerWait(const FleetNode& node, const DaemonRef& former, Millis now) {
+Millis FormerWait(const FleetNode& node,
+                  const PendingJob& pending,
+                  Millis now) {
+  const DaemonRef& former = pending.former;
   const auto sight = node.peers.find(former.id);
   if (former == DaemonRef() || former == node.self || sight == node.peers.end())
     return {};
   const Millis heard = HasSession(node.sessions, former)
                            ? sight->second.heard
                            : sight->second.former_heard;
-  const Millis left = heard + kRunLease + kFormerSlack - now;
+  const Millis left =
+      std::max(heard, pending.former_since) + kRunLease + kFormerSlack - now;
   return std::max(left, Millis());
 }
 
+/** The present process life of a daemon; none when it is not known. */
+DaemonRef RefTo(const FleetNode& node, const DaemonId& id) {
+  for (const auto* members : {&node.view.members, &node.guests}) {
+    const auto member = members->find(id);
+    if (member != members->end())
+      return RefOf(member->second);
+  }
+  return {};
+}
+
+/** Has a job's progress passed to its next scheduler by a daemon that was told
+ * of it and is not that scheduler.
+ */
+void CallInProgress(FleetNode& node,
+                    PendingJob& pending,
+                    const DaemonRef& next,
+                    Millis now,
+                    Actions& actions) {
+  const DaemonRef holder = std::exchange(pending.progress_holder, DaemonRef());
+  if (holder == DaemonRef() || holder == next)
+    return;
+  const JobRelease release{pending.job.id, next};
+  if (holder == node.self) {
+    ReleaseJob(node, release, now, actions);
+    return;
+  }
+  pending.former = holder;
+  pending.former_since = now;
+  Send(node.sessions, holder, release, SessionLimits(), now, actions);
+}
+
 /** Gives a pending job to the scheduler of a zone's endpoints.
  * @return false when there is none, or it can't be sent
  */
@@ -61,6 +98,7 @@
   if (scheduler == nullptr)
     return false;
   pending.group = group;
+  CallInProgress(node, pending, RefOf(*scheduler), now, actions);
   JobSubmission submission;
   submission.job = pending.job;
   submission.zone = zone;
@@ -70,8 +108,9 @@
 
   submission.view_revision = node.view.revision;
   submission.former = pending.former;
-  submission.former_wait = FormerWait(node, pending.former, now);
+  submission.former_wait = FormerWait(node, pending, now);
   const DaemonRef to = RefOf(*scheduler);
+  pending.given_at = now;
   if (to == node.self) {
     pending.scheduler = to;
     ScheduleHere(node, now, node.self, submission, actions);
@@ -105,6 +144,7 @@
                    Actions& actions) {
   const FleetMember* next = OwnerOfGroup(node.view, pending.group);
   pending.former = pending.scheduler;
+  pending.former_since = pending.given_at;
   pending.scheduler = DaemonRef();
   pending.may_have_started = true;
   if (next == nullptr || RefOf(*next) == pending.former)
@@ -116,6 +156,19 @@
     Send(node.sessions, pending.former, release, SessionLimits(), now, actions);
 }
 
+/** Tells a scheduler that nobody waits for a job here any more. */
+void WithdrawJob(FleetNode& node,
+                 const SubmissionId& id,
+                 const DaemonRef& scheduler,
+                 Millis now,
+                 Actions& actions) {
+  if (scheduler == node.self)
+    CancelJob(node.scheduler, id, node.self, "caller_gone", now, actions);
+  else
+    Send(node.sessions, scheduler, JobCancellation{id}, SessionLimits(), now,
+         actions);
+}
+
 /** True when another daemon owns the endpoints that run a job. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
   const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
@@ -175,11 +228,26 @@
        {"scheduler", scheduler.id.value},
        {"waited_ms", std::to_string((now - pending.received).count)}}});
   node.reception.pending.erase(entry);
-  if (scheduler == node.self)
-    CancelJob(node.scheduler, id, node.self, "caller_gone", now, actions);
-  else
-    Send(node.sessions, scheduler, JobCancellation{id}, SessionLimits(), now,
-         actions);
+  WithdrawJob(node, id, scheduler, now, actions);
+}
+
+void TakeReport(FleetNode& node,
+                Millis now,
+                const DaemonRef& from,
+                const JobReport& report,
+                Actions& actions) {
+  const auto entry = node.reception.pending.find(report.job);
+  if (entry == node.reception.pending.end())
+    return;
+  const DaemonRef scheduler = entry->second.scheduler;
+  const bool is_settled = report.outcome.end == JobEnd::kCompleted ||
+                          report.outcome.end == JobEnd::kFailed;
+  const bool is_formers = entry->second.former == from && is_settled;
+  if (scheduler != from && !is_formers)
+    return;
+  AnswerCallers(node, now, report.job, report.outcome, actions);
+  if (scheduler != from)
+    WithdrawJob(node, report.job, scheduler, now, actions);
 }
 
 void AnswerCallers(FleetNode& node,
@@ -217,8 +285,13 @@
     return;
   PendingJob& pending = entry->second;
   pending.scheduler = DaemonRef();
-  pending.former = DaemonRef();
   pending.may_have_started |= redirect.may_have_started;
+  if (redirect.may_have_started) {
+    pending.former = from;
+    pending.former_since = now;
+    pending.progress_holder =
+        redirect.is_progress_told ? RefTo(node, redirect.to) : from;
+  }
   if (++pending.redirects > kMostRedirects) {
     AnswerCallers(
         node, now, redirect.job,
@@ -281,54 +354,34 @@
   const bool is_known = node.scheduler.jobs.count(submission.job.id) > 0;
   if (!is_known && owner != nullptr) {
     // The sender does not know the present owner yet.
-    node.scheduler.finished.push_back({receiver,
-                                       submission.job.id,
-                                       {},
-                                       owner->address.id,
-                                       submission.zone,
-                                       submission.may_have_started});
+    JobRedirect redirect;
+    redirect.job = submission.job.id;
+    redirect.to = owner->address.id;
+    redirect.zone = submission.zone;
+    redirect.may_have_started = submission.may_have_started;
+    redirect.view_revision = node.view.revision;
+    node.scheduler.finished.push_back(
+        FinishedJob::PassedOn(receiver, redirect));
+    NotePassedJob(node, submission, RefOf(*owner), now);
     return;
   }
+  node.passed_jobs.erase(submission.job.id);
   TakeJob(node.scheduler, receiver, group, submission, now, actions);
 }
 
-void ReleaseJob(FleetNode& node,
-                const JobRelease& release,
-                Millis now,
-                Actions& actions) {
-  JobProgress progress;
-  progress.job = release.job;
-  if (const auto job = RemoveJob(node.scheduler, release.job))
-    progress = ProgressOf(node.scheduler, *job);
-  actions.push_back(
-      LogEvent{"job_released",
-               {{"job", release.job.value},
-                {"to", release.to.id.value},
-                {"done", std::to_string(progress.done.size())},
-                {"running", std::to_string(progress.placed.size())}}});
-  if (release.to == node.self)
-    TakeProgress(node.scheduler, progress, node.view.revision, now, actions);
-  else
-    Send(node.sessions, release.to, std::move(progress), SessionLimits(), now,
-         actions);
-}
-
 void ReportFinished(FleetNode& node, Millis now, Actions& actions) {
   while (!node.scheduler.finished.empty()) {
     const std::vector<FinishedJob> finished =
         std::exchange(node.scheduler.finished, {});
     for (const FinishedJob& job : finished) {
-      const bool is_redirect = !job.redirect_to.value.empty();
-      const JobRedirect redirect{job.job, job.redirect_to, job.zone,
-                                 job.may_have_started, node.view.revision};
       if (job.receiver != node.self) {
         PeerMessage message = JobReport{job.job, job.outcome};
-        if (is_redirect)
-          message = redirect;
+        if (job.redirect)
+          message = *job.redirect;
         Send(node.sessions, job.receiver, std::move(message), SessionLimits(),
              now, actions);
-      } else if (is_redirect) {
-        RedirectJob(node, now, node.self, redirect, actions);
+      } else if (job.redirect) {
+        RedirectJob(node, now, node.self, *job.redirect, actions);
       } else {
         AnswerCallers(node, now, job.job, job.outcome, actions);
       }
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -25,6 +25,15 @@
                    const JobOutcome& outcome,
                    Actions& actions);
 
+/** Takes the end of a job from its scheduler. One that was asked to hand it
+ * over may have completed it before.
+ */
+void TakeReport(FleetNode& node,
+                Millis now,
+                const DaemonRef& from,
+                const JobReport& report,
+                Actions& actions);
+
 /** Gives a job to another scheduler, as its former one has asked. */
 void RedirectJob(FleetNode& node,
                  Millis now,
@@ -35,12 +44,6 @@
 /** Gives jobs that have no scheduler, or whose scheduler is gone, to one. */
 void AssignJobs(FleetNode& node, Millis now, Actions& actions);
 
-/** Hands a job to its next scheduler, with all that is known of it. */
-void ReleaseJob(FleetNode& node,
-                const JobRelease& release,
-                Millis now,
-                Actions& actions);
-
 /** Passes on what the own scheduler has finished. */
 void ReportFinished(FleetNode& node, Millis now, Actions& actions);
 
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -24,29 +24,48 @@
                   job.received + Millis{kUsefulFactor * objective.count});
 }
 
-bool AnyEndpointFits(const Scheduler& scheduler, const ScheduledJob& job) {
+/** Which endpoints are asked whether they could run a job. */
+enum class FitScope { kGroup, kAllKnown };
+
+bool AnyEndpointFits(const Scheduler& scheduler,
+                     const ScheduledJob& job,
+                     FitScope scope) {
+  const auto is_asked = [&](const ManagedEndpoint& endpoint) {
+    return scope == FitScope::kAllKnown || endpoint.group == job.group;
+  };
   return std::all_of(
       job.job.steps.begin(), job.job.steps.end(), [&](const JobStep& step) {
         return std::any_of(scheduler.endpoints.begin(),
                            scheduler.endpoints.end(), [&](const auto& entry) {
-                             return entry.second.group == job.group &&
+                             return is_asked(entry.second) &&
                                     CanEverRun(entry.second.entry, job.job,
                                                step);
                            });
       });
 }
 
+bool HasEndpoints(const Scheduler& scheduler, const EndpointGroup& group) {
+  return std::any_of(
+      scheduler.endpoints.begin(), scheduler.endpoints.end(),
+      [&](const auto& entry) { return entry.second.group == group; });
+}
+
 }  // namespace
 
 std::optional<JobOutcome> AdmissionDecision(const Scheduler& scheduler,
                                             const ScheduledJob& job,
                                             Millis now) {
-  if (job.has_started)
+  // What may have started runs on endpoints that may not be known here yet.
+  if (job.has_started || job.may_have_started)
     return std::nullopt;
-  if (scheduler.endpoints.empty())
+  // Items of a zone that was cut off come back one after the other: a group
+  // without endpoints says nothing of what could run there.
+  if (!HasEndpoints(scheduler, job.group))
     return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "no_endpoints"};
-  if (!AnyEndpointFits(scheduler, job))
+  if (!AnyEndpointFits(scheduler, job, FitScope::kAllKnown))
     return JobOutcome{JobEnd::kFailed, {}, "fits_no_endpoint"};
+  if (!AnyEndpointFits(scheduler, job, FitScope::kGroup))
+    return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "fits_elsewhere"};
   return ReviewDecision(scheduler, job, now);
 }
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -99,6 +99,24 @@
            {"slack_ms", std::to_string((job.latest_start - now).count)}}};
 }
 
+/** Keeps what is told of a job that has not come yet. Several daemons may tell
+ * of it, each a part.
+ */
+void AddEarlyProgress(Scheduler& scheduler,
+                      const JobProgress& told,
+                      Millis now) {
+  const auto [entry, is_first] =
+      scheduler.early_progress.try_emplace(told.job, EarlyProgress{told, now});
+  if (is_first)
+    return;
+  JobProgress& known = entry->second.progress;
+  entry->second.came = now;
+  known.done.insert(known.done.end(), told.done.begin(), told.done.end());
+  known.placed.insert(known.placed.end(), told.placed.begin(),
+                      told.placed.end());
+  known.open_wait = std::min(known.open_wait, told.open_wait);
+}
+
 void StopRuns(Scheduler& scheduler,
               const ScheduledJob& job,
               Millis now,
@@ -214,16 +232,14 @@
                   Actions& actions) {
   const auto found = scheduler.jobs.find(progress.job);
   if (found == scheduler.jobs.end()) {
-    EarlyProgress& early = scheduler.early_progress[progress.job];
-    early.came = now;
-    // A former scheduler that has handed the job over already tells nothing.
-    if (!progress.done.empty() || !progress.placed.empty())
-      early.progress = progress;
-    early.progress.job = progress.job;
+    AddEarlyProgress(scheduler, progress, now);
     return;
   }
   ScheduledJob& job = found->second;
-  job.waits_until = Millis();
+  job.waits_until =
+      progress.open_wait > Millis() ? now + progress.open_wait : Millis();
+  job.told_runs.insert(job.told_runs.end(), progress.placed.begin(),
+                       progress.placed.end());
   for (const PlacedRun& run : progress.placed) {
     job.has_started = true;
     if (run.step < job.tasks.size() && run.index < job.tasks[run.step].size()) {
@@ -243,9 +259,13 @@
     NoteTaskDone(scheduler, {progress.job, step, index}, {}, now, actions);
 }
 
-JobProgress ProgressOf(const Scheduler& scheduler, const ScheduledJob& job) {
+JobProgress ProgressOf(const Scheduler& scheduler,
+                       const ScheduledJob& job,
+                       Millis now) {
   JobProgress progress;
   progress.job = job.job.id;
+  if (job.may_have_started)
+    progress.open_wait = std::max(job.waits_until - now, Millis());
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
       const TaskProgress& task = job.tasks[step][index];
@@ -259,6 +279,13 @@
       }
     }
   }
+  for (const PlacedRun& run : job.told_runs) {
+    const bool is_open =
+        run.step < job.tasks.size() && run.index < job.tasks[run.step].size() &&
+        job.tasks[run.step][run.index].phase == TaskPhase::kQueued;
+    if (is_open)
+      progress.placed.push_back(run);
+  }
   return progress;
 }
 
@@ -295,9 +322,9 @@
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
   event.fields.emplace_back("reason", outcome.reason);
   actions.push_back(std::move(event));
-  scheduler.finished.push_back({job.receiver, id, outcome, {}, {}, false});
+  scheduler.finished.push_back(FinishedJob::Ended(job.receiver, id, outcome));
   for (const DaemonRef& receiver : job.more_receivers)
-    scheduler.finished.push_back({receiver, id, outcome, {}, {}, false});
+    scheduler.finished.push_back(FinishedJob::Ended(receiver, id, outcome));
 }
 
 void CancelJob(Scheduler& scheduler,
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -29,7 +29,9 @@
                   Actions& actions);
 
 /** What is known of a job, for its next scheduler. */
-JobProgress ProgressOf(const Scheduler& scheduler, const ScheduledJob& job);
+JobProgress ProgressOf(const Scheduler& scheduler,
+                       const ScheduledJob& job,
+                       Millis now);
 
 /** Takes a job out of the scheduler without stopping it; none when it is not
  * known.
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -9,6 +9,7 @@
 #include "core/scheduling/job_order_key.h"
 #include "model/daemon_ref.h"
 #include "model/endpoint_group.h"
+#include "model/peer_message.h"
 #include "model/transient_job.h"
 
 namespace dogwoodfall {
@@ -60,6 +61,10 @@
    * word from its former scheduler is waited for, or the end of their leases.
    */
   Millis waits_until;
+  /** Runs that a former scheduler told of. Those that were not found yet are
+   * passed on when the job changes hands again before they are.
+   */
+  std::vector<PlacedRun> told_runs;
 
   /** True once any run of it was ordered or found. */
   bool has_started = false;
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -47,17 +48,32 @@
   Millis came;
 };
 
-/** A job that ended here, for its receiver. */
+/** A job that ended here or was passed on, for its receiver. */
 struct FinishedJob {
+  static FinishedJob Ended(const DaemonRef& receiver,
+                           const SubmissionId& job,
+                           const JobOutcome& outcome) {
+    FinishedJob finished;
+    finished.receiver = receiver;
+    finished.job = job;
+    finished.outcome = outcome;
+    return finished;
+  }
+
+  static FinishedJob PassedOn(const DaemonRef& receiver,
+                              const JobRedirect& redirect) {
+    FinishedJob finished;
+    finished.receiver = receiver;
+    finished.job = redirect.job;
+    finished.redirect = redirect;
+    return finished;
+  }
+
   DaemonRef receiver;
   SubmissionId job;
   JobOutcome outcome;
-  /** Set when the job did not end and this daemon should get it instead. */
-  DaemonId redirect_to;
-  /** Zone whose endpoints are to run a redirected job. */
-  ZoneId zone;
-  /** Whether some of a redirected job may run. */
-  bool may_have_started = false;
+  /** Set when the job did not end and another daemon should get it. */
+  std::optional<JobRedirect> redirect;
 };
 
 /** State of a daemon as a scheduler. */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -164,6 +164,8 @@
   ZoneId zone;
   bool may_have_started = false;
   uint64_t view_revision = 0;
+  /** True when the sender has told that daemon of the job's progress. */
+  bool is_progress_told = false;
 };
 
 /** A run of a job on an endpoint. */
@@ -181,6 +183,10 @@
   std::vector<std::pair<uint32_t, uint32_t>> done;
   /** Runs that go on, also on endpoints that the next one may not know. */
   std::vector<PlacedRun> placed;
+  /** How long the sender still waits for word of a scheduler before it; zero
+   * when this is all there is to know.
+   */
+  Millis open_wait;
 };
 
 /** The daemons as the sender knows them from the store, for a peer that knows
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "core/fleet/fleet_view.h"
+#include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "fleet_world.h"
 
@@ -170,6 +171,140 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// A zone is cut off with its endpoints, whose items lapse, and goes on under
+// its former owner. When it is back, its endpoints pass from another zone's
+// daemon to one of its own within a few round trips, before the first has
+// looked at them, and their items come back one after the other.
+TEST(FleetTest, AZoneThatComesBackRunsNothingTwice) {
+  for (int offset = 0; offset < 60; ++offset) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    const std::string owner = world.OwnerOf("north");
+    bool is_cut_off = true;
+    bool is_owner_without_store = true;
+    const auto is_north = [](const DaemonId& id) {
+      return id.value.compare(0, 5, "north") == 0;
+    };
+    world.is_cut_from_store = [&](const DaemonId& id) {
+      return (is_cut_off && is_north(id)) ||
+             (is_owner_without_store && id.value == owner);
+    };
+    world.is_cut = [&](const DaemonId& a, const DaemonId& b) {
+      return is_cut_off && is_north(a) != is_north(b);
+    };
+    for (int i = 1; i < 4; ++i)
+      world.UnlistEndpoint("north-e" + std::to_string(i));
+    world.Run({4'000 + 17 * offset});
+    int sent = 0;
+    const auto submit = [&]() {
+      world.Submit(sent % 2 == 0 ? "north0" : "north1",
+                   "job" + std::to_string(sent), 1, {350});
+      ++sent;
+    };
+    for (int i = 0; i < 8; ++i) {
+      submit();
+      world.Run({20});
+    }
+    is_cut_off = false;
+    for (int i = 0; i < 40; ++i) {
+      submit();
+      world.Run({25});
+      is_owner_without_store = i < 24;
+      if (i % 10 == 5)
+        world.AddEndpoint("north-e" + std::to_string(i / 10), "north");
+    }
+    world.Run({2'500});
+    EXPECT_TRUE(world.overlaps.empty()) << "offset " << offset;
+  }
+}
+
+/** What a daemon tells its peers of jobs' progress and of releases. */
+template <typename Message>
+std::vector<std::pair<DaemonId, Message>> SentIn(const Actions& actions) {
+  std::vector<std::pair<DaemonId, Message>> sent;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame == nullptr || !frame->frame.message)
+      continue;
+    const auto* message = std::get_if<Message>(&*frame->frame.message);
+    if (message != nullptr)
+      sent.emplace_back(frame->frame.to.id, *message);
+  }
+  return sent;
+}
+
+/** A daemon with sessions to three others, and its job "job". */
+struct HandoverScene {
+  HandoverScene() {
+    SetUpTwoZones(this->world);
+    this->node = &this->world.Node(this->world.OwnerOf("north"));
+    this->next = this->RefOfDaemon(OtherOf(this->node->self.id.value));
+    this->third = this->RefOfDaemon("south0");
+    this->world.Submit(this->node->self.id.value, "job", 2, {600});
+    this->world.Run({50});
+  }
+
+  DaemonRef RefOfDaemon(const std::string& id) {
+    return this->world.Node(id).self;
+  }
+
+  FleetWorld world;
+  FleetNode* node;
+  DaemonRef next;
+  DaemonRef third;
+};
+
+// A receiver that has not heard of a handover asks the scheduler before last.
+TEST(HandoverTest, AReleaseOfAJobPassedOnFollowsTheJob) {
+  HandoverScene scene;
+  const SubmissionId job("job");
+  Actions actions;
+  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  const auto told = SentIn<JobProgress>(actions);
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].first, scene.next.id);
+  EXPECT_EQ(told[0].second.placed.size(), 2U);
+  actions.clear();
+  ReleaseJob(*scene.node, {job, scene.third}, scene.world.now, actions);
+  EXPECT_TRUE(SentIn<JobProgress>(actions).empty());
+  const auto asked = SentIn<JobRelease>(actions);
+  ASSERT_EQ(asked.size(), 1U);
+  EXPECT_EQ(asked[0].first, scene.next.id);
+  EXPECT_EQ(asked[0].second.to, scene.third);
+}
+
+// "Nothing runs" is only said of what is known.
+TEST(HandoverTest, AJobThatIsNotKnownIsNotSaidToBeIdle) {
+  HandoverScene scene;
+  const SubmissionId job("unknown");
+  Actions actions;
+  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  EXPECT_TRUE(SentIn<JobProgress>(actions).empty());
+
+  // Word that comes later goes where the job has gone.
+  JobProgress progress;
+  progress.job = job;
+  progress.placed = {{0, 0, Attempt(1), EndpointEntry()}};
+  TakeToldProgress(*scene.node, scene.third, progress, scene.world.now,
+                   actions);
+  const auto told = SentIn<JobProgress>(actions);
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].first, scene.next.id);
+}
+
+// A job that comes back to a daemon that has passed it on stays there.
+TEST(HandoverTest, AJobMayComeBack) {
+  HandoverScene scene;
+  const SubmissionId job("job");
+  Actions actions;
+  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  const JobProgress progress = SentIn<JobProgress>(actions).at(0).second;
+  actions.clear();
+  TakeToldProgress(*scene.node, scene.next, progress, scene.world.now, actions);
+  EXPECT_TRUE(SentIn<JobProgress>(actions).empty());
+  EXPECT_EQ(scene.node->scheduler.early_progress.count(job), 1U);
+}
+
 TEST(FleetTest, ACutOffZoneServesItsOwnCallers) {
   FleetWorld world;
   SetUpTwoZones(world);
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -268,6 +268,83 @@
   EXPECT_EQ(world.endpoints.at(EndpointId("e1")).starts, 0U);
 }
 
+// A job that changes hands twice, before the second scheduler has found what
+// the first one started: the third one has to hear of it.
+TEST(SchedulingTest, RunsThatWereToldAreToldAgainUntilTheyAreFound) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  EndpointEntry dark = world.endpoints.at(EndpointId("e1")).entry;
+  dark.id = EndpointId("dark");
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.placed = {{0, 0, Attempt(3), dark}};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 2, 7, {300}, "route");
+  submission.may_have_started = true;
+  submission.former_wait = {600};
+  Actions actions;
+  TakeJob(world.scheduler, DaemonRef(), kNorth, submission, world.now, actions);
+  TakeProgress(world.scheduler, progress, 5, world.now, actions);
+  const auto job = RemoveJob(world.scheduler, SubmissionId("job"));
+  ASSERT_TRUE(job.has_value());
+  const JobProgress told = ProgressOf(world.scheduler, *job, world.now);
+  ASSERT_EQ(told.placed.size(), 1U);
+  EXPECT_EQ(told.placed[0].endpoint.id, EndpointId("dark"));
+  EXPECT_EQ(told.placed[0].attempt, Attempt(3));
+  EXPECT_EQ(told.open_wait, Millis());
+}
+
+// The same before the second scheduler has heard of the first: what it tells is
+// not all there is, and the third one has to wait as well.
+TEST(SchedulingTest, WordThatIsStillToComeIsWaitedForByTheNextScheduler) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.may_have_started = true;
+  submission.former_wait = {600};
+  Actions actions;
+  TakeJob(world.scheduler, DaemonRef(), kNorth, submission, world.now, actions);
+  const auto job = RemoveJob(world.scheduler, SubmissionId("job"));
+  ASSERT_TRUE(job.has_value());
+  const JobProgress told = ProgressOf(world.scheduler, *job, world.now);
+  EXPECT_EQ(told.open_wait, Millis{600});
+
+  submission.former_wait = Millis();
+  TakeProgress(world.scheduler, told, 5, world.now, actions);
+  world.SubmitJob(submission, {600});
+  world.Run({500});
+  EXPECT_EQ(world.endpoints.at(EndpointId("e1")).starts, 0U);
+  JobProgress rest;
+  rest.job = SubmissionId("job");
+  TakeProgress(world.scheduler, rest, 5, world.now, actions);
+  world.Run({30});
+  EXPECT_EQ(world.endpoints.at(EndpointId("e1")).starts, 1U);
+}
+
+// The endpoints of a zone that was cut off are listed again one after the
+// other: a job that came too early is not said to have failed.
+TEST(SchedulingTest, AJobWhoseGroupHasNoEndpointsYetHasNotFailed) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  const EndpointGroup south{ZoneId("south"), 0};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("new", 1, 7, {100}, "route");
+  Actions actions;
+  TakeJob(world.scheduler, DaemonRef(), south, submission, world.now, actions);
+  ASSERT_EQ(world.scheduler.finished.size(), 1U);
+  EXPECT_EQ(world.scheduler.finished[0].outcome.end, JobEnd::kRefused);
+  EXPECT_GT(world.scheduler.finished[0].outcome.retry_after, Millis());
+
+  submission.job.id = SubmissionId("handed-over");
+  submission.may_have_started = true;
+  TakeJob(world.scheduler, DaemonRef(), south, submission, world.now, actions);
+  EXPECT_EQ(world.scheduler.jobs.count(submission.job.id), 1U);
+}
+
 // An endpoint that could not be looked at for seconds, in a zone that was cut
 // off: when a job is handed over that runs there, its tasks wait for the look.
 TEST(SchedulingTest, TasksOnAnEndpointNotLookedAtAreNotStartedElsewhere) {
@@ -337,6 +414,11 @@
       SchedulerWorld::MakeSubmission("job", 1, 7, {200}, "route");
   submission.may_have_started = true;
   world.SubmitJob(submission, {200});
+  // Endpoints may be listed in a moment; it is given up once they would be too
+  // late, before the caller stops waiting.
+  world.Run({300});
+  EXPECT_EQ(world.results.count(SubmissionId("job")), 0U);
+  world.Run({1'150});
   EXPECT_EQ(EndOf(world, "job"), JobEnd::kAbandoned);
 }
 
