Keep runs of a job that comes back; don't release a job by an older view

The store turned some daemons away, so a receiver had an old view and asked the owner to hand a job to a former owner. The owner removed the job and got it back within 0.1 ms; its own runs of the job, still at work, were not claimed, and the tasks were started again.

Ruled out: a second owner (both starts were by the same daemon, one token).

Change: a job that is taken claims every run of it that is known, not only those found by a look. A release names the view it was asked for by; an owner with a newer one keeps the job and tells both daemons its view. Word that says more is to come does not hold up a job that is at work already.

Tests: two that fail without it (HandoverTest.AJobThatComesBackKeepsItsRuns, AJobIsNotReleasedToAFormerOwner).

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -189,7 +189,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobRelease& message) {
-  archive(message.job, message.to);
+  archive(message.job, message.to, message.view_revision);
 }
 
 template <class Archive>
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -171,14 +171,8 @@
   if (now - sight.behind_since < kTellAfter)
     return;
   sight.behind_since = now;
-  if (lacks_view) {
-    ViewNotice notice;
-    notice.revision = node.view.revision;
-    for (const auto& [id, member] : node.view.members)
-      notice.members.push_back(member);
-    Send(node.sessions, sight.last.from, std::move(notice), SessionLimits(),
-         now, actions);
-  }
+  if (lacks_view)
+    TellView(node, sight.last.from, now, actions);
   if (lacks_routes)
     Send(node.sessions, sight.last.from, RoutesNotice{node.routes},
          SessionLimits(), now, actions);
@@ -196,6 +190,8 @@
   } else if (const auto* report = std::get_if<JobReport>(&message)) {
     TakeReport(node, now, from, *report, actions);
   } else if (const auto* release = std::get_if<JobRelease>(&message)) {
+    if (release->view_revision < node.view.revision)
+      TellView(node, from, now, actions);
     ReleaseJob(node, *release, now, actions);
   } else if (const auto* view = std::get_if<ViewNotice>(&message)) {
     ApplyViewNotice(node, *view, now, actions);
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -40,6 +40,18 @@
   return nothing;
 }
 
+/** True when a release was asked for by an older view, and this daemon still
+ * gives orders to the job's endpoints by its own.
+ */
+bool IsOutdated(const FleetNode& node, const JobRelease& release) {
+  const auto job = node.scheduler.jobs.find(release.job);
+  if (job == node.scheduler.jobs.end() ||
+      release.view_revision >= node.view.revision)
+    return false;
+  const FleetMember* owner = OwnerOfGroup(node.view, job->second.group);
+  return owner != nullptr && RefOf(*owner) == node.self;
+}
+
 void TellProgress(FleetNode& node,
                   const DaemonRef& to,
                   const JobProgress& progress,
@@ -65,6 +77,16 @@
                 const JobRelease& release,
                 Millis now,
                 Actions& actions) {
+  if (IsOutdated(node, release)) {
+    actions.push_back(
+        LogEvent{"job_release_outdated",
+                 {{"job", release.job.value},
+                  {"to", release.to.id.value},
+                  {"asked_by_view", std::to_string(release.view_revision)},
+                  {"view", std::to_string(node.view.revision)}}});
+    TellView(node, release.to, now, actions);
+    return;
+  }
   std::optional<JobProgress> progress = TakeOutProgress(node, release.job, now);
   const auto known = node.passed_jobs.find(release.job);
   const bool is_passed = known != node.passed_jobs.end();
@@ -88,6 +110,17 @@
     Send(node.sessions, holder, release, SessionLimits(), now, actions);
 }
 
+void TellView(FleetNode& node,
+              const DaemonRef& to,
+              Millis now,
+              Actions& actions) {
+  ViewNotice notice;
+  notice.revision = node.view.revision;
+  for (const auto& [id, member] : node.view.members)
+    notice.members.push_back(member);
+  Send(node.sessions, to, std::move(notice), SessionLimits(), now, actions);
+}
+
 void TakeToldProgress(FleetNode& node,
                       const DaemonRef& from,
                       const JobProgress& progress,
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -5,16 +5,24 @@
 
 namespace dogwoodfall {
 
-/** Hands a job to its next scheduler, with all that is known of it. When it has
- * been passed on already, whoever has it now is asked instead. A daemon that
- * knows nothing of the job stays silent: saying "nothing runs" would be a
- * guess, and the next scheduler waits for the end of the leases by itself.
+/** Hands a job to its next scheduler, with all that is known of it, unless it
+ * is asked for by an older view than the own one: then that daemon gets the
+ * view. When it has been passed on already, whoever has it now is asked
+ * instead. A daemon that knows nothing of the job stays silent: saying "nothing
+ * runs" would be a guess, and the next scheduler waits for the end of the
+ * leases by itself.
  */
 void ReleaseJob(FleetNode& node,
                 const JobRelease& release,
                 Millis now,
                 Actions& actions);
 
+/** Tells a peer of the daemons as this one knows them. */
+void TellView(FleetNode& node,
+              const DaemonRef& to,
+              Millis now,
+              Actions& actions);
+
 /** Takes what a former scheduler tells of a job, or passes it on when the job
  * has gone to a third daemon meanwhile.
  */
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -177,7 +177,7 @@
                  Millis now,
                  Actions& actions) {
   const ScheduledJob job = node.scheduler.jobs.at(id);
-  ReleaseJob(node, {id, RefOf(next)}, now, actions);
+  ReleaseJob(node, {id, RefOf(next), node.view.revision}, now, actions);
   JobRedirect redirect;
   redirect.job = id;
   redirect.to = next.address.id;
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -75,7 +75,7 @@
   const DaemonRef holder = std::exchange(pending.progress_holder, DaemonRef());
   if (holder == DaemonRef() || holder == next)
     return;
-  const JobRelease release{pending.job.id, next};
+  const JobRelease release{pending.job.id, next, node.view.revision};
   if (holder == node.self) {
     ReleaseJob(node, release, now, actions);
     return;
@@ -149,7 +149,7 @@
   pending.may_have_started = true;
   if (next == nullptr || RefOf(*next) == pending.former)
     return;
-  const JobRelease release{pending.job.id, RefOf(*next)};
+  const JobRelease release{pending.job.id, RefOf(*next), node.view.revision};
   if (pending.former == node.self)
     ReleaseJob(node, release, now, actions);
   else
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -68,12 +68,14 @@
   return made;
 }
 
-/** Makes runs that were found on endpoints part of a job. */
+/** Makes runs that were found on endpoints part of a job; also those that this
+ * daemon started before it passed the job on and got it back.
+ */
 void ClaimRuns(Scheduler& scheduler, const SubmissionId& job) {
   for (auto& [id, endpoint] : scheduler.endpoints) {
     std::vector<RunKey> keys;
     for (const auto& [key, run] : endpoint.runs) {
-      if (key.first.job == job && run.state == RunState::kUnclaimed)
+      if (key.first.job == job)
         keys.push_back(key);
     }
     for (const RunKey& key : keys)
@@ -218,6 +220,9 @@
   --job.tasks_queued;
   job.has_started = true;
   Run& run = endpoint.runs.at(key);
+  run.requeue = true;
+  if (run.state != RunState::kUnclaimed)
+    return true;
   run.state = RunState::kRunning;
   run.room = job.job.steps[key.first.step].room;
   run.expected = TaskTimeOf(scheduler, job, key.first.step, &key);
@@ -236,8 +241,10 @@
     return;
   }
   ScheduledJob& job = found->second;
-  job.waits_until =
-      progress.open_wait > Millis() ? now + progress.open_wait : Millis();
+  if (progress.open_wait == Millis())
+    job.waits_until = Millis();
+  else if (!job.has_started)
+    job.waits_until = std::max(job.waits_until, now + progress.open_wait);
   job.told_runs.insert(job.told_runs.end(), progress.placed.begin(),
                        progress.placed.end());
   for (const PlacedRun& run : progress.placed) {
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -141,6 +141,8 @@
 struct JobRelease {
   SubmissionId job;
   DaemonRef to;
+  /** Revision of the view by which that daemon is the next one. */
+  uint64_t view_revision = 0;
 };
 
 /** A job whose caller no longer waits. */
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -7,6 +7,7 @@
 #include "core/fleet/fleet_view.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
+#include "core/fleet/reception_flow.h"
 #include "fleet_world.h"
 
 namespace dogwoodfall {
@@ -248,6 +249,8 @@
     return this->world.Node(id).self;
   }
 
+  uint64_t View() const { return this->node->view.revision; }
+
   FleetWorld world;
   FleetNode* node;
   DaemonRef next;
@@ -259,13 +262,15 @@
   HandoverScene scene;
   const SubmissionId job("job");
   Actions actions;
-  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  ReleaseJob(*scene.node, {job, scene.next, scene.View()}, scene.world.now,
+             actions);
   const auto told = SentIn<JobProgress>(actions);
   ASSERT_EQ(told.size(), 1U);
   EXPECT_EQ(told[0].first, scene.next.id);
   EXPECT_EQ(told[0].second.placed.size(), 2U);
   actions.clear();
-  ReleaseJob(*scene.node, {job, scene.third}, scene.world.now, actions);
+  ReleaseJob(*scene.node, {job, scene.third, scene.View()}, scene.world.now,
+             actions);
   EXPECT_TRUE(SentIn<JobProgress>(actions).empty());
   const auto asked = SentIn<JobRelease>(actions);
   ASSERT_EQ(asked.size(), 1U);
@@ -278,7 +283,8 @@
   HandoverScene scene;
   const SubmissionId job("unknown");
   Actions actions;
-  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  ReleaseJob(*scene.node, {job, scene.next, scene.View()}, scene.world.now,
+             actions);
   EXPECT_TRUE(SentIn<JobProgress>(actions).empty());
 
   // Word that comes later goes where the job has gone.
@@ -292,12 +298,48 @@
   EXPECT_EQ(told[0].first, scene.next.id);
 }
 
+// A receiver with an old view takes another daemon for the owner.
+TEST(HandoverTest, AJobIsNotReleasedToAFormerOwner) {
+  HandoverScene scene;
+  const SubmissionId job("job");
+  Actions actions;
+  ReleaseJob(*scene.node, {job, scene.next, scene.View() - 1}, scene.world.now,
+             actions);
+  EXPECT_EQ(scene.node->scheduler.jobs.count(job), 1U);
+  const auto told = SentIn<ViewNotice>(actions);
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].first, scene.next.id);
+  EXPECT_EQ(told[0].second.revision, scene.View());
+}
+
+// A job that was passed on comes back while its runs go on here.
+TEST(HandoverTest, AJobThatComesBackKeepsItsRuns) {
+  HandoverScene scene;
+  const SubmissionId job("job");
+  const TransientJob sent = scene.node->scheduler.jobs.at(job).job;
+  Actions actions;
+  ReleaseJob(*scene.node, {job, scene.next, scene.View()}, scene.world.now,
+             actions);
+  JobSubmission again;
+  again.job = sent;
+  again.job.time_left = {1'400};
+  again.zone = ZoneId("north");
+  again.may_have_started = true;
+  again.view_revision = scene.View();
+  actions.clear();
+  ScheduleHere(*scene.node, scene.world.now, scene.node->self, again, actions);
+  for (const Action& action : actions)
+    EXPECT_FALSE(std::holds_alternative<CallEndpoint>(action));
+  EXPECT_EQ(scene.node->scheduler.jobs.at(job).tasks_queued, 0U);
+}
+
 // A job that comes back to a daemon that has passed it on stays there.
 TEST(HandoverTest, AJobMayComeBack) {
   HandoverScene scene;
   const SubmissionId job("job");
   Actions actions;
-  ReleaseJob(*scene.node, {job, scene.next}, scene.world.now, actions);
+  ReleaseJob(*scene.node, {job, scene.next, scene.View()}, scene.world.now,
+             actions);
   const JobProgress progress = SentIn<JobProgress>(actions).at(0).second;
   actions.clear();
   TakeToldProgress(*scene.node, scene.next, progress, scene.world.now, actions);
