--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -218,11 +218,11 @@
                                  HttpToken token,
                                  const HttpRequest& request) {
   if (request.path == "/metrics") {
-    server.ReplyAs(
-        token, kStatusOk,
-        FormatFleetMetrics(this->node, this->peers->Counters(),
-                           this->store->Calls(), this->http->Opened()),
-        "text/plain; version=0.0.4");
+    server.ReplyAs(token, kStatusOk,
+                   FormatFleetMetrics(this->node, this->peers->Counters(),
+                                      this->store->Calls(),
+                                      this->http->Opened(), LogLinesLeftOut()),
+                   "text/plain; version=0.0.4");
   } else if (request.path == "/state") {
     server.Reply(token, kStatusOk,
                  DumpFleetState(this->node, this->clock.Now()));
--- a/modules/adapters/logging/logging.cc
+++ b/modules/adapters/logging/logging.cc
@@ -1,9 +1,14 @@
 #include "adapters/logging/logging.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "adapters/logging/log_limit.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace dogwoodfall {
@@ -17,6 +22,34 @@
                                     nlohmann::json::error_handler_t::replace);
 }
 
+/** Longest line: a pipe that can be written to takes this much at once. */
+constexpr size_t kLongestLine = 3'500;
+
+/** What the process has written; there is one log in a process. */
+LogLimit& Limit() {
+  static LogLimit limit;
+  return limit;
+}
+
+/** True when a line can be written to standard output without waiting. */
+bool IsOutputFree() {
+  pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+  return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+Millis SteadyNow() {
+  return {std::chrono::duration_cast<std::chrono::milliseconds>(
+              std::chrono::steady_clock::now().time_since_epoch())
+              .count()};
+}
+
+bool WriteLine(const std::string& line) {
+  if (!IsOutputFree())
+    return false;
+  LOG(INFO) << line.substr(0, kLongestLine);
+  return true;
+}
+
 }  // namespace
 
 void SetUpLogging(bool is_quiet) {
@@ -32,7 +65,21 @@
 }
 
 void WriteLog(const LogEvent& event) {
-  LOG(INFO) << FormatLogEvent(event);
+  LogLimit& limit = Limit();
+  if (!TakeLine(limit, SteadyNow())) {
+    CountLeftOut(limit);
+    return;
+  }
+  if (limit.left_out > 0 &&
+      WriteLine(FormatLogEvent(
+          {"log_lines_left_out", {{"lines", std::to_string(limit.left_out)}}})))
+    limit.left_out = 0;
+  if (!WriteLine(FormatLogEvent(event)))
+    CountLeftOut(limit);
+}
+
+uint64_t LogLinesLeftOut() {
+  return Limit().left_out_in_all;
 }
 
 std::string FormatLogEvent(const LogEvent& event) {
--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -72,7 +72,8 @@
 std::string FormatFleetMetrics(const FleetNode& node,
                                const PeerNetworkCounters& network,
                                uint64_t store_calls,
-                               uint64_t connections) {
+                               uint64_t connections,
+                               uint64_t log_lines_left_out) {
   MetricFamilies families;
   AddReception(families, node.reception);
   AddScheduler(families, node.scheduler);
@@ -91,6 +92,9 @@
   AddCounter(families, "connections_opened_total",
              "Connections opened to endpoints and the store", "",
              {{"", connections}});
+  AddCounter(families, "log_lines_left_out_total",
+             "Log lines beyond the rate, or that the output did not take", "",
+             {{"", log_lines_left_out}});
   AddCounter(
       families, "peer_bytes_total", "Bytes between daemons", "way",
       {{"sent", network.bytes_sent}, {"received", network.bytes_received}});
