Pass jobs to a group of endpoints with more room

Ruled out: placing within the zone (its endpoints were full, 12 of them for a quarter more load than the others had); order (the jobs lost were of all kinds).

A repeat is sent to the group that says it runs the job. A scheduler in a large fleet drops jobs of receivers that are gone with their item or cut off with their zone.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -181,10 +181,26 @@
     throw cereal::Exception("not an end of a job");
 }
 
+template <class Archive>
+void serialize(Archive& archive, EndpointGroup& group) {
+  archive(group.zone, group.index);
+}
+
+template <class Archive>
+void serialize(Archive& archive, JobInProgress& running) {
+  archive(running.job, running.group);
+}
+
+template <class Archive>
+void serialize(Archive& archive, GroupLoad& load) {
+  archive(load.group, load.tasks_in_all, load.tasks_free, load.tasks_waiting);
+}
+
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
-  archive(message.job, message.zone, message.may_have_started,
-          message.view_revision, message.former, message.former_wait);
+  archive(message.job, message.group, message.may_pass_on,
+          message.may_have_started, message.view_revision, message.former,
+          message.former_wait);
 }
 
 template <class Archive>
@@ -216,8 +232,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobRedirect& message) {
-  archive(message.job, message.to, message.zone, message.may_have_started,
-          message.view_revision, message.is_progress_told);
+  archive(message.job, message.to, message.group, message.may_have_started,
+          message.view_revision, message.is_progress_told, message.has_room);
 }
 
 template <class Archive>
@@ -275,7 +291,7 @@
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
           heartbeat.leaving_endpoints, heartbeat.demands,
 
-          heartbeat.jobs_in_progress);
+          heartbeat.jobs_in_progress, heartbeat.group_loads);
 }
 
 namespace {
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -6,6 +6,7 @@
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/reception_flow.h"
+#include "core/fleet/room_flow.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
@@ -66,8 +67,9 @@
 
   for (const auto& [id, job] : node.scheduler.jobs) {
     if (now - job.received >= kTellJobAfter)
-      heartbeat.jobs_in_progress.push_back(id);
+      heartbeat.jobs_in_progress.push_back({id, job.group});
   }
+  heartbeat.group_loads = OwnLoads(node, now);
   return heartbeat;
 }
 
@@ -120,19 +122,39 @@
     TellNetwork(node, actions);
 }
 
+/** True when some daemon of a zone was heard lately. */
+bool IsZoneHeard(const FleetNode& node, const ZoneId& zone, Millis now) {
+  return std::any_of(
+      node.peers.begin(), node.peers.end(), [&](const auto& entry) {
+        const PeerSight& sight = entry.second;
+        return sight.last.zone == zone && now - sight.heard < kSilentAfter;
+      });
+}
+
+/** True when a receiver is gone or cut off from here. In a large fleet not all
+ * daemons send heartbeats here; the others are gone with their item, and cut
+ * off with their zone.
+ */
+bool IsReceiverLost(const FleetNode& node,
+                    const DaemonRef& receiver,
+                    Millis now) {
+  if (!HasSession(node.sessions, receiver))
+    return true;
+  const auto sight = node.peers.find(receiver.id);
+  if (sight == node.peers.end() || now - sight->second.heard < kSilentAfter)
+    return false;
+  const auto member = node.view.members.find(receiver.id);
+  if (member == node.view.members.end() || IsSmallFleet(node))
+    return true;
+  const ZoneId& zone = member->second.address.zone;
+  return zone == node.zone || !IsZoneHeard(node, zone, now);
+}
+
 /** Stops the jobs of receivers that are gone: nobody waits for them here. */
 void DropOrphans(FleetNode& node, Millis now, Actions& actions) {
   std::vector<std::pair<SubmissionId, DaemonRef>> orphans;
   for (const auto& [id, job] : node.scheduler.jobs) {
-    if (job.receiver == node.self)
-      continue;
-    const auto sight = node.peers.find(job.receiver.id);
-    const bool is_gone = !HasSession(node.sessions, job.receiver);
-    const bool is_silent =
-        sight != node.peers.end() &&
-        (sight->second.last.zone == node.zone || IsSmallFleet(node)) &&
-        now - sight->second.heard >= kSilentAfter;
-    if (is_gone || is_silent)
+    if (job.receiver != node.self && IsReceiverLost(node, job.receiver, now))
       orphans.emplace_back(id, job.receiver);
   }
   for (const auto& [id, receiver] : orphans)
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -181,7 +181,7 @@
   JobRedirect redirect;
   redirect.job = id;
   redirect.to = next.address.id;
-  redirect.zone = job.group.zone;
+  redirect.group = job.group;
   redirect.may_have_started = job.has_started || job.may_have_started;
   redirect.view_revision = node.view.revision;
   redirect.is_progress_told = true;
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -26,6 +26,8 @@
   /** Endpoints that run it; without a zone before it was first given away. */
   EndpointGroup group;
   bool may_have_started = false;
+  /** True once it was passed to a group with more room; that is done once. */
+  bool was_passed_on = false;
   uint32_t redirects = 0;
   /** When its scheduler got it. */
   Millis given_at;
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -5,6 +5,7 @@
 
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
+#include "core/fleet/room_flow.h"
 #include "core/scheduling/endpoint_orders.h"
 #include "core/scheduling/job_flow.h"
 
@@ -85,15 +86,14 @@
   Send(node.sessions, holder, release, SessionLimits(), now, actions);
 }
 
-/** Gives a pending job to the scheduler of a zone's endpoints.
+/** Gives a pending job to the scheduler of a group of endpoints.
  * @return false when there is none, or it can't be sent
  */
-bool GiveToZone(FleetNode& node,
-                PendingJob& pending,
-                const ZoneId& zone,
-                Millis now,
-                Actions& actions) {
-  const EndpointGroup group = GroupOfJob(node.view, zone, pending.job.id);
+bool GiveToGroup(FleetNode& node,
+                 PendingJob& pending,
+                 const EndpointGroup& group,
+                 Millis now,
+                 Actions& actions) {
   const FleetMember* scheduler = OwnerOfGroup(node.view, group);
   if (scheduler == nullptr)
     return false;
@@ -101,7 +101,8 @@
   CallInProgress(node, pending, RefOf(*scheduler), now, actions);
   JobSubmission submission;
   submission.job = pending.job;
-  submission.zone = zone;
+  submission.group = group;
+  submission.may_pass_on = !pending.was_passed_on;
   submission.job.age = now - pending.received;
   submission.job.time_left = pending.gives_up_at - now;
   submission.may_have_started = pending.may_have_started;
@@ -122,19 +123,21 @@
   return true;
 }
 
-/** The zone whose scheduler says that it runs a job already, as a caller sends
- * a job again to any daemon; else the own zone.
+/** The group whose scheduler says that it runs a job already, as a caller sends
+ * a job again to any daemon; else the job's group in the own zone.
  */
-ZoneId ZoneThatRuns(const FleetNode& node,
-                    const SubmissionId& job,
-                    Millis now) {
+EndpointGroup GroupThatRuns(const FleetNode& node,
+                            const SubmissionId& job,
+                            Millis now) {
   for (const auto& [id, sight] : node.peers) {
-    const std::vector<SubmissionId>& running = sight.last.jobs_in_progress;
-    if (now - sight.heard < kWordHolds &&
-        std::find(running.begin(), running.end(), job) != running.end())
-      return sight.last.zone;
+    if (now - sight.heard >= kWordHolds)
+      continue;
+    for (const JobInProgress& running : sight.last.jobs_in_progress) {
+      if (running.job == job)
+        return running.group;
+    }
   }
-  return node.zone;
+  return GroupOfJob(node.view, node.zone, job);
 }
 
 /** Has a job handed over by its scheduler, which is no longer its owner. */
@@ -198,7 +201,7 @@
   pending.gives_up_at = now + job.time_left;
   node.reception.pending.emplace(job.id, std::move(pending));
   PendingJob& added = node.reception.pending.at(job.id);
-  GiveToZone(node, added, ZoneThatRuns(node, job.id, now), now, actions);
+  GiveToGroup(node, added, GroupThatRuns(node, job.id, now), now, actions);
   ReportFinished(node, now, actions);
 }
 
@@ -300,10 +303,11 @@
         actions);
     return;
   }
-  pending.group = {redirect.zone, 0};
+  pending.group = redirect.group;
+  pending.was_passed_on |= redirect.has_room;
   pending.view_needed = redirect.view_revision;
   if (node.view.revision >= redirect.view_revision)
-    GiveToZone(node, pending, redirect.zone, now, actions);
+    GiveToGroup(node, pending, redirect.group, now, actions);
 }
 
 void AssignJobs(FleetNode& node, Millis now, Actions& actions) {
@@ -324,9 +328,11 @@
           {{"job", id.value}, {"scheduler", pending.scheduler.id.value}}});
       AskForRelease(node, pending, now, actions);
     }
-    const bool has_zone = !pending.group.zone.value.empty();
-    GiveToZone(node, pending, has_zone ? pending.group.zone : node.zone, now,
-               actions);
+    const bool has_group = !pending.group.zone.value.empty();
+    GiveToGroup(
+        node, pending,
+        has_group ? pending.group : GroupOfJob(node.view, node.zone, id), now,
+        actions);
   }
   for (const SubmissionId& id : expired) {
     const PendingJob& pending = node.reception.pending.at(id);
@@ -348,8 +354,7 @@
     node.early_jobs.push_back({receiver, submission, now});
     return;
   }
-  const EndpointGroup group =
-      GroupOfJob(node.view, submission.zone, submission.job.id);
+  const EndpointGroup& group = submission.group;
   const FleetMember* owner = OtherOwnerOf(node, group);
   const bool is_known = node.scheduler.jobs.count(submission.job.id) > 0;
   if (!is_known && owner != nullptr) {
@@ -357,7 +362,7 @@
     JobRedirect redirect;
     redirect.job = submission.job.id;
     redirect.to = owner->address.id;
-    redirect.zone = submission.zone;
+    redirect.group = group;
     redirect.may_have_started = submission.may_have_started;
     redirect.view_revision = node.view.revision;
     node.scheduler.finished.push_back(
@@ -365,6 +370,8 @@
     NotePassedJob(node, submission, RefOf(*owner), now);
     return;
   }
+  if (!is_known && PassToRoom(node, receiver, submission, now, actions))
+    return;
   node.passed_jobs.erase(submission.job.id);
   TakeJob(node.scheduler, receiver, group, submission, now, actions);
 }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -119,6 +119,16 @@
   known.open_wait = std::min(known.open_wait, told.open_wait);
 }
 
+void LearnTaskSize(Scheduler& scheduler, const TransientJob& job) {
+  /** Weight of one job; the mean has to hold for some seconds. */
+  constexpr double kGain = 0.02;
+  double& usual = scheduler.usual_task_millicores;
+  for (const JobStep& step : job.steps) {
+    const auto size = static_cast<double>(step.room.cpu_millicores);
+    usual = usual == 0 ? size : usual + kGain * (size - usual);
+  }
+}
+
 void StopRuns(Scheduler& scheduler,
               const ScheduledJob& job,
               Millis now,
@@ -182,6 +192,7 @@
     return;
   }
   ++scheduler.counters.jobs;
+  LearnTaskSize(scheduler, job);
   ScheduledJob& taken =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -90,6 +90,8 @@
   double fast_slowness = 1;
   /** Slowness of the endpoint in the middle. */
   double usual_slowness = 1;
+  /** Processor room of the usual task, learned from the jobs that came. */
+  double usual_task_millicores = 0;
   /** Share of all room that is in use. */
   double load = 0;
   Millis speeds_reviewed;
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -7,6 +7,8 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "model/daemon_ref.h"
+#include "model/group_load.h"
+#include "model/job_in_progress.h"
 
 namespace dogwoodfall {
 
@@ -50,7 +52,9 @@
   /** Jobs that have run at the sender for so long that their callers may send
    * them again elsewhere.
    */
-  std::vector<SubmissionId> jobs_in_progress;
+  std::vector<JobInProgress> jobs_in_progress;
+  /** Room of the groups of endpoints that the sender owns. */
+  std::vector<GroupLoad> group_loads;
 };
 
 }  // namespace dogwoodfall
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -12,6 +12,7 @@
 #include "model/answer.h"
 #include "model/daemon_ref.h"
 #include "model/endpoint_entry.h"
+#include "model/endpoint_group.h"
 #include "model/fleet_member.h"
 #include "model/route_table.h"
 #include "model/submission.h"
@@ -123,8 +124,11 @@
 /** A job for the receiver's endpoints. */
 struct JobSubmission {
   TransientJob job;
-  /** Zone whose endpoints are to run it. */
-  ZoneId zone;
+  /** Endpoints that are to run it. */
+  EndpointGroup group;
+  /** True when the receiver may have another group run it that has more room.
+   */
+  bool may_pass_on = false;
   /** True when another daemon may have started some of it. */
   bool may_have_started = false;
   /** Revision of the view that made the receiver its scheduler. */
@@ -162,12 +166,14 @@
 struct JobRedirect {
   SubmissionId job;
   DaemonId to;
-  /** Zone whose endpoints are to run it. */
-  ZoneId zone;
+  /** Endpoints that are to run it. */
+  EndpointGroup group;
   bool may_have_started = false;
   uint64_t view_revision = 0;
   /** True when the sender has told that daemon of the job's progress. */
   bool is_progress_told = false;
+  /** True when it is sent to another group since that one has more room. */
+  bool has_room = false;
 };
 
 /** A run of a job on an endpoint. */
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -113,6 +113,29 @@
   EXPECT_EQ(starts, 2U);
 }
 
+// Callers of one zone send more than its endpoints can run, while those of the
+// other are free: all are served in time, and no zone's callers wait.
+TEST(FleetTest, JobsGoToAZoneWithRoom) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  // Eight tasks fit into each zone; north gets twelve each 250 ms, south two.
+  for (int round = 0; round < 20; ++round) {
+    for (int i = 0; i < 6; ++i)
+      world.Submit(i % 2 == 0 ? "north0" : "north1",
+                   "n" + std::to_string(round) + "-" + std::to_string(i), 2,
+                   {200});
+    world.Submit("south0", "s" + std::to_string(round), 2, {200});
+    world.Run({250});
+  }
+  world.Run({1'000});
+  int completed = 0;
+  for (const auto& [job, end] : world.ends)
+    completed += end == JobEnd::kCompleted ? 1 : 0;
+  EXPECT_EQ(world.ends.size(), 140U);
+  EXPECT_EQ(completed, 140);
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 TEST(FleetTest, AKilledSchedulerIsReplacedAndNothingRunsTwice) {
   FleetWorld world;
   SetUpTwoZones(world);
@@ -323,7 +346,7 @@
   JobSubmission again;
   again.job = sent;
   again.job.time_left = {1'400};
-  again.zone = ZoneId("north");
+  again.group = {ZoneId("north"), 0};
   again.may_have_started = true;
   again.view_revision = scene.View();
   actions.clear();
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -45,7 +45,7 @@
   step.room = {cores * kMillicores, 64, 0};
   step.declared_run_time = declared;
   JobSubmission submission;
-  submission.zone = kGroup.zone;
+  submission.group = kGroup;
   submission.job.id = SubmissionId(id);
   submission.job.route = route;
   submission.job.service = "service";
