--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -198,7 +198,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
-  archive(message.job, message.group, message.may_pass_on,
+  archive(message.job, message.group, message.sent_at, message.may_pass_on,
           message.may_have_started, message.view_revision, message.former,
           message.former_wait);
 }
@@ -291,7 +291,7 @@
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
           heartbeat.leaving_endpoints, heartbeat.demands,
 
-          heartbeat.jobs_in_progress, heartbeat.group_loads);
+          heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at);
 }
 
 namespace {
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -66,6 +66,7 @@
   Heartbeat heartbeat;
   heartbeat.from = node.self;
   heartbeat.zone = node.zone;
+  heartbeat.sent_at = now;
   heartbeat.number = ++node.heartbeat_number;
   heartbeat.revision = node.routes.version;
   heartbeat.store_revision = node.view.revision;
@@ -173,6 +174,8 @@
 bool CanBeAnswered(const FleetNode& node, const TransientJob& job, Millis now) {
   if (!node.is_stopping)
     return true;
+  if (node.has_exited)
+    return false;
   const Millis expected = ExpectedJobTime(node.scheduler.run_times, job);
   const Millis needed =
       std::min(Millis{kStopMargin * expected.count}, job.time_left);
@@ -184,11 +187,8 @@
   std::vector<SubmissionId> waiting;
   for (const auto& [id, pending] : node.reception.pending)
     waiting.push_back(id);
-  for (const SubmissionId& id : waiting) {
-    AnswerCallers(node, now, id,
-                  {JobEnd::kAbandoned, kStoppingRetryAfter, "stopping"},
-                  actions);
-  }
+  for (const SubmissionId& id : waiting)
+    GiveUpJob(node, now, id, "stopping", actions);
 }
 
 void FinishStop(FleetNode& node, Millis now, Actions& actions) {
@@ -238,7 +238,7 @@
                      Millis now,
                      Actions& actions) {
   if (const auto* submission = std::get_if<JobSubmission>(&message)) {
-    ScheduleHere(node, now, from, *submission, actions);
+    TakeSubmission(node, now, from, *submission, actions);
   } else if (const auto* cancel = std::get_if<JobCancellation>(&message)) {
     CancelJob(node.scheduler, cancel->job, from, "caller_gone", now, actions);
   } else if (const auto* report = std::get_if<JobReport>(&message)) {
@@ -343,6 +343,7 @@
         LogEvent{"peer_heard_again", {{"daemon", heartbeat.from.id.value}}});
   }
   sight.heard = now;
+  NoteDelay(sight.delay, heartbeat.sent_at, now);
   sight.last = heartbeat;
   sight.is_evicted = false;
   TellNews(node, sight, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -18,6 +18,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "core/fleet/fleet_view.h"
+#include "core/fleet/peer_delay.h"
 #include "core/fleet/reception.h"
 #include "core/fleet/store_session.h"
 #include "core/peers/peer_session.h"
@@ -33,6 +34,7 @@
   /** When its former process life was last heard. */
   Millis former_heard;
   Heartbeat last;
+  PeerDelay delay;
   /** True once its item was asked to be removed. */
   bool is_evicted = false;
   /** Since when it is known to lag behind; zero while it does not. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -22,6 +22,10 @@
  * 100 ms, and leases end 500 ms after the last one.
  */
 constexpr Millis kWordHolds{600};
+/** Lateness from which on a submission is sent back: its receiver would count
+ * as silent, and the job as lost with it.
+ */
+constexpr Millis kTooLate{500};
 /** Retry-After of a job that nobody could take. */
 constexpr Millis kNobodyRetryAfter{1'000};
 
@@ -103,6 +107,7 @@
   submission.job = pending.job;
   submission.group = group;
   submission.may_pass_on = !pending.was_passed_on;
+  submission.sent_at = now;
   submission.job.age = now - pending.received;
   submission.job.time_left = pending.gives_up_at - now;
   submission.may_have_started = pending.may_have_started;
@@ -278,6 +283,24 @@
   }
 }
 
+void GiveUpJob(FleetNode& node,
+               Millis now,
+               const SubmissionId& job,
+               const char* reason,
+               Actions& actions) {
+  const auto entry = node.reception.pending.find(job);
+  if (entry == node.reception.pending.end())
+    return;
+  const DaemonRef scheduler = entry->second.scheduler;
+  const bool may_run =
+      entry->second.may_have_started || scheduler != DaemonRef();
+  AnswerCallers(node, now, job,
+                {may_run ? JobEnd::kAbandoned : JobEnd::kRefused,
+                 kNobodyRetryAfter, reason},
+                actions);
+  WithdrawJob(node, job, scheduler, now, actions);
+}
+
 void RedirectJob(FleetNode& node,
                  Millis now,
                  const DaemonRef& from,
@@ -334,15 +357,32 @@
         has_group ? pending.group : GroupOfJob(node.view, node.zone, id), now,
         actions);
   }
-  for (const SubmissionId& id : expired) {
-    const PendingJob& pending = node.reception.pending.at(id);
-    const bool may_run =
-        pending.may_have_started || pending.scheduler != DaemonRef();
-    AnswerCallers(node, now, id,
-                  {may_run ? JobEnd::kAbandoned : JobEnd::kRefused,
-                   kNobodyRetryAfter, "time_limit"},
-                  actions);
+  for (const SubmissionId& id : expired)
+    GiveUpJob(node, now, id, "time_limit", actions);
+}
+
+void TakeSubmission(FleetNode& node,
+                    Millis now,
+                    const DaemonRef& from,
+                    const JobSubmission& submission,
+                    Actions& actions) {
+  const Millis late =
+      NoteDelay(node.peers[from.id].delay, submission.sent_at, now);
+  if (late < kTooLate) {
+    ScheduleHere(node, now, from, submission, actions);
+    return;
   }
+  actions.push_back(LogEvent{"job_came_late",
+                             {{"job", submission.job.id.value},
+                              {"receiver", from.id.value},
+                              {"late_ms", std::to_string(late.count)}}});
+  JobRedirect redirect;
+  redirect.job = submission.job.id;
+  redirect.to = node.self.id;
+  redirect.group = submission.group;
+  redirect.may_have_started = submission.may_have_started;
+  redirect.view_revision = node.view.revision;
+  node.scheduler.finished.push_back(FinishedJob::PassedOn(from, redirect));
 }
 
 void ScheduleHere(FleetNode& node,
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -34,6 +34,14 @@
                 const JobReport& report,
                 Actions& actions);
 
+/** Answers everyone who waits for a job that is given up, and has it stopped.
+ */
+void GiveUpJob(FleetNode& node,
+               Millis now,
+               const SubmissionId& job,
+               const char* reason,
+               Actions& actions);
+
 /** Gives a job to another scheduler, as its former one has asked. */
 void RedirectJob(FleetNode& node,
                  Millis now,
@@ -47,6 +55,15 @@
 /** Passes on what the own scheduler has finished. */
 void ReportFinished(FleetNode& node, Millis now, Actions& actions);
 
+/** Takes a peer's submission. One that was held up on its way is not started:
+ * its caller has its answer, or has sent the job again.
+ */
+void TakeSubmission(FleetNode& node,
+                    Millis now,
+                    const DaemonRef& from,
+                    const JobSubmission& submission,
+                    Actions& actions);
+
 /** Gives a job to the own scheduler. */
 void ScheduleHere(FleetNode& node,
                   Millis now,
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -23,6 +23,8 @@
 struct Heartbeat {
   DaemonRef from;
   ZoneId zone;
+  /** When it was sent, on the sender's clock. */
+  Millis sent_at;
   /** Counts upwards within an incarnation; older ones are dropped. */
   uint64_t number = 0;
   /** Revision of the lists in force at the sender. */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -126,6 +126,8 @@
   TransientJob job;
   /** Endpoints that are to run it. */
   EndpointGroup group;
+  /** When it was sent, on the sender's clock. */
+  Millis sent_at;
   /** True when the receiver may have another group run it that has more room.
    */
   bool may_pass_on = false;
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -385,6 +385,39 @@
   EXPECT_EQ(scene.node->scheduler.jobs.at(job).tasks_queued, 0U);
 }
 
+// A link held a submission back for 2 s: its caller has been answered, or has
+// sent the job again elsewhere.
+TEST(HandoverTest, AJobThatComesLateIsNotStarted) {
+  HandoverScene scene;
+  JobSubmission late;
+  late.job = scene.node->scheduler.jobs.at(SubmissionId("job")).job;
+  late.job.id = SubmissionId("late");
+  late.job.time_left = {1'400};
+  late.group = {ZoneId("north"), 0};
+  late.view_revision = scene.View();
+  late.sent_at = scene.world.now - Millis{2'000};
+  Actions actions;
+  TakeSubmission(*scene.node, scene.world.now, scene.third, late, actions);
+  EXPECT_EQ(scene.node->scheduler.jobs.count(late.job.id), 0U);
+  late.sent_at = scene.world.now;
+  TakeSubmission(*scene.node, scene.world.now, scene.third, late, actions);
+  EXPECT_EQ(scene.node->scheduler.jobs.count(late.job.id), 1U);
+}
+
+// A receiver that gives a job up at its limit has it stopped.
+TEST(HandoverTest, AJobGivenUpIsStoppedAtItsScheduler) {
+  HandoverScene scene;
+  FleetNode& receiver = scene.world.Node(scene.next.id.value);
+  scene.world.Submit(scene.next.id.value, "given-up", 1, {600});
+  scene.world.Run({20});
+  Actions actions;
+  GiveUpJob(receiver, scene.world.now, SubmissionId("given-up"), "time_limit",
+            actions);
+  const auto sent = SentIn<JobCancellation>(actions);
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].first, scene.node->self.id);
+}
+
 // A job that comes back to a daemon that has passed it on stays there.
 TEST(HandoverTest, AJobMayComeBack) {
   HandoverScene scene;
