--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -121,11 +121,17 @@
                      });
 }
 
-void AwaitLook(ManagedEndpoint& endpoint, Millis now) {
-  if (endpoint.standing != EndpointStanding::kLooking)
+void AwaitLook(Scheduler& scheduler,
+               ManagedEndpoint& endpoint,
+               Millis now,
+               Actions& actions) {
+  if (endpoint.standing == EndpointStanding::kLost)
     return;
+  SetStanding(endpoint, EndpointStanding::kLooking, "told_of_run", now,
+              actions);
   endpoint.standing_since = now;
   endpoint.lease_until = std::max(endpoint.lease_until, now + kLongestLease);
+  LookAtOnce(scheduler, endpoint, now, actions);
 }
 
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
--- a/modules/core/scheduling/endpoint_flow.h
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -42,10 +42,15 @@
                const EndpointGroup& group,
                Millis now);
 
-/** Counts the time for the look at an endpoint from now on, after word that
- * something runs there. Does nothing when it has been looked at.
+/** Sees to it that an endpoint is looked at after word that something runs
+ * there that is not known here. One that has been looked at is looked at again:
+ * in a new life it has forgotten its fencing token, and a former owner may have
+ * used it.
  */
-void AwaitLook(ManagedEndpoint& endpoint, Millis now);
+void AwaitLook(Scheduler& scheduler,
+               ManagedEndpoint& endpoint,
+               Millis now,
+               Actions& actions);
 
 /** Sends renewals that are due and looks for runs that are overdue. */
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions);
--- a/modules/core/scheduling/endpoint_orders.cc
+++ b/modules/core/scheduling/endpoint_orders.cc
@@ -84,6 +84,13 @@
   }
 }
 
+void LookAtOnce(Scheduler& scheduler,
+                ManagedEndpoint& endpoint,
+                Millis now,
+                Actions& actions) {
+  SendRenewal(scheduler, endpoint, Millis(), now, actions);
+}
+
 void OrderStart(Scheduler& scheduler,
                 ManagedEndpoint& endpoint,
                 const ScheduledJob& job,
--- a/modules/core/scheduling/endpoint_orders.h
+++ b/modules/core/scheduling/endpoint_orders.h
@@ -36,6 +36,12 @@
                    Millis now,
                    Actions& actions);
 
+/** Asks at once what runs on an endpoint, also while a renewal waits there. */
+void LookAtOnce(Scheduler& scheduler,
+                ManagedEndpoint& endpoint,
+                Millis now,
+                Actions& actions);
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_ENDPOINT_ORDERS_H_
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -266,7 +266,9 @@
     }
     const auto known = scheduler.endpoints.find(run.endpoint.id);
     if (known != scheduler.endpoints.end()) {
-      AwaitLook(known->second, now);
+      const RunKey key{{progress.job, run.step, run.index}, run.attempt.value};
+      if (known->second.runs.count(key) == 0)
+        AwaitLook(scheduler, known->second, now, actions);
       continue;
     }
     TakeEndpoint(scheduler, run.endpoint, job.group, fencing_token, now,
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -429,6 +429,32 @@
   EXPECT_EQ(started, 1U);
 }
 
+// An endpoint started anew after the look and has forgotten the fencing token,
+// so that a former owner could use it; then its job is handed over.
+TEST(SchedulingTest, AToldRunOnAnEndpointLookedAtIsLookedFor) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e1", 16, 1);
+  FakeEndpoint& other = world.AddEndpoint("e2", 16, 1);
+  world.Run({100});
+  endpoint.born_ms = 2;
+  endpoint.lease_until = world.now + Millis{450};
+  endpoint.running[{{SubmissionId("job"), 0, 0}, 1}] = {
+      world.now, {300}, {7'000, 64, 0}};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {300}, "route");
+  submission.may_have_started = true;
+  submission.former_wait = {600};
+  world.SubmitJob(submission, {300});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.placed = {{0, 0, Attempt(1), endpoint.entry}};
+  world.TakeWord(progress);
+  world.Run({900});
+  EXPECT_EQ(EndOf(world, "job"), JobEnd::kCompleted);
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(endpoint.starts + other.starts, 0U);
+}
+
 // An endpoint that could not be looked at for seconds, in a zone that was cut
 // off: when a job is handed over that runs there, its tasks wait for the look.
 TEST(SchedulingTest, TasksOnAnEndpointNotLookedAtAreNotStartedElsewhere) {
--- /dev/null
+++ b/tests/process/soak.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# A short run of the fault soak: the seeds that are kept, some seconds each.
+# usage: soak.sh BUILD
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+grep -v '^#' tests/soak/seeds.txt | while read -r seed seconds _; do
+  python3 tests/soak/soak.py "$1/apps/dogwoodfalld" --seed "$seed" \
+    --seconds "$seconds" --first-port $((24700 + 20 * seed))
+done
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -115,7 +115,10 @@
 class Soak:
     def __init__(self, options):
         self.binary = os.path.abspath(options.binary)
+        # Faults draw from a series of their own, so that a seed gives the same
+        # ones however many jobs the callers send.
         self.random = random.Random(options.seed)
+        self.fault_random = random.Random(options.seed)
         self.seconds = options.seconds
         (self.callers_port, self.ready_port, self.control_port, self.peers_port,
          self.metrics_port, self.platform_port) = \
@@ -174,7 +177,7 @@
             await daemon.start()
 
     def put_configuration(self):
-        self.version += self.random.randint(1, 3)
+        self.version += self.fault_random.randint(1, 3)
         self.put_at[self.version] = time.monotonic()
         kept = sorted(self.put_at)[-2:]
         routes = [{"name": f"r{name}", "host": "desk.example",
@@ -317,14 +320,14 @@
         running = []
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
-            await asyncio.sleep(self.random.uniform(0.1, 1.5))
-            kind = self.random.choice(kinds)
+            await asyncio.sleep(self.fault_random.uniform(0.1, 1.5))
+            kind = self.fault_random.choice(kinds)
             self.counts["fault " + kind.__name__] += 1
             running.append(asyncio.create_task(kind()))
         await asyncio.gather(*running)
 
     def pick(self):
-        return self.random.choice(self.daemons)
+        return self.fault_random.choice(self.daemons)
 
     async def kill(self):
         daemon = self.pick()
@@ -336,7 +339,7 @@
         life = daemon.life
         if daemon.process is not None:
             await daemon.process.wait()
-        await asyncio.sleep(self.random.uniform(0.1, 2))
+        await asyncio.sleep(self.fault_random.uniform(0.1, 2))
         if daemon.life == life and not daemon.is_up():
             await daemon.start()
 
@@ -366,7 +369,7 @@
         life, daemon.is_paused = daemon.life, True
         daemon.touch()
         daemon.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.random.uniform(0.2, 4))
+        await asyncio.sleep(self.fault_random.uniform(0.2, 4))
         if daemon.life == life:
             daemon.signal(signal.SIGCONT)
             daemon.is_paused = False
@@ -379,7 +382,7 @@
         for link in links:
             link.mode = mode
             self.touch_ends(link)
-        await asyncio.sleep(self.random.uniform(0.3, 5))
+        await asyncio.sleep(self.fault_random.uniform(0.3, 5))
         for link in links:
             link.mode = "ok"
             self.touch_ends(link)
@@ -389,13 +392,13 @@
             self.daemons[number - 1].touch()
 
     async def cut_link(self):
-        links = [self.random.choice(list(self.links.values()))]
-        if self.random.random() < 0.5:
+        links = [self.fault_random.choice(list(self.links.values()))]
+        if self.fault_random.random() < 0.5:
             links.append(links[0].back)
-        await self.hold(links, self.random.choice(("silent", "slow")))
+        await self.hold(links, self.fault_random.choice(("silent", "slow")))
 
     async def cut_zone(self):
-        zone = self.random.choice(ZONES)
+        zone = self.fault_random.choice(ZONES)
         is_in = {d.number for d in self.daemons if d.zone == zone}
         for number in is_in:
             self.store.modes[number] = "down"
@@ -409,32 +412,33 @@
             link.reset()
 
     async def harm_store(self):
-        mode = self.random.choice(("down", "busy", "slow", "lose"))
+        mode = self.fault_random.choice(("down", "busy", "slow", "lose"))
         numbers = [daemon.number for daemon in self.daemons]
-        chosen = self.random.choice((numbers, [self.random.choice(numbers)]))
+        one = [self.fault_random.choice(numbers)]
+        chosen = self.fault_random.choice((numbers, one))
         for number in chosen:
             self.store.modes[number] = mode
         self.last_store_fault = time.monotonic()
-        await asyncio.sleep(self.random.uniform(0.5, 5))
+        await asyncio.sleep(self.fault_random.uniform(0.5, 5))
         for number in chosen:
             self.store.modes[number] = "ok"
         self.last_store_fault = time.monotonic()
 
     async def harm_endpoint(self):
-        endpoint = self.random.choice(self.endpoints)
-        endpoint.mode = self.random.choice(("fail", "hang", "slow", "dark",
+        endpoint = self.fault_random.choice(self.endpoints)
+        endpoint.mode = self.fault_random.choice(("fail", "hang", "slow", "dark",
                                             "late"))
-        await asyncio.sleep(self.random.uniform(0.5, 6))
+        await asyncio.sleep(self.fault_random.uniform(0.5, 6))
         endpoint.mode = "ok"
 
     async def cut_endpoint(self):
-        endpoint, daemon = self.random.choice(self.endpoints), self.pick()
+        endpoint, daemon = self.fault_random.choice(self.endpoints), self.pick()
         endpoint.cut_from.add(daemon.number)
-        await asyncio.sleep(self.random.uniform(0.3, 4))
+        await asyncio.sleep(self.fault_random.uniform(0.3, 4))
         endpoint.cut_from.discard(daemon.number)
 
     async def crash_endpoint(self):
-        self.random.choice(self.endpoints).crash()
+        self.fault_random.choice(self.endpoints).crash()
 
     async def change_configuration(self):
         self.put_configuration()
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -76,6 +76,13 @@
   this->TakeResults();
 }
 
+void SchedulerWorld::TakeWord(const JobProgress& progress) {
+  constexpr uint64_t kToken = 5;
+  Actions actions;
+  TakeProgress(this->scheduler, progress, kToken, this->now, actions);
+  this->Deliver(actions);
+}
+
 void SchedulerWorld::Run(Millis time) {
   const Millis end = this->now + time;
   while (this->now < end) {
--- a/tests/support/scheduler_world.h
+++ b/tests/support/scheduler_world.h
@@ -45,6 +45,9 @@
   /** Sends a job as it is. */
   void SubmitJob(const JobSubmission& submission, Millis nominal);
 
+  /** Gives the scheduler word of a former one. */
+  void TakeWord(const JobProgress& progress);
+
   /** Lets time pass. */
   void Run(Millis time);
 
