--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -149,6 +149,7 @@
         OrderStop(scheduler, endpoint, key, now, actions);
     }
     ExpireLease(scheduler, endpoint, now, actions);
+    RepeatStops(scheduler, endpoint, now, actions);
     StopOverdueRuns(scheduler, endpoint, now, actions);
     EnsureRenewal(scheduler, endpoint, now, actions);
   }
--- a/modules/core/scheduling/endpoint_orders.cc
+++ b/modules/core/scheduling/endpoint_orders.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <utility>
+#include <vector>
 
 #include "core/scheduling/endpoint_runs.h"
 
@@ -19,6 +20,11 @@
 constexpr Millis kOrderTimeout{120};
 /** Time of a run's confirmation while there is none: later than all lists. */
 constexpr Millis kNotConfirmed{std::numeric_limits<int64_t>::max()};
+/** Pause before a renewal or a stop that failed is made again. A connection
+ * that is reset fails at once, and without a pause each round trip would open
+ * another.
+ */
+constexpr Millis kRetryPause{50};
 /** Pause between looks at a silent endpoint, in ms. */
 constexpr Millis kSilentPause{300};
 
@@ -71,6 +77,8 @@
   if (endpoint.renewal != OrderId() ||
       endpoint.standing == EndpointStanding::kLost)
     return;
+  if (endpoint.unanswered > 0 && now - endpoint.renewal_sent < kRetryPause)
+    return;
   if (endpoint.standing == EndpointStanding::kSilent) {
     if (now - endpoint.renewal_sent >= kSilentPause || !endpoint.runs.empty())
       SendRenewal(scheduler, endpoint, {}, now, actions);
@@ -132,6 +140,8 @@
       endpoint.standing == EndpointStanding::kLost)
     return;
   run.state = RunState::kStopping;
+  run.stop_sent = now;
+  run.stop_failed = false;
   ++scheduler.counters.stops;
   OpenOrder open;
   open.sent = now;
@@ -141,4 +151,19 @@
             kOrderTimeout, actions);
 }
 
+void RepeatStops(Scheduler& scheduler,
+                 ManagedEndpoint& endpoint,
+                 Millis now,
+                 Actions& actions) {
+  std::vector<RunKey> failed;
+  for (const auto& [key, run] : endpoint.runs) {
+    if (run.stop_failed && now - run.stop_sent >= kRetryPause)
+      failed.push_back(key);
+  }
+  for (const RunKey& key : failed) {
+    endpoint.runs.at(key).state = RunState::kRunning;
+    OrderStop(scheduler, endpoint, key, now, actions);
+  }
+}
+
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/endpoint_orders.h
+++ b/modules/core/scheduling/endpoint_orders.h
@@ -30,6 +30,12 @@
                Millis now,
                Actions& actions);
 
+/** Sends stops again that failed a while ago. */
+void RepeatStops(Scheduler& scheduler,
+                 ManagedEndpoint& endpoint,
+                 Millis now,
+                 Actions& actions);
+
 /** Keeps one renewal under way wherever something runs or is to be learned. */
 void EnsureRenewal(Scheduler& scheduler,
                    ManagedEndpoint& endpoint,
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -198,12 +198,10 @@
     RequeueTask(scheduler, order.run, now);
 }
 
-void TakeStop(Scheduler& scheduler,
-              ManagedEndpoint& endpoint,
+void TakeStop(ManagedEndpoint& endpoint,
               const EndpointReply& reply,
               const OpenOrder& order,
-              Millis now,
-              Actions& actions) {
+              Millis now) {
   const auto found = endpoint.runs.find(order.run);
   if (found == endpoint.runs.end())
     return;
@@ -215,8 +213,7 @@
     return;
   }
 
-  run.state = RunState::kRunning;
-  OrderStop(scheduler, endpoint, order.run, now, actions);
+  run.stop_failed = true;
 }
 
 /** What holds for answers to all kinds of orders. @return true when the order
@@ -271,7 +268,7 @@
     if (order.kind == OpenOrder::Kind::kStart)
       TakeStart(scheduler, endpoint, reply, order, now, actions);
     else if (order.kind == OpenOrder::Kind::kStop)
-      TakeStop(scheduler, endpoint, reply, order, now, actions);
+      TakeStop(endpoint, reply, order, now);
     else if (reply.outcome == OrderOutcome::kDone)
       TakeRenewal(scheduler, endpoint, reply, order, now, actions);
   }
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -37,6 +37,9 @@
   int percent = 0;
   Millis percent_at;
 
+  Millis stop_sent;
+  /** True when the stop was not carried out, as far as is known. */
+  bool stop_failed = false;
   /** True when the task goes back to the queue once the run is gone. */
   bool requeue = true;
 };
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -429,6 +429,22 @@
   EXPECT_EQ(started, 1U);
 }
 
+// Connections that are reset fail at once: they must not be tried again with
+// each round trip.
+TEST(SchedulingTest, OrdersThatFailAtOncePauseBeforeTheyAreRepeated) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.Submit("job", 2, 7, {600});
+  world.Run({50});
+  world.resetting.insert(EndpointId("e1"));
+  const uint64_t before = world.orders;
+  world.Run({500});
+  // A renewal and two stops each 50 ms, and what was under way.
+  EXPECT_LE(world.orders - before, 36U);
+  EXPECT_GE(world.orders - before, 8U);
+}
+
 // An endpoint started anew after the look and has forgotten the fencing token,
 // so that a former owner could use it; then its job is handed over.
 TEST(SchedulingTest, AToldRunOnAnEndpointLookedAtIsLookedFor) {
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -147,6 +147,11 @@
 void SchedulerWorld::Carry(const EndpointOrder& order) {
   EndpointReply lost;
   lost.id = order.id;
+  ++this->orders;
+  if (this->resetting.count(order.endpoint) > 0) {
+    this->due.push_back({this->now + kWay + kWay, lost});
+    return;
+  }
   const auto endpoint = this->endpoints.find(order.endpoint);
   const bool arrives =
       endpoint != this->endpoints.end() && !this->loses_order(order);
--- a/tests/support/scheduler_world.h
+++ b/tests/support/scheduler_world.h
@@ -63,6 +63,10 @@
   std::map<SubmissionId, CallerResult> results;
   /** Decides per order whether it is lost: carried out, but not answered. */
   std::function<bool(const EndpointOrder&)> loses_answer;
+  /** Endpoints whose connections are reset at once, before anything arrives. */
+  std::set<EndpointId> resetting;
+  /** Orders given so far. */
+  uint64_t orders = 0;
   /** Decides per order whether it never arrives. */
   std::function<bool(const EndpointOrder&)> loses_order;
   /** Tasks of which two runs were seen at the same time. */
