--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -6,8 +6,10 @@
  * receiver of callers' jobs, the other daemons and the platform's store.
  *
  * fleet_view.h says who gives orders to which endpoint, store_session.h deals
- * with the store, reception.h keeps callers' jobs until they are answered, and
- * fleet_events.h has the functions that the outside calls.
+ * with the store, reception.h keeps callers' jobs until they are answered,
+ * handover_flow.h tells a job's next scheduler what is known of it, room_flow.h
+ * passes jobs to groups with more room, peer_delay.h notices messages that were
+ * held up, and fleet_events.h has the functions that the outside calls.
  */
 
 #include <cstdint>
--- a/modules/core/fleet/room_flow.cc
+++ b/modules/core/fleet/room_flow.cc
@@ -67,6 +67,7 @@
   const GroupLoad own = LoadOf(node.scheduler, submission.group, now);
   const std::vector<GroupLoad*> told = PeerLoads(node, now);
   std::vector<GroupLoad> others;
+  others.reserve(told.size());
   for (const GroupLoad* load : told)
     others.push_back(*load);
   const uint32_t tasks = FirstTasks(submission.job);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -6,9 +6,11 @@
  * this daemon owns, keeps their leases, and notices what has become of them.
  *
  * job_order.h says who goes first, placement.h where a task runs, admission.h
- * what is refused; job_flow.h takes jobs and ends them. endpoint_flow.h takes
- * endpoints over and reviews them, endpoint_orders.h gives them orders,
- * endpoint_replies.h takes the answers, endpoint_runs.h keeps what runs there.
+ * what is refused, spill.h what another group had better run,
+ * endpoint_ejection.h which endpoints are not trusted; job_flow.h takes jobs
+ * and ends them. endpoint_flow.h takes endpoints over and reviews them,
+ * endpoint_orders.h gives them orders, endpoint_replies.h takes the answers,
+ * endpoint_runs.h keeps what runs there.
  */
 
 #include <cstdint>
