--- a/apps/daemon/daemon.h
+++ b/apps/daemon/daemon.h
@@ -13,9 +13,9 @@
 #include "adapters/instances/instance_list_client.h"
 #include "adapters/peers/peer_network.h"
 #include "adapters/store/store_gateway.h"
+#include "base/process_clock.h"
 #include "base/result.h"
 #include "core/node/node.h"
-#include "daemon/process_clock.h"
 #include "ports/action.h"
 #include "settings/settings.h"
 
--- a/modules/adapters/logging/logging.cc
+++ b/modules/adapters/logging/logging.cc
@@ -4,10 +4,10 @@
 #include <poll.h>
 #include <unistd.h>
 
-#include <chrono>
 #include <nlohmann/json.hpp>
 
 #include "adapters/logging/log_limit.h"
+#include "base/process_clock.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -31,18 +31,17 @@
   return limit;
 }
 
+const ProcessClock& Clock() {
+  static ProcessClock clock;
+  return clock;
+}
+
 /** True when a line can be written to standard output without waiting. */
 bool IsOutputFree() {
   pollfd output = {STDOUT_FILENO, POLLOUT, 0};
   return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
 }
 
-Millis SteadyNow() {
-  return {std::chrono::duration_cast<std::chrono::milliseconds>(
-              std::chrono::steady_clock::now().time_since_epoch())
-              .count()};
-}
-
 bool WriteLine(const std::string& line) {
   if (!IsOutputFree())
     return false;
@@ -66,7 +65,7 @@
 
 void WriteLog(const LogEvent& event) {
   LogLimit& limit = Limit();
-  if (!TakeLine(limit, SteadyNow())) {
+  if (!TakeLine(limit, Clock().Now())) {
     CountLeftOut(limit);
     return;
   }
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/reception_flow.h"
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -7,9 +7,10 @@
  *
  * fleet_view.h says who gives orders to which endpoint, store_session.h deals
  * with the store, reception.h keeps callers' jobs until they are answered,
- * handover_flow.h tells a job's next scheduler what is known of it, room_flow.h
- * passes jobs to groups with more room, peer_delay.h notices messages that were
- * held up, and fleet_events.h has the functions that the outside calls.
+ * assignment_flow.h gives them to schedulers, handover_flow.h tells a job's
+ * next scheduler what is known of it, room_flow.h passes jobs to groups with
+ * more room, peer_delay.h notices messages that were held up, and
+ * fleet_events.h has the functions that the outside calls.
  */
 
 #include <cstdint>
--- a/modules/core/fleet/fleet_view.cc
+++ b/modules/core/fleet/fleet_view.cc
@@ -151,4 +151,11 @@
   return others.empty() ? nullptr : &ChooseAmong(others, NameOf(group));
 }
 
+bool IsOwnerOf(const FleetView& view,
+               const DaemonRef& daemon,
+               const EndpointGroup& group) {
+  const FleetMember* owner = OwnerOfGroup(view, group);
+  return owner != nullptr && RefOf(*owner) == daemon;
+}
+
 }  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_view.h
+++ b/modules/core/fleet/fleet_view.h
@@ -76,6 +76,11 @@
 const FleetMember* OwnerOfGroup(const FleetView& view,
                                 const EndpointGroup& group);
 
+/** True when a process life gives orders to a group. */
+bool IsOwnerOf(const FleetView& view,
+               const DaemonRef& daemon,
+               const EndpointGroup& group);
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_CORE_FLEET_FLEET_VIEW_H_
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -48,8 +48,7 @@
   if (job == node.scheduler.jobs.end() ||
       release.view_revision >= node.view.revision)
     return false;
-  const FleetMember* owner = OwnerOfGroup(node.view, job->second.group);
-  return owner != nullptr && RefOf(*owner) == node.self;
+  return IsOwnerOf(node.view, node.self, job->second.group);
 }
 
 void TellProgress(FleetNode& node,
@@ -110,6 +109,33 @@
     Send(node.sessions, holder, release, SessionLimits(), now, actions);
 }
 
+void AskForJob(FleetNode& node,
+               const DaemonRef& holder,
+               const SubmissionId& job,
+               const DaemonRef& next,
+               Millis now,
+               Actions& actions) {
+  const JobRelease release{job, next, node.view.revision};
+  if (holder == node.self)
+    ReleaseJob(node, release, now, actions);
+  else
+    Send(node.sessions, holder, release, SessionLimits(), now, actions);
+}
+
+JobRedirect MakeRedirect(const FleetNode& node,
+                         const SubmissionId& job,
+                         const FleetMember& owner,
+                         const EndpointGroup& group,
+                         bool may_have_started) {
+  JobRedirect redirect;
+  redirect.job = job;
+  redirect.to = owner.address.id;
+  redirect.group = group;
+  redirect.may_have_started = may_have_started;
+  redirect.view_revision = node.view.revision;
+  return redirect;
+}
+
 void TellView(FleetNode& node,
               const DaemonRef& to,
               Millis now,
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -17,6 +17,21 @@
                 Millis now,
                 Actions& actions);
 
+/** Asks a daemon, which may be this one, to hand a job over. */
+void AskForJob(FleetNode& node,
+               const DaemonRef& holder,
+               const SubmissionId& job,
+               const DaemonRef& next,
+               Millis now,
+               Actions& actions);
+
+/** A redirect of a job to the owner of a group by the present view. */
+JobRedirect MakeRedirect(const FleetNode& node,
+                         const SubmissionId& job,
+                         const FleetMember& owner,
+                         const EndpointGroup& group,
+                         bool may_have_started);
+
 /** Tells a peer of the daemons as this one knows them. */
 void TellView(FleetNode& node,
               const DaemonRef& to,
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_flow.h"
@@ -165,11 +166,6 @@
   RegisterAgain(node.store, now);
 }
 
-bool IsOwn(const FleetNode& node, const EndpointGroup& group) {
-  const FleetMember* owner = OwnerOfGroup(node.view, group);
-  return owner != nullptr && RefOf(*owner) == node.self;
-}
-
 /** Gives a job with what is known of it to the new owner of its endpoints. */
 void GiveJobAway(FleetNode& node,
                  const SubmissionId& id,
@@ -178,12 +174,8 @@
                  Actions& actions) {
   const ScheduledJob job = node.scheduler.jobs.at(id);
   ReleaseJob(node, {id, RefOf(next), node.view.revision}, now, actions);
-  JobRedirect redirect;
-  redirect.job = id;
-  redirect.to = next.address.id;
-  redirect.group = job.group;
-  redirect.may_have_started = job.has_started || job.may_have_started;
-  redirect.view_revision = node.view.revision;
+  JobRedirect redirect = MakeRedirect(node, id, next, job.group,
+                                      job.has_started || job.may_have_started);
   redirect.is_progress_told = true;
   std::vector<FinishedJob>& finished = node.scheduler.finished;
   for (const DaemonRef& receiver : job.more_receivers)
@@ -214,7 +206,7 @@
     ReleaseEndpoint(node.scheduler, id, now);
   for (const auto& [id, entry] : node.entries) {
     const EndpointGroup group = GroupOfEndpoint(node.view, entry.zone, id);
-    if (IsOwn(node, group))
+    if (IsOwnerOf(node.view, node.self, group))
       TakeEndpoint(node.scheduler, entry, group, node.view.revision, now,
                    actions);
   }
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -42,16 +42,6 @@
                const char* reason,
                Actions& actions);
 
-/** Gives a job to another scheduler, as its former one has asked. */
-void RedirectJob(FleetNode& node,
-                 Millis now,
-                 const DaemonRef& from,
-                 const JobRedirect& redirect,
-                 Actions& actions);
-
-/** Gives jobs that have no scheduler, or whose scheduler is gone, to one. */
-void AssignJobs(FleetNode& node, Millis now, Actions& actions);
-
 /** Passes on what the own scheduler has finished. */
 void ReportFinished(FleetNode& node, Millis now, Actions& actions);
 
--- a/modules/core/fleet/room_flow.cc
+++ b/modules/core/fleet/room_flow.cc
@@ -14,13 +14,6 @@
  */
 constexpr Millis kRoomHolds{350};
 
-bool IsOwnerOf(const FleetNode& node,
-               const DaemonRef& daemon,
-               const EndpointGroup& group) {
-  const FleetMember* owner = OwnerOfGroup(node.view, group);
-  return owner != nullptr && RefOf(*owner) == daemon;
-}
-
 /** The room of other daemons' groups as they told it last. */
 std::vector<GroupLoad*> PeerLoads(FleetNode& node, Millis now) {
   std::vector<GroupLoad*> loads;
@@ -28,7 +21,7 @@
     if (now - sight.heard >= kRoomHolds || sight.last.draining)
       continue;
     for (GroupLoad& load : sight.last.group_loads) {
-      if (IsOwnerOf(node, sight.last.from, load.group))
+      if (IsOwnerOf(node.view, sight.last.from, load.group))
         loads.push_back(&load);
     }
   }
@@ -51,7 +44,7 @@
     groups.insert(endpoint.group);
   std::vector<GroupLoad> loads;
   for (const EndpointGroup& group : groups) {
-    if (IsOwnerOf(node, node.self, group))
+    if (IsOwnerOf(node.view, node.self, group))
       loads.push_back(LoadOf(node.scheduler, group, now));
   }
   return loads;
@@ -65,12 +58,14 @@
   if (!submission.may_pass_on || submission.may_have_started)
     return false;
   const GroupLoad own = LoadOf(node.scheduler, submission.group, now);
+  const uint32_t tasks = FirstTasks(submission.job);
+  if (HasRoomFor(own, tasks))
+    return false;
   const std::vector<GroupLoad*> told = PeerLoads(node, now);
   std::vector<GroupLoad> others;
   others.reserve(told.size());
   for (const GroupLoad* load : told)
     others.push_back(*load);
-  const uint32_t tasks = FirstTasks(submission.job);
   const std::optional<EndpointGroup> chosen =
       ChooseSpill(own, others, tasks, StableHash(submission.job.id.value));
   if (!chosen)
@@ -81,11 +76,8 @@
       load->tasks_waiting += tasks;
   }
   const FleetMember* owner = OwnerOfGroup(node.view, *chosen);
-  JobRedirect redirect;
-  redirect.job = submission.job.id;
-  redirect.to = owner->address.id;
-  redirect.group = *chosen;
-  redirect.view_revision = node.view.revision;
+  JobRedirect redirect =
+      MakeRedirect(node, submission.job.id, *owner, *chosen, false);
   redirect.has_room = true;
   actions.push_back(LogEvent{"job_passed_to_room",
                              {{"job", submission.job.id.value},
--- a/modules/core/peers/peer_session.cc
+++ b/modules/core/peers/peer_session.cc
@@ -113,7 +113,6 @@
         session.fruitless_receipts > limits.most_fruitless) {
       session.fruitless_sends = 0;
       session.fruitless_receipts = 0;
-      ++sessions.link_resets;
       actions.push_back(LogEvent{
           "peer_link_silent",
           {{"peer", id.value},
--- a/modules/core/peers/peer_session.h
+++ b/modules/core/peers/peer_session.h
@@ -47,8 +47,6 @@
   uint64_t repeats = 0;
   /** Frames that were received a second time. */
   uint64_t duplicates = 0;
-  /** Connections closed for being silent. */
-  uint64_t link_resets = 0;
   /** Frames from or to another process life. */
   uint64_t foreign = 0;
 };
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -58,15 +58,15 @@
   // What may have started runs on endpoints that may not be known here yet.
   if (job.has_started || job.may_have_started)
     return std::nullopt;
+  if (AnyEndpointFits(scheduler, job, FitScope::kGroup))
+    return ReviewDecision(scheduler, job, now);
   // Items of a zone that was cut off come back one after the other: a group
   // without endpoints says nothing of what could run there.
   if (!HasEndpoints(scheduler, job.group))
     return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "no_endpoints"};
   if (!AnyEndpointFits(scheduler, job, FitScope::kAllKnown))
     return JobOutcome{JobEnd::kFailed, {}, "fits_no_endpoint"};
-  if (!AnyEndpointFits(scheduler, job, FitScope::kGroup))
-    return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "fits_elsewhere"};
-  return ReviewDecision(scheduler, job, now);
+  return JobOutcome{JobEnd::kRefused, kLeastRetryAfter, "fits_elsewhere"};
 }
 
 std::optional<JobOutcome> ReviewDecision(const Scheduler& scheduler,
--- a/modules/core/scheduling/endpoint_orders.cc
+++ b/modules/core/scheduling/endpoint_orders.cc
@@ -136,8 +136,8 @@
                Millis now,
                Actions& actions) {
   Run& run = endpoint.runs.at(key);
-  if (run.state == RunState::kStopping ||
-      endpoint.standing == EndpointStanding::kLost)
+  const bool is_stopping = run.state == RunState::kStopping && !run.stop_failed;
+  if (is_stopping || endpoint.standing == EndpointStanding::kLost)
     return;
   run.state = RunState::kStopping;
   run.stop_sent = now;
@@ -160,10 +160,8 @@
     if (run.stop_failed && now - run.stop_sent >= kRetryPause)
       failed.push_back(key);
   }
-  for (const RunKey& key : failed) {
-    endpoint.runs.at(key).state = RunState::kRunning;
+  for (const RunKey& key : failed)
     OrderStop(scheduler, endpoint, key, now, actions);
-  }
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -62,10 +62,8 @@
                const TaskProgress& task,
                Millis now) {
   const JobStep& spec = job.job.steps[step];
-  return endpoint.standing == EndpointStanding::kUsable &&
-         endpoint.group == job.group && endpoint.is_listed &&
-         !endpoint.entry.draining && endpoint.avoid_until <= now &&
-         endpoint.unanswered == 0 && IsTrustedWith(endpoint, task) &&
+  return TakesWork(endpoint, now) && endpoint.group == job.group &&
+         IsTrustedWith(endpoint, task) &&
          CanEverRun(endpoint.entry, job.job, spec) &&
          Fits(spec.room, endpoint.entry.capacity - endpoint.used) &&
          (spec.most_per_endpoint == 0 ||
@@ -136,6 +134,12 @@
 
 }  // namespace
 
+bool TakesWork(const ManagedEndpoint& endpoint, Millis now) {
+  return endpoint.standing == EndpointStanding::kUsable && endpoint.is_listed &&
+         !endpoint.entry.draining && endpoint.avoid_until <= now &&
+         endpoint.unanswered == 0;
+}
+
 bool CanEverRun(const EndpointEntry& endpoint,
                 const TransientJob& job,
                 const JobStep& step) {
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -8,6 +8,9 @@
 
 namespace dogwoodfall {
 
+/** True when an endpoint gets work at present, whatever its room. */
+bool TakesWork(const ManagedEndpoint& endpoint, Millis now);
+
 /** True when an endpoint may ever run tasks of a step. */
 bool CanEverRun(const EndpointEntry& endpoint,
                 const TransientJob& job,
--- a/modules/core/scheduling/spill.cc
+++ b/modules/core/scheduling/spill.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/scheduling/placement.h"
+
 namespace dogwoodfall {
 namespace {
 
@@ -44,10 +46,8 @@
   load.group = group;
   for (const auto& [id, endpoint] : scheduler.endpoints) {
     const bool is_usable =
-        endpoint.group == group &&
-        endpoint.standing == EndpointStanding::kUsable && endpoint.is_listed &&
-        !endpoint.entry.draining && endpoint.avoid_until <= now &&
-        endpoint.unanswered == 0 && !endpoint.is_on_trial &&
+        endpoint.group == group && TakesWork(endpoint, now) &&
+        !endpoint.is_on_trial &&
         endpoint.slowness < kTooSlow * scheduler.usual_slowness;
     if (!is_usable)
       continue;
@@ -64,13 +64,17 @@
   return load;
 }
 
+bool HasRoomFor(const GroupLoad& load, uint32_t tasks) {
+  return SpareOf(load) >= static_cast<int64_t>(tasks);
+}
+
 std::optional<EndpointGroup> ChooseSpill(const GroupLoad& own,
                                          const std::vector<GroupLoad>& others,
                                          uint32_t tasks,
                                          uint64_t choice) {
-  const auto needed = static_cast<int64_t>(tasks);
-  if (SpareOf(own) >= needed)
+  if (HasRoomFor(own, tasks))
     return std::nullopt;
+  const auto needed = static_cast<int64_t>(tasks);
   int64_t spare = 0;
   for (const GroupLoad& other : others) {
     if (SpareOf(other) >= needed + kSpareMargin)
--- a/modules/core/scheduling/spill.h
+++ b/modules/core/scheduling/spill.h
@@ -15,6 +15,9 @@
                  const EndpointGroup& group,
                  Millis now);
 
+/** True when tasks can start in a group without waiting. */
+bool HasRoomFor(const GroupLoad& load, uint32_t tasks);
+
 /** Chooses another group for a job that has not started, or none when its own
  * one is as good.
  *
