Identify runs by their endpoint, and don't give up runs of silent endpoints

Cause 1: attempts of a job that is sent again count from 1 again. All places that compare runs now compare the endpoint too (IsCurrentRun); an endpoint never executes an attempt of a task twice, so that is unique. Answers to starts are matched by command id. A success of an earlier submission's run stops the current run, its failure uses no attempt.

Cause 2: an endpoint that stops answering while it is being reconciled never became unresponsive, and each unanswered renewal moved its lease on: its runs hung until the caller's time limit.

Cause 3: a run whose progress had not been reported yet counted as overdue when one renewal was lost (its projection grew with silence alone), so that a silence of 60 ms gave up sound runs. Runs are judged by reports only.

Ruled out: numbering attempts beyond one submission; the number has to begin at 1.

The fake endpoint counted the time-out of a renewal from its answer instead of its sending; corrected.

--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -58,7 +58,7 @@
   // Runs of a previous owner must not be kept alive by reconciliation, and runs
   // on an unresponsive endpoint must end before they can be started elsewhere.
   if (endpoint.clock_offset && HasClaimedRun(endpoint) &&
-      endpoint.status != EndpointStatus::kUnresponsive) {
+      !IsOutOfContact(endpoint)) {
     const Millis lease_until = now + kRunLease;
     renewal.lease_until = lease_until + *endpoint.clock_offset;
     endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
@@ -120,7 +120,6 @@
   run.confirmed_at = kUnconfirmed;
   run.expected_run_time = expected_run_time;
   endpoint.used = endpoint.used + run.resources;
-  endpoint.runs.emplace(key, run);
   const Millis lease_until = now + kRunLease;
   endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
   ++scheduler.counters.starts;
@@ -128,10 +127,12 @@
   pending.sent_at = now;
   pending.kind = PendingCommand::Kind::kStart;
   pending.run = key;
-  SendCommand(scheduler, endpoint, pending,
-              StartRun{task, Attempt(attempt), job.job.payload,
-                       lease_until + endpoint.clock_offset.value_or(Millis())},
-              kCommandTimeout, actions);
+  run.start_command = SendCommand(
+      scheduler, endpoint, pending,
+      StartRun{task, Attempt(attempt), job.job.payload,
+               lease_until + endpoint.clock_offset.value_or(Millis())},
+      kCommandTimeout, actions);
+  endpoint.runs.emplace(key, run);
   EnsureRenewal(scheduler, endpoint, now, actions);
 }
 
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -28,10 +28,7 @@
   // The endpoint's clock may run 2 % slow.
   constexpr Millis kClockDriftMargin{50};
   const bool has_lease_expired = endpoint.lease_until + kClockDriftMargin < now;
-  const bool is_out_of_contact =
-      endpoint.status == EndpointStatus::kUnresponsive ||
-      endpoint.status == EndpointStatus::kFenced;
-  if (is_out_of_contact && has_lease_expired)
+  if (IsOutOfContact(endpoint) && has_lease_expired)
     MarkAllRunsLost(scheduler, endpoint, "lease_ended", now, actions);
 }
 
@@ -112,7 +109,7 @@
   scheduler.endpoints.erase(known);
   for (const auto& [key, run] : runs) {
     if (run.may_requeue)
-      RequeueTaskAfterLease(scheduler, key, now);
+      RequeueTaskAfterLease(scheduler, id, key, now);
   }
 }
 
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -19,8 +19,6 @@
  */
 constexpr Millis kMinUnhealthyBackoff{100};
 constexpr Millis kMaxUnhealthyBackoff{2'000};
-/** Unanswered commands in a row after which an endpoint is unresponsive. */
-constexpr uint32_t kUnresponsiveThreshold = 2;
 
 void RecordAnsweredCommand(ManagedEndpoint& endpoint,
                            const EndpointReply& reply,
@@ -54,6 +52,7 @@
     const RunKey key{ended_run.task, ended_run.attempt.value};
     const auto found = endpoint.runs.find(key);
     const bool is_known = found != endpoint.runs.end();
+    const bool is_current = IsCurrentRun(scheduler, endpoint.entry.id, key);
     const Run run = is_known ? found->second : Run();
     RemoveRun(endpoint, key);
     if (ended_run.result != RunResult::kDone) {
@@ -72,16 +71,18 @@
     }
     if (ended_run.result == RunResult::kDone) {
       RecordSuccessfulRun(endpoint, actions);
-      const Millis run_time = is_known ? now - run.start_sent_at : Millis();
+      const Millis run_time =
+          is_known && is_current ? now - run.start_sent_at : Millis();
       RecordTaskSuccess(scheduler, ended_run.task, run_time, now, actions);
       continue;
     }
     if (ended_run.result == RunResult::kFailed && is_known) {
       RecordFailedRun(scheduler, endpoint, ended_run.task, now, actions);
-      RecordTaskFailure(scheduler, ended_run.task, now, actions);
+      if (is_current)
+        RecordTaskFailure(scheduler, ended_run.task, now, actions);
     }
     if (run.may_requeue)
-      RequeueTask(scheduler, key, now);
+      RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
 }
 
@@ -110,7 +111,7 @@
     const bool may_requeue = endpoint.runs.at(key).may_requeue;
     RemoveRun(endpoint, key);
     if (may_requeue)
-      RequeueTask(scheduler, key, now);
+      RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
   for (const auto& [key, percent] : listed) {
     const auto known = endpoint.runs.find(key);
@@ -168,6 +169,8 @@
   if (found == endpoint.runs.end())
     return;  // Its end was reported before the reply to its start arrived.
   Run& run = found->second;
+  if (run.start_command != reply.id)
+    return;  // Answers the start of an earlier run with the same attempt.
   if (reply.outcome == CommandOutcome::kDone) {
     run.confirmed_at = now;
     if (run.state == RunState::kStarting)
@@ -206,7 +209,7 @@
     endpoint.backoff_until = now + kMinUnhealthyBackoff;
   }
   if (may_requeue)
-    RequeueTask(scheduler, command.run, now);
+    RequeueTask(scheduler, endpoint.entry.id, command.run, now);
 }
 
 void HandleStopReply(ManagedEndpoint& endpoint,
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -38,6 +38,13 @@
                 {"unanswered", std::to_string(endpoint.unanswered)}}});
 }
 
+bool IsOutOfContact(const ManagedEndpoint& endpoint) {
+  return endpoint.status == EndpointStatus::kUnresponsive ||
+         endpoint.status == EndpointStatus::kFenced ||
+         (endpoint.status == EndpointStatus::kReconciling &&
+          endpoint.unanswered >= kUnresponsiveThreshold);
+}
+
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint) {
   return std::any_of(
       endpoint.runs.begin(), endpoint.runs.end(),
@@ -74,7 +81,7 @@
   endpoint.used = TaskResources();
   for (const auto& [key, run] : lost) {
     if (run.may_requeue)
-      RequeueTask(scheduler, key, now);
+      RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
 }
 
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -15,6 +15,16 @@
                        Millis now,
                        Actions& actions);
 
+/** Unanswered commands in a row after which an endpoint is unresponsive. */
+inline constexpr uint32_t kUnresponsiveThreshold = 2;
+
+/** Returns true when an endpoint can't report the ends of its runs. Their lease
+ * is not renewed then, and they count as lost once it has expired. An endpoint
+ * that is being reconciled keeps its status meanwhile, because its runs still
+ * have to be listed.
+ */
+bool IsOutOfContact(const ManagedEndpoint& endpoint);
+
 /** Returns true while a run of a previous owner is active that no job of this
  * daemon has claimed, whatever its RunState.
  */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -146,6 +146,23 @@
   }
 }
 
+/** Stops the current run of a task if it is still active. */
+void StopCurrentRun(Scheduler& scheduler,
+                    const JobTask& task,
+                    const TaskProgress& progress,
+                    Millis now,
+                    Actions& actions) {
+  const auto endpoint = scheduler.endpoints.find(progress.endpoint);
+  if (endpoint == scheduler.endpoints.end())
+    return;
+  const RunKey key{task, progress.attempt};
+  const auto run = endpoint->second.runs.find(key);
+  if (run == endpoint->second.runs.end())
+    return;
+  run->second.may_requeue = false;
+  SendStop(scheduler, endpoint->second, key, now, actions);
+}
+
 void PlaceJobTasks(Scheduler& scheduler,
                    ScheduledJob& job,
                    Millis now,
@@ -447,6 +464,8 @@
   ScheduledJob& job = scheduler.jobs.at(task.job);
   if (progress->phase == TaskPhase::kQueued)
     --job.tasks_queued;
+  else if (progress->phase == TaskPhase::kPlaced)
+    StopCurrentRun(scheduler, task, *progress, now, actions);
   progress->phase = TaskPhase::kDone;
   progress->run_time = run_time;
   --job.tasks_left;
@@ -475,6 +494,7 @@
 }
 
 void RequeueTaskAfterLease(Scheduler& scheduler,
+                           const EndpointId& endpoint,
                            const RunKey& run,
                            Millis now) {
   const auto job = scheduler.jobs.find(run.first.job);
@@ -483,14 +503,24 @@
   job->second.may_have_started = true;
   job->second.start_blocked_until =
       std::max(job->second.start_blocked_until, now + kMaxLease);
-  RequeueTask(scheduler, run, now);
+  RequeueTask(scheduler, endpoint, run, now);
 }
 
-void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now) {
-  TaskProgress* progress = FindTask(scheduler, run.first);
-  if (progress == nullptr || progress->phase != TaskPhase::kPlaced ||
-      progress->attempt != run.second)
+bool IsCurrentRun(Scheduler& scheduler,
+                  const EndpointId& endpoint,
+                  const RunKey& run) {
+  const TaskProgress* progress = FindTask(scheduler, run.first);
+  return progress != nullptr && progress->phase == TaskPhase::kPlaced &&
+         progress->attempt == run.second && progress->endpoint == endpoint;
+}
+
+void RequeueTask(Scheduler& scheduler,
+                 const EndpointId& endpoint,
+                 const RunKey& run,
+                 Millis now) {
+  if (!IsCurrentRun(scheduler, endpoint, run))
     return;
+  TaskProgress* progress = FindTask(scheduler, run.first);
   ScheduledJob& job = scheduler.jobs.at(run.first.job);
   progress->phase = TaskPhase::kQueued;
   ++job.tasks_queued;
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -77,6 +77,8 @@
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions);
 
 /** Records that a task has succeeded, and completes the job with its last task.
+ * A run of the task that is still active is stopped: it may belong to another
+ * submission of the same job than the run that succeeded.
  *
  * @param run_time zero when it is not known
  */
@@ -94,14 +96,31 @@
                        Millis now,
                        Actions& actions);
 
-/** Puts a task whose run has ended without success back into the queue. */
-void RequeueTask(Scheduler& scheduler, const RunKey& run, Millis now);
+/** Returns true when a run on an endpoint is the latest run of its task. The
+ * attempt alone does not identify a run, because the attempts of a job that is
+ * submitted again count from 1 again. An endpoint never executes an attempt of
+ * a task twice.
+ */
+bool IsCurrentRun(Scheduler& scheduler,
+                  const EndpointId& endpoint,
+                  const RunKey& run);
+
+/** Puts a task back into the queue whose run on an endpoint has ended without
+ * success. Does nothing when it was not the task's current run.
+ */
+void RequeueTask(Scheduler& scheduler,
+                 const EndpointId& endpoint,
+                 const RunKey& run,
+                 Millis now);
 
 /** Requeues a task whose run may still be active on an endpoint that is no
  * longer managed here. Its job starts nothing until the run's lease has
  * expired.
  */
-void RequeueTaskAfterLease(Scheduler& scheduler, const RunKey& run, Millis now);
+void RequeueTaskAfterLease(Scheduler& scheduler,
+                           const EndpointId& endpoint,
+                           const RunKey& run,
+                           Millis now);
 
 /** Returns the progress of a task, or null when the job is not known. */
 TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task);
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -29,6 +29,8 @@
 /** A run of a task on an endpoint. */
 struct Run {
   RunState state = RunState::kStarting;
+  /** The command that started it; none for a run that was found. */
+  CommandId start_command;
   /** All zero for a run that no job of this daemon has claimed. */
   TaskResources resources;
   /** When the start was sent, or when the run was found on the endpoint. */
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -68,7 +68,7 @@
                         Millis now) {
   RunTiming timing;
   timing.elapsed_ms = static_cast<double>((now - run.start_sent_at).count);
-  timing.projected_ms = ProjectRunTime(run, now);
+  timing.projected_ms = ProjectRunTime(run);
   timing.expected_ms =
       endpoint.slowness * static_cast<double>(run.expected_run_time.count);
   const auto job = scheduler.jobs.find(key.first.job);
@@ -107,7 +107,7 @@
   const Millis deadline = job->second.caller_deadline;
   const Millis projected_end{
       run.start_sent_at.count +
-      std::llround(kProjectionLowerBound * ProjectRunTime(run, now))};
+      std::llround(kProjectionLowerBound * ProjectRunTime(run))};
   if (projected_end <= deadline)
     return false;
   const auto expected_run_time_ms = static_cast<double>(
@@ -141,7 +141,10 @@
                      Actions& actions) {
   std::vector<std::pair<RunKey, RunTiming>> overdue;
   for (const auto& [key, run] : endpoint.runs) {
-    if (run.state != RunState::kRunning)
+    // Until its progress is reported, nothing shows that a run is slow. Its
+    // endpoint may only be silent.
+    const bool is_reported = run.percent_updated_at > run.start_sent_at;
+    if (run.state != RunState::kRunning || !is_reported)
       continue;
     const RunTiming timing = ComputeTiming(scheduler, endpoint, key, run, now);
     if (IsOverdue(timing))
--- a/modules/core/scheduling/speed_learning.cc
+++ b/modules/core/scheduling/speed_learning.cc
@@ -78,8 +78,7 @@
                             (excluded_run == nullptr || *excluded_run != key);
     if (is_counted) {
       AddSample(log_sum,
-                ProjectRunTime(run->second, run->second.percent_updated_at) /
-                    endpoint->second.slowness);
+                ProjectRunTime(run->second) / endpoint->second.slowness);
     }
   }
   return log_sum;
@@ -102,14 +101,12 @@
 
 }  // namespace
 
-double ProjectRunTime(const Run& run, Millis now) {
+double ProjectRunTime(const Run& run) {
   constexpr double kFullPercent = 100;
-  if (run.percent <= 0)
-    return kFullPercent * static_cast<double>((now - run.start_sent_at).count);
   return kFullPercent *
          static_cast<double>(
              (run.percent_updated_at - run.start_sent_at).count) /
-         run.percent;
+         std::max(run.percent, 1);
 }
 
 Millis EstimateStepRunTime(const Scheduler& scheduler,
--- a/modules/core/scheduling/speed_learning.h
+++ b/modules/core/scheduling/speed_learning.h
@@ -42,9 +42,9 @@
 void UpdateSpeeds(Scheduler& scheduler, Millis now);
 
 /** Projects the total run time of a run, in ms, from the share of its work that
- * is done.
+ * was done at the last report of its progress.
  */
-double ProjectRunTime(const Run& run, Millis now);
+double ProjectRunTime(const Run& run);
 
 }  // namespace dogwoodfall
 
--- /dev/null
+++ b/tests/core/run_identity_test.cc
@@ -0,0 +1,139 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "scheduler_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+const EndpointGroup kNorth{ZoneId("north"), 0};
+const DaemonRef kReceiver{DaemonId("d1"), Incarnation(1)};
+
+JobTask TaskOf(const std::string& job, uint32_t index) {
+  return {SubmissionId(job), 0, index};
+}
+
+/** Adds an endpoint that still lists the end of a run, as seen by a daemon that
+ * has just taken ownership of it.
+ */
+FakeEndpoint& AddEndpointWithEnd(SchedulerWorld& world,
+                                 const std::string& id,
+                                 const JobTask& task,
+                                 RunResult result) {
+  FakeEndpoint& endpoint = world.endpoints[EndpointId(id)];
+  endpoint.last_end_number = 1;
+  endpoint.ended.push_back({1, task, Attempt(1), result});
+  endpoint.closed_attempts[task] = 1;
+  return world.AddEndpoint(id, 16, 1);
+}
+
+// A job is sent again, and the attempts of its tasks count from 1 again. An
+// endpoint that is taken over lists the end of attempt 1 of the earlier
+// submission while attempt 1 of the new one runs elsewhere. The task must not
+// be started a second time.
+TEST(RunIdentityTest, EndOfAnEarlierSubmissionsRunDoesNotRequeueTheTask) {
+  for (const RunResult result :
+       {RunResult::kStopped, RunResult::kLeaseEnded, RunResult::kFailed}) {
+    SchedulerWorld world;
+    FakeEndpoint& first = world.AddEndpoint("e1", 16, 1);
+    world.Run({20});
+    world.Submit("job", 1, 7, {600});
+    world.Run({50});
+    FakeEndpoint& second =
+        AddEndpointWithEnd(world, "e2", TaskOf("job", 0), result);
+    world.Run({800});
+    EXPECT_TRUE(world.overlaps.empty()) << NameOf(result);
+    EXPECT_EQ(first.starts + second.starts, 1U) << NameOf(result);
+    EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+              JobResult::kCompleted);
+  }
+}
+
+// The earlier submission's run has succeeded, so the task is done. Its run of
+// the new submission must not go on for nothing.
+TEST(RunIdentityTest, SuccessOfAnEarlierSubmissionsRunStopsTheCurrentRun) {
+  SchedulerWorld world;
+  FakeEndpoint& first = world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.Submit("job", 2, 7, {600});
+  world.Run({50});
+  AddEndpointWithEnd(world, "e2", TaskOf("job", 0), RunResult::kDone);
+  world.Run({50});
+  ASSERT_EQ(first.running.size(), 1U);
+  EXPECT_EQ(first.running.begin()->first.first, TaskOf("job", 1));
+  world.Run({700});
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
+// A run of the earlier submission that is found on an endpoint fails before it
+// can be stopped. The failure must not use up an attempt of the task, whose
+// current run is sound.
+TEST(RunIdentityTest, FailureOfAnEarlierSubmissionsRunUsesNoAttempt) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.job.max_attempts = 1;
+  world.SubmitJob(submission, {600});
+  world.Run({50});
+  FakeEndpoint& second = world.endpoints[EndpointId("e2")];
+  second.lease_until = world.now + Millis{400};
+  second.running[{TaskOf("job", 0), 1}] = {
+      world.now, {60}, {7'000, 64, 0}, RunResult::kFailed};
+  world.is_command_lost = [](const EndpointCommand& command) {
+    return std::holds_alternative<StopRun>(command.command);
+  };
+  world.AddEndpoint("e2", 16, 1);
+  world.Run({800});
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
+/** Returns the id of the first start among actions. */
+CommandId FindStart(const Actions& actions) {
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallEndpoint>(&action);
+    if (call != nullptr &&
+        std::holds_alternative<StartRun>(call->command.command))
+      return call->command.id;
+  }
+  return {};
+}
+
+// The answer to a start of the earlier submission arrives late, when the same
+// task has been started on the same endpoint again. It must not count as the
+// answer to the second start.
+TEST(RunIdentityTest, LateAnswerToAnEarlierStartIsIgnored) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  const JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  Actions actions;
+  AcceptJob(world.scheduler, kReceiver, kNorth, submission, world.now, actions);
+  const CommandId earlier_start = FindStart(actions);
+  ManagedEndpoint& endpoint = world.scheduler.endpoints.at(EndpointId("e1"));
+  EndJob(world.scheduler, SubmissionId("job"), {JobResult::kAbandoned, {}, ""},
+         world.now, actions);
+  endpoint.runs.clear();
+  endpoint.used = TaskResources();
+  actions.clear();
+  AcceptJob(world.scheduler, kReceiver, kNorth, submission, world.now, actions);
+  ASSERT_NE(FindStart(actions), CommandId());
+  EndpointReply late;
+  late.id = earlier_start;
+  late.outcome = CommandOutcome::kInsufficientResources;
+  late.clock = world.now;
+  actions.clear();
+  HandleEndpointReply(world.scheduler, late, world.now, actions);
+  EXPECT_EQ(endpoint.runs.size(), 1U);
+  EXPECT_EQ(FindStart(actions), CommandId());
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -153,6 +153,10 @@
 void SchedulerWorld::TransmitCommand(const EndpointCommand& command) {
   EndpointReply unanswered;
   unanswered.id = command.id;
+  // The timeout of a renewal runs from its sending, not from its answer.
+  const auto* renewal = std::get_if<RenewRuns>(&command.command);
+  const Millis timeout =
+      command.timeout - (renewal == nullptr ? Millis() : renewal->wait);
   ++this->command_count;
   if (this->resetting_endpoints.count(command.endpoint) > 0) {
     this->due_replies.push_back(
@@ -163,7 +167,7 @@
   const bool is_delivered =
       endpoint != this->endpoints.end() && !this->is_command_lost(command);
   if (!is_delivered) {
-    this->due_replies.push_back({this->now + command.timeout, unanswered});
+    this->due_replies.push_back({this->now + timeout, unanswered});
     return;
   }
   Millis nominal_run_time;
@@ -175,7 +179,7 @@
   const EndpointReply reply = ExecuteCommand(
       endpoint->second, command, nominal_run_time, resources, this->now);
   if (this->is_answer_lost(command))
-    this->due_replies.push_back({this->now + command.timeout, unanswered});
+    this->due_replies.push_back({this->now + timeout, unanswered});
   else
     this->due_replies.push_back(
         {this->now + kOneWayLatency + kOneWayLatency, reply});
