--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -8,11 +8,13 @@
 namespace dogwoodfall {
 namespace {
 
-/** Time for which a daemon's item lasts without a renewal. Three renewal
- * periods fit into it, so that the item outlasts a lost renewal.
+/** Time for which a daemon's item lasts without a renewal. A renewal, and two
+ * retries after their timeouts and delays, fit into it, so that the item
+ * outlasts two lost renewals.
  */
 constexpr Millis kLeaseLength{2'000};
 constexpr Millis kRenewalPeriod{600};
+constexpr Millis kRegistrationTimeout{400};
 /** Time for which the store waits for a change before it answers a watch. It
  * bounds the time until a broken connection is noticed to about a second.
  */
@@ -78,8 +80,8 @@
     call = RenewLease{session.lease};
   else if (session.lease != 0)
     call = WriteMember{session.self, session.lease};
-  Call(session, StoreCallPurpose::kRegister, std::move(call), kCallTimeout,
-       actions);
+  Call(session, StoreCallPurpose::kRegister, std::move(call),
+       kRegistrationTimeout, actions);
 }
 
 void RestartReading(StoreFollower& follower) {
@@ -89,6 +91,15 @@
   follower.first_page_revision = 0;
 }
 
+/** Returns true when a page shows an older state of the store than was already
+ * followed, for example because the store was restored from a backup. Applying
+ * it would bring back endpoints that have left.
+ */
+bool IsOlderThanFollowed(const StoreFollower& follower,
+                         const KeyValueReply& reply) {
+  return reply.store_revision < follower.followed_to;
+}
+
 StoreUpdate HandlePage(StoreFollower& follower, const KeyValueReply& reply) {
   if (follower.first_page_revision == 0)
     follower.first_page_revision = reply.store_revision;
@@ -110,7 +121,8 @@
 StoreUpdate HandleFollowReply(const StoreSession& session,
                               StoreFollower& follower,
                               const KeyValueReply& reply,
-                              Millis now) {
+                              Millis now,
+                              Actions& actions) {
   follower.is_call_pending = false;
   if (reply.outcome == KeyValueOutcome::kHistoryCompacted) {
     RestartReading(follower);
@@ -121,6 +133,16 @@
         now + ComputeRetryDelay(session, follower.failures++);
     return {};
   }
+  if (!follower.is_following && IsOlderThanFollowed(follower, reply)) {
+    actions.push_back(
+        LogEvent{"store_state_older",
+                 {{"revision", std::to_string(reply.store_revision)},
+                  {"followed_to", std::to_string(follower.followed_to)}}});
+    RestartReading(follower);
+    follower.next_call_at =
+        now + ComputeRetryDelay(session, follower.failures++);
+    return {};
+  }
   follower.failures = 0;
   if (!follower.is_following)
     return HandlePage(follower, reply);
@@ -158,9 +180,12 @@
                         const KeyValueReply& reply,
                         Actions& actions) {
   const bool has_answered = reply.outcome != KeyValueOutcome::kUnanswered &&
-                            reply.outcome != KeyValueOutcome::kRejected;
+                            reply.outcome != KeyValueOutcome::kRejected &&
+                            reply.outcome != KeyValueOutcome::kMalformed;
   session.rejected_calls += reply.outcome == KeyValueOutcome::kRejected ? 1 : 0;
   session.unanswered += reply.outcome == KeyValueOutcome::kUnanswered ? 1 : 0;
+  if (reply.outcome == KeyValueOutcome::kMalformed)
+    actions.push_back(LogEvent{"store_answer_malformed", {}});
   if (has_answered == session.is_reachable)
     return;
   session.is_reachable = has_answered;
@@ -195,9 +220,10 @@
   UpdateReachability(session, reply, actions);
   StoreUpdate update;
   if (purpose == StoreCallPurpose::kFollowDaemons)
-    update = HandleFollowReply(session, session.daemons, reply, now);
+    update = HandleFollowReply(session, session.daemons, reply, now, actions);
   else if (purpose == StoreCallPurpose::kFollowEverything)
-    update = HandleFollowReply(session, session.everything, reply, now);
+    update =
+        HandleFollowReply(session, session.everything, reply, now, actions);
   else if (purpose == StoreCallPurpose::kRegister)
     HandleRegisterReply(session, reply, now);
   AdvanceStoreSession(session, now, actions);
--- a/modules/ports/key_value_call.h
+++ b/modules/ports/key_value_call.h
@@ -82,6 +82,10 @@
   kRejected = 3,
   /** No answer; the call may have been executed. */
   kUnanswered = 4,
+  /** The answer can't be parsed or lacks a field; the call may have been
+   * executed.
+   */
+  kMalformed = 5,
 };
 
 /** Answer of the store to a call. */
--- a/tests/core/store_session_test.cc
+++ b/tests/core/store_session_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -128,5 +129,62 @@
   EXPECT_EQ(FindCall<OpenLease>(CollectStoreCalls(later)), nullptr);
 }
 
+// A store that was restored to an older state must not bring back endpoints
+// that have left.
+TEST(StoreSessionTest, OlderStateIsNotApplied) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = OpenSession(calls);
+  session.everything.followed_to = 20;
+  for (const CallKeyValue& call : calls) {
+    const auto* read = std::get_if<ReadItems>(&call.call);
+    if (read == nullptr || read->scope != ItemScope::kEverything)
+      continue;
+    KeyValueReply older = MakeDoneReply();
+    older.store_revision = 19;
+    older.changes.push_back(EndpointRemoved{EndpointId("e1")});
+    Actions actions;
+    const StoreUpdate update =
+        HandleKeyValueReply(session, call.token, older, kStart, actions);
+    EXPECT_FALSE(update.is_snapshot);
+    EXPECT_TRUE(update.changes.empty());
+    EXPECT_FALSE(session.everything.is_following);
+  }
+}
+
+// A daemon's item must outlast two lost renewals. Its lease may otherwise end
+// while the daemon works, and another daemon takes over its endpoints.
+TEST(StoreSessionTest, ItemOutlastsTwoLostRenewals) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = OpenSession(calls);
+  session.lease = 9;
+  session.is_registered = true;
+  const CallKeyValue* last_answered = FindCall<OpenLease>(calls);
+  ASSERT_NE(last_answered, nullptr);
+  Actions actions;
+  HandleKeyValueReply(session, last_answered->token, MakeDoneReply(), kStart,
+                      actions);
+  std::vector<std::pair<Millis, StoreToken>> lost;
+  std::vector<Millis> renewals;
+  for (int64_t ms = 0; ms < 2'000; ms += 10) {
+    const Millis now = kStart + Millis{ms};
+    Actions due;
+    for (const auto& [timeout, token] : std::exchange(lost, {})) {
+      if (timeout <= now)
+        HandleKeyValueReply(session, token, KeyValueReply(), now, due);
+      else
+        lost.emplace_back(timeout, token);
+    }
+    AdvanceStoreSession(session, now, due);
+    for (const CallKeyValue& call : CollectStoreCalls(due)) {
+      if (!std::holds_alternative<RenewLease>(call.call))
+        continue;
+      renewals.push_back(now);
+      lost.emplace_back(now + call.timeout, call.token);
+    }
+  }
+  ASSERT_GE(renewals.size(), 3U);
+  EXPECT_LE(renewals[2], kStart + Millis{1'900});
+}
+
 }  // namespace
 }  // namespace dogwoodfall
