Start nothing after a pause before the store has confirmed the membership

Cause: a daemon that was paused for some seconds went on as if no time had passed. Its timer could fire before the heartbeats of the pause were read: it evicted all its healthy peers, and cancelled their jobs. It started waiting tasks on endpoints that another daemon might have taken over.

After a gap of 300 ms between two events, starts are blocked until one call to the store, sent after the pause, has shown the changes of the membership (1,050 ms at most, as unreachable daemons get the view from peers by then), and the silence of peers during the pause does not count.

Ruled out: fencing alone; it holds only on endpoints that the new owner reaches.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -6,6 +6,7 @@
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
+#include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/fleet/spillover_flow.h"
 #include "core/scheduling/endpoint_flow.h"
@@ -309,6 +310,7 @@
            CallerToken caller,
            const TransientJob& job,
            Actions& actions) {
+  HandlePause(node, now, actions);
   if (!CanBeAnswered(node, job, now)) {
     actions.push_back(LogEvent{
         "job_refused", {{"job", job.id.value}, {"reason", "stopping"}}});
@@ -323,6 +325,7 @@
                           Millis now,
                           CallerToken caller,
                           Actions& actions) {
+  HandlePause(node, now, actions);
   RemoveCaller(node, now, caller, actions);
   PlaceTasks(node.scheduler, now, actions);
 }
@@ -331,6 +334,7 @@
                      Millis now,
                      const EndpointReply& reply,
                      Actions& actions) {
+  HandlePause(node, now, actions);
   HandleEndpointReply(node.scheduler, reply, now, actions);
   ReportFinishedJobs(node, now, actions);
 }
@@ -340,15 +344,19 @@
                      StoreToken token,
                      const KeyValueReply& reply,
                      Actions& actions) {
+  HandlePause(node, now, actions);
   const StoreUpdate update =
       HandleKeyValueReply(node.store, token, reply, now, actions);
   ApplyStoreUpdate(node, update, now, actions);
+  if (update.is_membership_confirmed)
+    HandleMembershipConfirmation(node, now, actions);
 }
 
 void OnPeerFrame(FleetNode& node,
                  Millis now,
                  const PeerFrame& frame,
                  Actions& actions) {
+  HandlePause(node, now, actions);
   const std::optional<PeerMessage> message = Receive(node.sessions, frame, now);
   const auto peer_status = node.peers.find(frame.from.id);
   if (peer_status != node.peers.end() && HasSession(node.sessions, frame.from))
@@ -361,6 +369,7 @@
                  Millis now,
                  const Heartbeat& heartbeat,
                  Actions& actions) {
+  HandlePause(node, now, actions);
   if (!HasSession(node.sessions, heartbeat.from))
     return;
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
@@ -378,6 +387,7 @@
 }
 
 void OnTick(FleetNode& node, Millis now, Actions& actions) {
+  HandlePause(node, now, actions);
   AdvanceStoreSession(node.store, now, actions);
   SendDueFrames(node.sessions, SessionLimits(), now, actions);
   SendHeartbeats(node, now, actions);
@@ -396,6 +406,7 @@
 }
 
 void OnStop(FleetNode& node, Millis now, Actions& actions) {
+  HandlePause(node, now, actions);
   if (node.is_stopping)
     return;
   node.is_stopping = true;
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -12,6 +12,7 @@
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_delay.h: detects delayed messages
+ * - pause_flow.h: suspends starts after the process was paused
  * - fleet_events.h: the entry points for events from outside
  */
 
@@ -91,6 +92,8 @@
    */
   std::unordered_map<SubmissionId, ForwardedJob> forwarded_jobs;
   uint64_t heartbeat_number = 0;
+  /** When the latest event was handled; zero before the first one. */
+  Millis last_event_at;
   Millis next_heartbeat_at;
   Millis next_review_at;
   /** True once a graceful shutdown has begun. */
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -30,6 +30,10 @@
  * longer.
  */
 constexpr Millis kCallTimeout{600};
+/** A confirmation of the membership is answered at once, also when there are
+ * no changes.
+ */
+constexpr Millis kConfirmationWait{1};
 constexpr Millis kInitialRetryDelay{100};
 constexpr Millis kMaxRetryDelay{1'000};
 /** Number of different extensions of the delay, chosen by a hash of the
@@ -176,6 +180,20 @@
   session.next_registration_at = now + kRenewalPeriod;
 }
 
+StoreUpdate HandleConfirmationReply(StoreSession& session,
+                                    StoreToken token,
+                                    const KeyValueReply& reply) {
+  StoreUpdate update;
+  if (token != session.confirmation || reply.outcome != KeyValueOutcome::kDone)
+    return update;
+  session.confirmation = StoreToken();
+  update.scope = ItemScope::kDaemons;
+  update.revision = reply.store_revision;
+  update.changes = reply.changes;
+  update.is_membership_confirmed = true;
+  return update;
+}
+
 void UpdateReachability(StoreSession& session,
                         const KeyValueReply& reply,
                         Actions& actions) {
@@ -226,6 +244,8 @@
         HandleFollowReply(session, session.everything, reply, now, actions);
   else if (purpose == StoreCallPurpose::kRegister)
     HandleRegisterReply(session, reply, now);
+  else if (purpose == StoreCallPurpose::kConfirmMembership)
+    update = HandleConfirmationReply(session, token, reply);
   AdvanceStoreSession(session, now, actions);
   return update;
 }
@@ -242,6 +262,16 @@
        RemoveMember{member.address.id, member.revision}, kCallTimeout, actions);
 }
 
+void ConfirmMembership(StoreSession& session, Actions& actions) {
+  if (!session.daemons.is_following)
+    return;
+  Call(session, StoreCallPurpose::kConfirmMembership,
+       WatchItems{ItemScope::kDaemons, session.daemons.followed_to,
+                  kConfirmationWait},
+       kCallTimeout, actions);
+  session.confirmation = StoreToken(session.last_token);
+}
+
 void DeregisterFromStore(StoreSession& session, Actions& actions) {
   session.is_deregistering = true;
   if (session.lease != 0) {
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -23,6 +23,8 @@
   kRegister = 2,
   /** Removes the item of an unreachable daemon. */
   kEvict = 3,
+  /** Reads the changes of the daemons' items since the last ones received. */
+  kConfirmMembership = 4,
 };
 
 /** Follows the changes of a part of the store's items. */
@@ -61,6 +63,8 @@
   FleetMember self;
   std::map<StoreToken, StoreCallPurpose> calls;
   uint64_t last_token = 0;
+  /** The latest call to confirm the membership; none while none is pending. */
+  StoreToken confirmation;
 
   StoreFollower daemons = StoreFollower::Of(ItemScope::kDaemons);
   StoreFollower everything = StoreFollower::Of(ItemScope::kEverything);
@@ -91,6 +95,10 @@
   /** Revision of the snapshot, or up to which changes are listed. */
   uint64_t revision = 0;
   std::vector<StoreChange> changes;
+  /** True when the membership, with these changes, is that of a time after the
+   * latest call of ConfirmMembership().
+   */
+  bool is_membership_confirmed = false;
 };
 
 /** Issues the calls that are due. */
@@ -115,6 +123,11 @@
                  const FleetMember& member,
                  Actions& actions);
 
+/** Reads the changes of the daemons' items that the session has not received
+ * yet. The update with is_membership_confirmed contains them.
+ */
+void ConfirmMembership(StoreSession& session, Actions& actions);
+
 /** Ends the lease, which removes the own item. */
 void DeregisterFromStore(StoreSession& session, Actions& actions);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -397,6 +397,8 @@
 }
 
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
+  if (now < scheduler.starts_blocked_until)
+    return;
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -114,6 +114,8 @@
   Millis speeds_updated_at;
   /** Progress of jobs that have not been received yet. */
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
+  /** No run is started before this time. */
+  Millis starts_blocked_until;
   /** Results and forwards that have not been sent to the receivers yet. */
   std::vector<FinishedJob> finished;
   SchedulingCounters counters;
--- /dev/null
+++ b/tests/core/pause_test.cc
@@ -0,0 +1,159 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <variant>
+
+#include "core/fleet/fleet_view.h"
+#include "fleet_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Starts two zones with two daemons and four endpoints each, and runs them
+ * until they are ready.
+ */
+void SetUpTwoZones(FleetWorld& world) {
+  for (const char* zone : {"north", "south"}) {
+    for (int i = 0; i < 2; ++i)
+      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
+    for (int i = 0; i < 4; ++i)
+      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
+  }
+  world.RunFor({3'000});
+}
+
+template <typename Content>
+bool HasEndpointCommand(const Actions& actions) {
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallEndpoint>(&action);
+    if (call != nullptr &&
+        std::holds_alternative<Content>(call->command.command))
+      return true;
+  }
+  return false;
+}
+
+template <typename Call>
+const CallKeyValue* FindStoreCall(const Actions& actions) {
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallKeyValue>(&action);
+    if (call != nullptr && std::holds_alternative<Call>(call->call))
+      return call;
+  }
+  return nullptr;
+}
+
+// A daemon resumes, and its timer fires before the heartbeats are read that
+// arrived during the pause. It must not evict its healthy peers.
+TEST(PauseTest, ResumedDaemonEvictsNobody) {
+  for (int64_t pause_ms = 300; pause_ms <= 10'000; pause_ms += 485) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    for (const char* id : {"north0", "north1"}) {
+      Actions actions;
+      OnTick(world.Node(id), world.now + Millis{pause_ms}, actions);
+      EXPECT_EQ(FindStoreCall<RemoveMember>(actions), nullptr)
+          << id << " " << pause_ms;
+    }
+  }
+}
+
+// A daemon that was paused may have lost its endpoints to another daemon. It
+// must not start a waiting task before the store has confirmed that they are
+// still its own.
+TEST(PauseTest, ResumedDaemonStartsNothingBeforeConfirmation) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  FleetNode& node = world.Node(owner);
+  // The job waits, as one that another daemon may have started.
+  TransientJob job;
+  JobStep step;
+  step.task_count = 1;
+  step.resources = {7'000, 64, 0};
+  step.declared_run_time = {100};
+  job.id = SubmissionId("job");
+  job.service = "service";
+  job.steps = {step};
+  job.max_attempts = 3;
+  job.stretch = 1.6;
+  job.target_latency = {9'000};
+  job.time_left = {9'000};
+  const Millis resumed_at = world.now + Millis{700};
+  Actions actions;
+  OnJob(node, resumed_at, CallerToken(1), job, actions);
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(actions));
+  const CallKeyValue* confirmation = FindStoreCall<WatchItems>(actions);
+  ASSERT_NE(confirmation, nullptr);
+  Actions tick;
+  OnTick(node, resumed_at + Millis{20}, tick);
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(tick));
+
+  KeyValueReply reply;
+  reply.outcome = KeyValueOutcome::kDone;
+  reply.store_revision = node.view.revision;
+  Actions confirmed;
+  OnKeyValueReply(node, resumed_at + Millis{30}, confirmation->token, reply,
+                  confirmed);
+  EXPECT_TRUE(HasEndpointCommand<StartRun>(confirmed));
+}
+
+// The confirmation shows that another daemon has taken over. The resumed one
+// must then start nothing on its former endpoints.
+TEST(PauseTest, ResumedDaemonThatWasReplacedStartsNothing) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  FleetNode& node = world.Node(owner);
+  Actions actions;
+  OnTick(node, world.now + Millis{900}, actions);
+  const CallKeyValue* confirmation = nullptr;
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallKeyValue>(&action);
+    const auto* watch =
+        call == nullptr ? nullptr : std::get_if<WatchItems>(&call->call);
+    if (watch != nullptr && watch->wait < Millis{10})
+      confirmation = call;
+  }
+  ASSERT_NE(confirmation, nullptr);
+  KeyValueReply reply;
+  reply.outcome = KeyValueOutcome::kDone;
+  reply.store_revision = node.view.revision + 1;
+  reply.changes.push_back(MemberRemoved{node.self.id, node.view.revision + 1});
+  Actions confirmed;
+  OnKeyValueReply(node, world.now + Millis{910}, confirmation->token, reply,
+                  confirmed);
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(confirmed));
+  EXPECT_NE(OwnerOfGroup(node.view, {ZoneId("north"), 0})->address.id,
+            node.self.id);
+}
+
+// A scheduler is paused for 0.3 to 10 s at each point of a job's life, while
+// its peers may take over. No task may have two runs at a time.
+TEST(PauseTest, PausedSchedulerCausesNoDuplicateRuns) {
+  for (const int64_t pause_ms : {300, 450, 600, 800, 1'200, 3'000, 10'000}) {
+    for (int64_t offset_ms = 0; offset_ms <= 330; offset_ms += 30) {
+      FleetWorld world;
+      SetUpTwoZones(world);
+      const std::string owner = world.OwnerOf("north");
+      const std::string other = owner == "north0" ? "north1" : "north0";
+      for (int i = 0; i < 6; ++i) {
+        world.Submit(i % 2 == 0 ? owner : other, "job" + std::to_string(i), 2,
+                     {300});
+        world.RunFor({10});
+      }
+      world.RunFor({offset_ms});
+      world.paused_daemons = {owner};
+      for (int64_t elapsed = 0; elapsed < pause_ms; elapsed += 100) {
+        world.Submit(other, "during" + std::to_string(elapsed), 1, {200});
+        world.RunFor({100});
+      }
+      world.paused_daemons.clear();
+      world.RunFor({2'500});
+      EXPECT_TRUE(world.overlaps.empty()) << pause_ms << " " << offset_ms;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodfall
