Keep runs whose start is unanswered, and results for repeats

Faults shown by the new tests with late messages and lost answers: - A record of a forwarded submission counted as proof that a later submission of the same job was unstarted (RecordOfAnEarlierSubmission...). - A late submission of a job that had been passed to another group was started beside it (RepeatedJobsWithLateMessages..., messages 700 ms late, 3 of 25 cases). It now follows the job to that group. - A start whose answer was lost gave the run up, though the endpoint lists it (LostAnswersOfEndpoints...). It is listed first, and stopped only if it is not there. - A job whose answer was lost behind the scheduler ran again when it was sent again (RepeatOfACompletedJob...). Results are kept for 3 s.

Ruled out: keeping results at the receiver; a repeat may reach any daemon of the zone, but always the same scheduler.

--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -61,6 +61,10 @@
  */
 struct ForwardedJob {
   DaemonRef to;
+  /** The other group that was chosen for it when its own was full; without a
+   * zone for a job that only changed its scheduler.
+   */
+  EndpointGroup spillover_group;
   /** True when this daemon never accepted the job and no other daemon had it
    * before, so that none of its tasks can have started.
    */
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -97,7 +97,7 @@
     progress->job = request.job;
   }
   const DaemonRef holder = is_forwarded ? known->second.to : DaemonRef();
-  node.forwarded_jobs[request.job] = {request.to, false, now};
+  node.forwarded_jobs[request.job] = {request.to, {}, false, now};
   if (progress) {
     DeliverProgress(node, request.to, *progress, now, actions);
     return;
@@ -168,9 +168,19 @@
                         const JobSubmission& submission,
                         const DaemonRef& owner,
                         Millis now) {
-  const SubmissionId& id = submission.job.id;
-  if (node.forwarded_jobs.count(id) == 0 && !submission.may_have_started)
-    node.forwarded_jobs[id] = {owner, true, now};
+  const auto known = node.forwarded_jobs.find(submission.job.id);
+  if (known == node.forwarded_jobs.end() && !submission.may_have_started)
+    node.forwarded_jobs[submission.job.id] = {owner, {}, true, now};
+  else if (known != node.forwarded_jobs.end() && submission.may_have_started)
+    known->second.is_known_unstarted = false;
+}
+
+void RecordSpillover(FleetNode& node,
+                     const SubmissionId& job,
+                     const DaemonRef& owner,
+                     const EndpointGroup& group,
+                     Millis now) {
+  node.forwarded_jobs[job] = {owner, group, true, now};
 }
 
 void RemoveExpiredForwardedJobs(FleetNode& node, Millis now) {
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -50,13 +50,21 @@
                        Actions& actions);
 
 /** Records that a job was not accepted because another daemon is to schedule
- * it. Ignored when a record exists or the job may have started.
+ * it. A job that may have started is not recorded, and an earlier record of it
+ * no longer counts as proof that it is unstarted.
  */
 void RecordForwardedJob(FleetNode& node,
                         const JobSubmission& submission,
                         const DaemonRef& owner,
                         Millis now);
 
+/** Records that a job was forwarded to another group with free capacity. */
+void RecordSpillover(FleetNode& node,
+                     const SubmissionId& job,
+                     const DaemonRef& owner,
+                     const EndpointGroup& group,
+                     Millis now);
+
 /** Removes the records of forwarded jobs whose callers have stopped waiting. */
 void RemoveExpiredForwardedJobs(FleetNode& node, Millis now);
 
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -208,6 +208,8 @@
     RecordForwardedJob(node, submission, RefOf(*owner), now);
     return;
   }
+  if (!is_known && FollowSpillover(node, receiver, submission))
+    return;
   if (!is_known &&
       ForwardToLessLoadedGroup(node, receiver, submission, now, actions))
     return;
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -54,6 +54,24 @@
   return loads;
 }
 
+bool FollowSpillover(FleetNode& node,
+                     const DaemonRef& receiver,
+                     const JobSubmission& submission) {
+  const auto record = node.forwarded_jobs.find(submission.job.id);
+  if (!submission.may_forward || record == node.forwarded_jobs.end() ||
+      record->second.spillover_group.zone.value.empty())
+    return false;
+  const EndpointGroup& group = record->second.spillover_group;
+  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  if (owner == nullptr || RefOf(*owner) == node.self)
+    return false;
+  JobRedirect redirect = MakeRedirect(node, submission.job.id, *owner, group,
+                                      submission.may_have_started);
+  redirect.is_spillover = true;
+  node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
+  return true;
+}
+
 bool ForwardToLessLoadedGroup(FleetNode& node,
                               const DaemonRef& receiver,
                               const JobSubmission& submission,
@@ -90,7 +108,7 @@
                               {"free", std::to_string(own.free_task_capacity)},
                               {"waiting", std::to_string(own.tasks_waiting)},
                               {"to", NameOf(*chosen)}}});
-  RecordForwardedJob(node, submission, RefOf(*owner), now);
+  RecordSpillover(node, submission.job.id, RefOf(*owner), *chosen, now);
   node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
   return true;
 }
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -101,7 +101,13 @@
   for (const ListedRun& run : reply.running)
     listed[{run.task, run.attempt.value}] = run.percent;
   std::vector<RunKey> missing;
+  std::vector<RunKey> unconfirmed;
   for (const auto& [key, run] : endpoint.runs) {
+    // The start may still be on its way, so its absence is no proof.
+    if (run.state == RunState::kStarting &&
+        run.start_unanswered_at != Millis() &&
+        run.start_unanswered_at <= query_sent_at && listed.count(key) == 0)
+      unconfirmed.push_back(key);
     // A run confirmed after the renewal was sent may be missing in its reply.
     if (run.state != RunState::kStarting && run.confirmed_at < query_sent_at &&
         listed.count(key) == 0)
@@ -113,9 +119,15 @@
     if (may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
+  for (const RunKey& key : unconfirmed)
+    SendStop(scheduler, endpoint, key, now, actions);
   for (const auto& [key, percent] : listed) {
     const auto known = endpoint.runs.find(key);
     if (known != endpoint.runs.end()) {
+      if (known->second.state == RunState::kStarting) {
+        known->second.state = RunState::kRunning;
+        known->second.confirmed_at = now;
+      }
       known->second.percent = percent;
       known->second.percent_updated_at = now;
       continue;
@@ -187,7 +199,11 @@
                 {"outcome", NameOf(reply.outcome)},
                 {"waited_ms", std::to_string((now - command.sent_at).count)}}});
   if (reply.outcome == CommandOutcome::kUnanswered) {
-    SendStop(scheduler, endpoint, command.run, now, actions);
+    // The run may be active. The next list shows it, or it is stopped.
+    if (run.state == RunState::kStarting) {
+      run.start_unanswered_at = now;
+      PollEndpoint(scheduler, endpoint, now, actions);
+    }
     return;
   }
   const bool may_requeue = run.may_requeue;
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -17,6 +17,10 @@
  * receiver sends the job within a few round trips.
  */
 constexpr Millis kEarlyProgressRetention{2'000};
+/** How long the result of a job is kept. Callers send a job again 1,300 ms
+ * after a loss.
+ */
+constexpr Millis kResultRetention{3'000};
 
 void InsertIntoQueue(Scheduler& scheduler, ScheduledJob& job, Millis now) {
   scheduler.queue.erase(job.order_key);
@@ -212,6 +216,15 @@
     actions.push_back(MakeJobEvent("job_joined", known->second, now));
     return;
   }
+  const auto retained = scheduler.retained_results.find(job.id);
+  if (retained != scheduler.retained_results.end()) {
+    actions.push_back(
+        LogEvent{"job_result_repeated",
+                 {{"job", job.id.value}, {"receiver", receiver.id.value}}});
+    scheduler.finished.push_back(
+        FinishedJob::Ended(receiver, job.id, retained->second.outcome));
+    return;
+  }
   ++scheduler.counters.jobs;
   UpdateMeanTaskSize(scheduler, job);
   ScheduledJob& accepted =
@@ -367,6 +380,9 @@
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
   event.fields.emplace_back("reason", outcome.reason);
   actions.push_back(std::move(event));
+  if (outcome.result == JobResult::kCompleted ||
+      outcome.result == JobResult::kFailed)
+    scheduler.retained_results[id] = {outcome, now};
   scheduler.finished.push_back(FinishedJob::Ended(job.receiver, id, outcome));
   for (const DaemonRef& receiver : job.other_receivers)
     scheduler.finished.push_back(FinishedJob::Ended(receiver, id, outcome));
@@ -432,6 +448,12 @@
     early =
         is_expired ? scheduler.early_progress.erase(early) : std::next(early);
   }
+  for (auto result = scheduler.retained_results.begin();
+       result != scheduler.retained_results.end();) {
+    const bool is_expired = now - result->second.ended_at > kResultRetention;
+    result = is_expired ? scheduler.retained_results.erase(result)
+                        : std::next(result);
+  }
   std::vector<SubmissionId> expired;
   for (const auto& [id, job] : scheduler.jobs) {
     if (job.caller_deadline <= now)
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -10,7 +10,8 @@
 
 /** Accepts a job, or rejects it as decided by DecideAdmission(). For a job that
  * is already known the receiver is added, and the result goes to all of its
- * receivers.
+ * receivers. A job that ended shortly before is not run again; its result is
+ * sent to the receiver.
  */
 void AcceptJob(Scheduler& scheduler,
                const DaemonRef& receiver,
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -35,6 +35,8 @@
   TaskResources resources;
   /** When the start was sent, or when the run was found on the endpoint. */
   Millis start_sent_at;
+  /** When its start was found to be unanswered; zero if it was not. */
+  Millis start_unanswered_at;
   /** When the endpoint confirmed the start or stop. Only a list that was
    * requested later may count as proof that the run has ended.
    */
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -91,6 +91,14 @@
   std::optional<JobRedirect> redirect;
 };
 
+/** The final result of a job, kept for callers that send the job again because
+ * they have not received it.
+ */
+struct RetainedResult {
+  JobOutcome outcome;
+  Millis ended_at;
+};
+
 /** The scheduling state of a daemon. */
 struct Scheduler {
   std::map<EndpointId, ManagedEndpoint> endpoints;
@@ -112,6 +120,8 @@
   /** Share of the processors of all usable endpoints that is in use, 0 to 1. */
   double load = 0;
   Millis speeds_updated_at;
+  /** Results of jobs that completed or failed shortly before. */
+  std::unordered_map<SubmissionId, RetainedResult> retained_results;
   /** Progress of jobs that have not been received yet. */
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
   /** No run is started before this time. */
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -58,6 +58,12 @@
   std::map<EndpointId, FakeEndpoint> endpoints;
   /** True for pairs of daemons that can't reach each other. */
   std::function<bool(const DaemonId&, const DaemonId&)> is_partitioned;
+  /** Time by which messages from one daemon to another are delayed. */
+  std::function<Millis(const DaemonId&, const DaemonId&)> message_delay;
+  /** Time by which commands of a daemon to endpoints are delayed. */
+  std::function<Millis(const DaemonId&)> command_delay;
+  /** Decides whether the answer to an executed endpoint command is lost. */
+  std::function<bool(const EndpointCommand&)> is_answer_lost;
   /** True for daemons that the store does not answer. */
   std::function<bool(const DaemonId&)> is_store_unreachable;
   /** Paused daemons: their events are delayed until they are removed here. */
