Correct learned times that nothing disproves, and smaller faults

When a route's job is refused and none of the route has run for a second, its run times and the slowness of idle endpoints are forgotten. Slowness now decays over gaps of any length.

An exception in an event handler passed through the event loop's C code and ended the process; RunGuarded ends only the event, logs it, and answers 500. The metrics listener also served /state and POST /drain; now /metrics only. A daemon id with / became part of store keys; now a settings error. Two constants that stood twice stand once.

--- a/apps/ctl/configuration_commands.cc
+++ b/apps/ctl/configuration_commands.cc
@@ -51,8 +51,10 @@
 int RunConfigGet(const Values& values) {
   const Result<HttpAddress> store =
       ParseAddress(values["store"].as<std::string>());
-  if (!store.ok())
+  if (!store.ok()) {
+    std::cerr << "--store: expected IP:PORT\n";
     return kExitUsage;
+  }
   const StoreReply reply = ReadStoredConfiguration(store.value());
   if (reply.outcome != StoreOutcome::kDone) {
     std::cerr << "the store can't be reached\n";
@@ -111,8 +113,10 @@
   const Result<std::string> text =
       ReadWholeFile(values["file"].as<std::string>());
   Configuration configuration;
-  if (!store.ok())
+  if (!store.ok()) {
+    std::cerr << "--store: expected IP:PORT\n";
     return kExitUsage;
+  }
   if (!text.ok() || !ParseOrPrintErrors(text.value(), configuration))
     return kExitBadInput;
   const StoreReply current = ReadStoredConfiguration(store.value());
--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "adapters/callers/caller_json.h"
+#include "adapters/logging/guard.h"
 #include "adapters/logging/logging.h"
 #include "adapters/metrics/metrics.h"
 #include "adapters/operators/state_dump.h"
@@ -237,9 +238,10 @@
 template <typename CoreCall>
 void Daemon::CallCore(CoreCall core_call) {
   Actions actions;
-  core_call(this->Now(), actions);
+  // The actions up to an error are performed, as the state shows them as done.
+  RunGuarded("core", [&]() { core_call(this->Now(), actions); });
   for (const Action& action : actions)
-    this->Perform(action);
+    RunGuarded("action", [&]() { this->Perform(action); });
 }
 
 void Daemon::Perform(const Action& action) {
--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "adapters/callers/caller_json.h"
+#include "adapters/logging/guard.h"
 #include "adapters/logging/logging.h"
 #include "adapters/metrics/fleet_metrics.h"
 #include "adapters/operators/fleet_state_dump.h"
@@ -19,6 +20,7 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusError = 500;
 constexpr int kExitUnclean = 1;
 /** Period of the timer on which the core runs what is due. Retries and
  * heartbeats have periods of 20 ms or more; answers are handled on arrival.
@@ -119,7 +121,11 @@
   auto caller_server = this->Listen(
       this->settings.callers, caller_limits,
       [this](HttpToken token, const HttpRequest& request) {
-        this->callers->Handle(*this->caller_server, token, request);
+        const bool is_handled = RunGuarded("caller_request", [&]() {
+          this->callers->Handle(*this->caller_server, token, request);
+        });
+        if (!is_handled)
+          this->caller_server->Reply(token, kStatusError, "{}");
       });
   if (!caller_server.ok())
     return caller_server.error();
@@ -137,7 +143,9 @@
   auto operator_server = this->Listen(
       this->settings.operators, HttpServerLimits(),
       [this](HttpToken token, const HttpRequest& request) {
-        this->HandleOperatorRequest(*this->operator_server, token, request);
+        this->AnswerOperator(*this->operator_server, token, [&]() {
+          this->HandleOperatorRequest(*this->operator_server, token, request);
+        });
       });
   if (!operator_server.ok())
     return operator_server.error();
@@ -146,7 +154,9 @@
     auto metrics_server = this->Listen(
         this->settings.metrics, HttpServerLimits(),
         [this](HttpToken token, const HttpRequest& request) {
-          this->HandleOperatorRequest(*this->metrics_server, token, request);
+          this->AnswerOperator(*this->metrics_server, token, [&]() {
+            this->HandleMetricsRequest(*this->metrics_server, token, request);
+          });
         });
     if (!metrics_server.ok())
       return metrics_server.error();
@@ -214,16 +224,26 @@
   WriteLog({"reload", {{"changed", "nothing"}}});
 }
 
+void FleetDaemon::HandleMetricsRequest(HttpServer& server,
+                                       HttpToken token,
+                                       const HttpRequest& request) {
+  if (request.path != "/metrics") {
+    server.Reply(token, kStatusNotFound,
+                 FormatRefusal(ResultCode::kUnknownPath, request.path));
+    return;
+  }
+  server.ReplyAs(token, kStatusOk,
+                 FormatFleetMetrics(
+                     this->node, this->peers->Counters(), this->store->Calls(),
+                     this->http->OpenedConnections(), DroppedLogLines()),
+                 "text/plain; version=0.0.4");
+}
+
 void FleetDaemon::HandleOperatorRequest(HttpServer& server,
                                         HttpToken token,
                                         const HttpRequest& request) {
   if (request.path == "/metrics") {
-    server.ReplyAs(
-        token, kStatusOk,
-        FormatFleetMetrics(this->node, this->peers->Counters(),
-                           this->store->Calls(),
-                           this->http->OpenedConnections(), DroppedLogLines()),
-        "text/plain; version=0.0.4");
+    this->HandleMetricsRequest(server, token, request);
   } else if (request.path == "/state") {
     server.Reply(token, kStatusOk,
                  DumpFleetState(this->node, this->clock.Now()));
@@ -236,12 +256,21 @@
   }
 }
 
+template <typename Handler>
+void FleetDaemon::AnswerOperator(HttpServer& server,
+                                 HttpToken token,
+                                 Handler handler) {
+  if (!RunGuarded("operator_request", handler))
+    server.Reply(token, kStatusError, "{}");
+}
+
 template <typename CoreCall>
 void FleetDaemon::CallCore(CoreCall core_call) {
   Actions actions;
-  core_call(this->clock.Now(), actions);
+  // The actions up to an error are performed, as the state shows them as done.
+  RunGuarded("core", [&]() { core_call(this->clock.Now(), actions); });
   for (const Action& action : actions)
-    this->Perform(action);
+    RunGuarded("action", [&]() { this->Perform(action); });
 }
 
 void FleetDaemon::Perform(const Action& action) {
--- a/apps/daemon/fleet_daemon.h
+++ b/apps/daemon/fleet_daemon.h
@@ -58,9 +58,18 @@
   Result<bool> OpenPeers();
   void BeginShutdown();
   void AddSignal(int signal, void (*callback)(int, short, void*));
+  /** Calls a handler of operators' requests; answers 500 when it throws. */
+  template <typename Handler>
+  void AnswerOperator(HttpServer& server, HttpToken token, Handler handler);
   void HandleOperatorRequest(HttpServer& server,
                              HttpToken token,
                              const HttpRequest& request);
+  /** Serves the metrics only: their listener may be open to more readers than
+   * the operators' one.
+   */
+  void HandleMetricsRequest(HttpServer& server,
+                            HttpToken token,
+                            const HttpRequest& request);
 
   /** Calls the core and performs the actions that it returns.
    *
--- a/modules/core/dispatch/fair_queue.cc
+++ b/modules/core/dispatch/fair_queue.cc
@@ -24,19 +24,19 @@
 
 void PushPaused(FairQueue& queue, QueuedTask task, Millis until) {
   const TaskKey key = KeyOf(task);
-  queue.paused.emplace(key, std::move(task));
+  queue.paused.emplace(key, PausedTask{std::move(task), until});
   queue.pause_ends.emplace(until, key);
 }
 
 void ResumePausedTasks(FairQueue& queue, Millis now) {
   while (!queue.pause_ends.empty() && queue.pause_ends.begin()->first <= now) {
-    const auto found = queue.paused.find(queue.pause_ends.begin()->second);
+    const auto [until, key] = *queue.pause_ends.begin();
+    const auto found = queue.paused.find(key);
     queue.pause_ends.erase(queue.pause_ends.begin());
-    // The task may have been removed in the meantime. If it was paused again
-    // after that, it resumes at the earlier of the two times.
-    if (found == queue.paused.end())
+    // The task may have been removed, or removed and paused again.
+    if (found == queue.paused.end() || found->second.until != until)
       continue;
-    QueuedTask task = std::move(found->second);
+    QueuedTask task = std::move(found->second.task);
     queue.paused.erase(found);
     Push(queue, std::move(task));
   }
@@ -45,7 +45,7 @@
 std::optional<QueuedTask> Remove(FairQueue& queue, const TaskKey& key) {
   const auto paused = queue.paused.find(key);
   if (paused != queue.paused.end()) {
-    QueuedTask task = std::move(paused->second);
+    QueuedTask task = std::move(paused->second.task);
     queue.paused.erase(paused);
     return task;
   }
--- a/modules/core/dispatch/fair_queue.h
+++ b/modules/core/dispatch/fair_queue.h
@@ -14,6 +14,12 @@
 
 namespace dogwoodfall {
 
+/** A task that waits before it is queued again. */
+struct PausedTask {
+  QueuedTask task;
+  Millis until;
+};
+
 /** Rank of a task in its customer's queue; lower ranks start first.
  *
  * The job with the least remaining work starts first. Waiting time offsets
@@ -49,7 +55,7 @@
   std::map<CustomerId, CustomerQueue> customers;
   std::map<TaskKey, QueuePlace> index;
   /** Tasks that wait for the end of a pause before their next attempt. */
-  std::map<TaskKey, QueuedTask> paused;
+  std::map<TaskKey, PausedTask> paused;
   std::multimap<Millis, TaskKey> pause_ends;
   /** Maximum virtual time at which a customer was charged. */
   double virtual_now_ms = 0;
--- a/modules/core/node/scheduler_flow.cc
+++ b/modules/core/node/scheduler_flow.cc
@@ -282,8 +282,8 @@
         keys.push_back(KeyOf(task));
     }
   }
-  for (const auto& [key, task] : node.dispatch.queue.paused) {
-    if (has_matching_home(task.home))
+  for (const auto& [key, paused_task] : node.dispatch.queue.paused) {
+    if (has_matching_home(paused_task.task.home))
       keys.push_back(key);
   }
   return keys;
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -189,6 +189,7 @@
       ++task.attempt;
       --job.tasks_queued;
       job.has_started = true;
+      RecordRouteActivity(scheduler, job.job.route, now);
       SendStart(scheduler, *endpoint, job, {job.job.id, step, index},
                 expected_run_time, now, actions);
     }
@@ -243,8 +244,13 @@
   }
   ClaimRuns(scheduler, job.id);
   actions.push_back(MakeJobEvent("job_taken", accepted, now));
-  const std::optional<JobOutcome> refusal =
-      DecideAdmission(scheduler, accepted, now);
+  std::optional<JobOutcome> refusal = DecideAdmission(scheduler, accepted, now);
+  if (refusal && refusal->result == JobResult::kRefused &&
+      ForgetUnverifiedTimes(scheduler, job, now, actions)) {
+    SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness,
+                    now);
+    refusal = DecideAdmission(scheduler, accepted, now);
+  }
   if (refusal) {
     EndJob(scheduler, job.id, *refusal, now, actions);
     return;
@@ -434,8 +440,9 @@
     queued_jobs.push_back(key.second);
   for (const SubmissionId& id : queued_jobs) {
     ScheduledJob& job = scheduler.jobs.at(id);
-    const std::optional<JobOutcome> refusal =
-        ReviewWaitingJob(scheduler, job, now);
+    std::optional<JobOutcome> refusal = ReviewWaitingJob(scheduler, job, now);
+    if (refusal && ForgetUnverifiedTimes(scheduler, job.job, now, actions))
+      refusal = ReviewWaitingJob(scheduler, job, now);
     if (refusal)
       EndJob(scheduler, id, *refusal, now, actions);
     else
@@ -494,7 +501,7 @@
   progress->run_time = run_time;
   --job.tasks_left;
   if (job.tasks_left == 0) {
-    LearnFromJob(scheduler, job);
+    LearnFromJob(scheduler, job, now);
     EndJob(scheduler, task.job, {JobResult::kCompleted, {}, "all_done"}, now,
            actions);
     return;
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -29,8 +29,6 @@
  */
 constexpr double kMinRemainingFactor = 1.5;
 
-/** Minimum percentage of the work for projecting the run time. */
-constexpr int kMinProjectionPercent = 15;
 /** Lower bound of the run time relative to the projected one. Endpoints report
  * progress in whole percent and with some ms of delay.
  */
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -109,6 +110,8 @@
   uint64_t last_command_id = 0;
   /** Learned run times by route. */
   RunTimes run_times;
+  /** When a task of a route was last started or a job of it last ended. */
+  std::unordered_map<std::string, Millis> routes_active_at;
   /** Slowness of the fast endpoints: the upper bound of the fastest eighth of
    * the usable endpoints.
    */
--- a/modules/core/scheduling/speed_learning.cc
+++ b/modules/core/scheduling/speed_learning.cc
@@ -28,17 +28,14 @@
 /** Bounds of the learned slowness. */
 constexpr double kMinSlowness = 0.2;
 constexpr double kMaxSlowness = 20;
-/** Endpoints that are slower than the median by more than this factor get no
- * work with a deadline, so that no new run times are learned from them. Their
- * slowness decays towards this limit instead.
- */
-constexpr double kMaxUsableSlownessFactor = 2.5;
 /** Half-life of the failure share and of the excess slowness of an endpoint.
  * Endpoints are typically slow or failing for 4 to 8 s.
  */
 constexpr double kRecoveryHalfLifeMs = 1'500;
-/** Minimum percentage of the work for projecting the run time. */
-constexpr int kMinProjectionPercent = 15;
+/** Time without a run of a route after which its learned run times are not used
+ * for refusing its jobs.
+ */
+constexpr Millis kMaxTimeWithoutRun{1'000};
 
 double ClampSlowness(double slowness) {
   return std::clamp(slowness, kMinSlowness, kMaxSlowness);
@@ -119,7 +116,8 @@
                           expected_run_time);
 }
 
-void LearnFromJob(Scheduler& scheduler, const ScheduledJob& job) {
+void LearnFromJob(Scheduler& scheduler, const ScheduledJob& job, Millis now) {
+  RecordRouteActivity(scheduler, job.job.route, now);
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
     // The declared run time is included with a low weight to keep the slowness
     // of all endpoints from drifting together.
@@ -140,6 +138,33 @@
   }
 }
 
+void RecordRouteActivity(Scheduler& scheduler,
+                         const std::string& route,
+                         Millis now) {
+  if (scheduler.routes_active_at.size() >= kMaxEstimatedKinds)
+    scheduler.routes_active_at.clear();
+  scheduler.routes_active_at[route] = now;
+}
+
+bool ForgetUnverifiedTimes(Scheduler& scheduler,
+                           const TransientJob& job,
+                           Millis now,
+                           Actions& actions) {
+  Millis& active_at =
+      scheduler.routes_active_at.try_emplace(job.route, now).first->second;
+  if (now - active_at < kMaxTimeWithoutRun)
+    return false;
+  active_at = now;
+  scheduler.run_times.by_kind.erase({CustomerId(job.service), job.route});
+  for (auto& [id, endpoint] : scheduler.endpoints) {
+    if (endpoint.runs.empty())
+      endpoint.slowness = std::min(endpoint.slowness, 1.0);
+  }
+  actions.push_back(
+      LogEvent{"learned_times_forgotten", {{"route", job.route}}});
+  return true;
+}
+
 void LearnFromStraggler(ManagedEndpoint& endpoint, double slowdown) {
   UpdateSlowness(endpoint, std::min(slowdown, kMaxSlowness),
                  kStragglerSmoothing);
@@ -154,8 +179,11 @@
 }
 
 void UpdateSpeeds(Scheduler& scheduler, Millis now) {
+  const bool is_first_update = scheduler.speeds_updated_at == Millis();
   const auto elapsed_ms =
-      static_cast<double>((now - scheduler.speeds_updated_at).count);
+      is_first_update
+          ? 0.0
+          : static_cast<double>((now - scheduler.speeds_updated_at).count);
   scheduler.speeds_updated_at = now;
   std::vector<double> sorted;
   TaskResources capacity;
@@ -183,8 +211,7 @@
   for (auto& [id, endpoint] : scheduler.endpoints) {
     endpoint.failure_share *= std::exp2(-elapsed_ms / kRecoveryHalfLifeMs);
     const double max_usable_slowness = kMaxUsableSlownessFactor * median;
-    if (endpoint.slowness <= max_usable_slowness ||
-        elapsed_ms > kRecoveryHalfLifeMs)
+    if (endpoint.slowness <= max_usable_slowness)
       continue;
     endpoint.slowness = max_usable_slowness *
                         std::pow(endpoint.slowness / max_usable_slowness,
--- a/modules/core/scheduling/spillover.cc
+++ b/modules/core/scheduling/spillover.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "core/scheduling/placement.h"
+#include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
 namespace {
@@ -17,10 +18,6 @@
  * slack of the shortest jobs.
  */
 constexpr double kMinPressureDifference = 0.25;
-/** Endpoints that are slower than the median by this factor do not count as
- * capacity.
- */
-constexpr double kMaxUsableSlownessFactor = 2.5;
 
 int64_t ComputeSpareCapacity(const GroupLoad& load) {
   return static_cast<int64_t>(load.free_task_capacity) -
--- a/modules/settings/fleet_settings.cc
+++ b/modules/settings/fleet_settings.cc
@@ -91,6 +91,9 @@
   }
   FleetSettings settings;
   settings.self.id = DaemonId(ReadName(json, "/daemon/id", errors));
+  if (settings.self.id.value.find('/') != std::string::npos)
+    AddError(errors, "/daemon/id", Find(json, "/daemon/id"),
+             "a name without /, as it becomes part of a key in the store");
   settings.self.zone = ZoneId(ReadName(json, "/daemon/zone", errors));
   settings.self.weight = ReadWeight(json, "/daemon/cores", errors);
   settings.callers = ReadAddress(json, "/callers/address", errors);
--- a/tests/adapters/fleet_settings_test.cc
+++ b/tests/adapters/fleet_settings_test.cc
@@ -51,6 +51,18 @@
     EXPECT_NE(std::find(paths.begin(), paths.end(), path), paths.end()) << path;
 }
 
+// The id of a daemon becomes a part of its key in the store. With a slash, it
+// would name an item of another daemon or prefix.
+TEST(FleetSettingsTest, DaemonIdWithSlashIsAnError) {
+  std::string text = kValidSettings;
+  text.replace(text.find("edge-1"), 6, "edge/1");
+  const auto parsed = ParseFleetSettings(text);
+  const auto* errors = std::get_if<std::vector<SettingsError>>(&parsed);
+  ASSERT_NE(errors, nullptr);
+  ASSERT_EQ(errors->size(), 1U);
+  EXPECT_EQ(errors->front().path, "/daemon/id");
+}
+
 // Guards against a settings file of the other kind of daemon, or an unreadable
 // one, being parsed as fleet settings.
 TEST(FleetSettingsTest, OtherTextsAreNotFleetSettings) {
