Move runs that would miss the caller's limit to faster endpoints

A run was only moved when it took 2.5 times what was expected.

Now a job whose runs are projected past the limit is moved as a whole, if all of its late runs would be in time on endpoints that are free. Not moved in part.

Ruled out: moving by the objective instead of the limit; not tried yet.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -72,6 +72,9 @@
   AddCounter(families, "runs_overdue_total",
              "Runs stopped because they far exceeded the expected run time", "",
              {{"", counters.overdue_runs}});
+  AddCounter(families, "runs_relocated_total",
+             "Runs stopped to start their tasks on a faster endpoint", "",
+             {{"", counters.relocated_runs}});
   AddCounter(families, "ejections_total",
              "Ejections of endpoints because of failed runs", "",
              {{"", counters.ejections}});
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -6,6 +6,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/run_relocation.h"
 #include "core/scheduling/run_review.h"
 #include "core/scheduling/speed_learning.h"
 
@@ -140,6 +141,7 @@
 
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
   UpdateSpeeds(scheduler, now);
+  RelocateRuns(scheduler, now, actions);
   EndInfeasibleJobs(scheduler, now, actions);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (endpoint.status == EndpointStatus::kReconciling &&
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -60,21 +60,6 @@
   return count;
 }
 
-bool MayRunNow(const ManagedEndpoint& endpoint,
-               const ScheduledJob& job,
-               uint32_t step_index,
-               const TaskProgress& task,
-               Millis now) {
-  const JobStep& step = job.job.steps[step_index];
-  return AcceptsWork(endpoint, now) && endpoint.group == job.group &&
-         IsEligibleFor(endpoint, task) &&
-         CanEverRun(endpoint.entry, job.job, step) &&
-         Fits(step.resources, endpoint.entry.capacity - endpoint.used) &&
-         (step.max_per_endpoint == 0 ||
-          CountTasksOnEndpoint(job, step_index, endpoint.entry.id) <
-              step.max_per_endpoint);
-}
-
 Millis ScaleRunTime(double slowness, Millis expected_run_time) {
   return Millis{
       std::llround(slowness * static_cast<double>(expected_run_time.count))};
@@ -168,6 +153,23 @@
           HasLabel(endpoint, step.required_label));
 }
 
+bool MayRunNow(const ManagedEndpoint& endpoint,
+               const ScheduledJob& job,
+               uint32_t step_index,
+               const TaskProgress& task,
+               const TaskResources& planned_use,
+               Millis now) {
+  const JobStep& step = job.job.steps[step_index];
+  return AcceptsWork(endpoint, now) && endpoint.group == job.group &&
+         IsEligibleFor(endpoint, task) &&
+         CanEverRun(endpoint.entry, job.job, step) &&
+         Fits(step.resources,
+              endpoint.entry.capacity - endpoint.used - planned_use) &&
+         (step.max_per_endpoint == 0 ||
+          CountTasksOnEndpoint(job, step_index, endpoint.entry.id) <
+              step.max_per_endpoint);
+}
+
 ManagedEndpoint* ChooseEndpoint(Scheduler& scheduler,
                                 const ScheduledJob& job,
                                 uint32_t step_index,
@@ -183,7 +185,7 @@
                    expected_run_time);
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
-    if (!MayRunNow(endpoint, job, step_index, task, now) ||
+    if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
         now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
       continue;
     const double risk =
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -19,6 +19,18 @@
                 const TransientJob& job,
                 const JobStep& step);
 
+/** Returns true when an endpoint may start a task of a job now.
+ *
+ * @param planned_use resources that are about to be occupied there besides the
+ *        runs
+ */
+bool MayRunNow(const ManagedEndpoint& endpoint,
+               const ScheduledJob& job,
+               uint32_t step_index,
+               const TaskProgress& task,
+               const TaskResources& planned_use,
+               Millis now);
+
 /** Chooses the endpoint for a queued task, or null when the task should wait.
  *
  * Designed for load close to capacity on endpoints of different size, speed and
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -12,6 +12,7 @@
  * - placement.h chooses the endpoint of a task
  * - spillover.h chooses another group for a job
  * - run_review.h stops overdue runs and ends infeasible jobs
+ * - run_relocation.h moves runs that would end too late to faster endpoints
  * - speed_learning.h estimates run times and the speeds of endpoints
  *
  * Endpoints:
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -21,6 +21,8 @@
   std::array<uint64_t, 8> job_results = {};
   /** Runs that were stopped because they took far longer than expected. */
   uint64_t overdue_runs = 0;
+  /** Runs that were stopped to start their tasks on a faster endpoint. */
+  uint64_t relocated_runs = 0;
   /** Ejections of endpoints whose runs kept failing. */
   uint64_t ejections = 0;
 };
