Send heartbeats to owners only in a fleet of more than twelve daemons

At 147 daemons every owner sent heartbeats to all others and every daemon to its zone, some 80,000 datagrams a second, each encoded by itself and, on arrival, compared with every member's address as text.

In a zone, only pairs with an owner exchange heartbeats (100 ms); between zones only owners do (200 ms): some 23,000 a second at 147. They are encoded once and checked against a set of addresses. Peers from which none are expected are not evicted by this daemon, and count as alive until now when a job's previous scheduler has to be waited for. Repeats in another zone are found by the schedulers, since receivers no longer hear other zones.

Ruled out: indirect probes and rumours (SWIM); the store's watch already tells everybody within milliseconds what an owner has found.

--- a/modules/adapters/peers/peer_network.cc
+++ b/modules/adapters/peers/peer_network.cc
@@ -153,6 +153,15 @@
     link = is_unchanged ? std::next(link) : this->outbound.erase(link);
   }
   this->members = std::move(updated);
+  this->member_addresses.clear();
+  for (const auto& [id, member] : this->members) {
+    const auto address = MakeSocketAddress(member.ip, member.peer_udp_port);
+    if (!address)
+      continue;
+    this->member_addresses.insert(
+        {address->sin_addr.s_addr, member.peer_udp_port});
+    this->member_addresses.insert({address->sin_addr.s_addr, 0});
+  }
 }
 
 void PeerNetwork::SendFrame(const PeerFrame& frame) {
@@ -177,22 +186,26 @@
   this->counters.bytes_sent += bytes.size() + kLengthPrefixBytes;
 }
 
-void PeerNetwork::SendHeartbeat(const DaemonId& to,
+void PeerNetwork::SendHeartbeat(const std::vector<DaemonId>& to,
                                 const Heartbeat& heartbeat) {
-  const auto member = this->members.find(to);
-  if (member == this->members.end())
-    return;
-  std::optional<sockaddr_in> address =
-      MakeSocketAddress(member->second.ip, member->second.peer_udp_port);
   const std::string bytes = EncodeHeartbeat(heartbeat);
-  if (!address || bytes.size() > kMaxDatagramBytes) {
+  if (bytes.size() > kMaxDatagramBytes) {
     ++this->counters.dropped_too_large;
     return;
   }
-  sendto(this->datagram_socket, bytes.data(), bytes.size(), 0,
-         AsSockaddr(*address), sizeof(*address));
-  ++this->counters.datagrams_sent;
-  this->counters.bytes_sent += bytes.size();
+  for (const DaemonId& id : to) {
+    const auto member = this->members.find(id);
+    if (member == this->members.end())
+      continue;
+    std::optional<sockaddr_in> address =
+        MakeSocketAddress(member->second.ip, member->second.peer_udp_port);
+    if (!address)
+      continue;
+    sendto(this->datagram_socket, bytes.data(), bytes.size(), 0,
+           AsSockaddr(*address), sizeof(*address));
+    ++this->counters.datagrams_sent;
+    this->counters.bytes_sent += bytes.size();
+  }
 }
 
 bufferevent* PeerNetwork::FindOrOpenOutbound(const DaemonId& peer) {
@@ -251,15 +264,9 @@
   if (address->sa_family != AF_INET)
     return false;
   const auto* ipv4_address = reinterpret_cast<const sockaddr_in*>(address);
-  std::array<char, INET_ADDRSTRLEN> text = {};
-  inet_ntop(AF_INET, &ipv4_address->sin_addr, text.data(), text.size());
-  const uint16_t port = ntohs(ipv4_address->sin_port);
-  for (const auto& [id, member] : this->members) {
-    if (member.ip == text.data() &&
-        (!check_port || member.peer_udp_port == port))
-      return true;
-  }
-  return false;
+  const uint16_t port = check_port ? ntohs(ipv4_address->sin_port) : 0;
+  return this->member_addresses.count({ipv4_address->sin_addr.s_addr, port}) >
+         0;
 }
 
 void PeerNetwork::OnAccept(evconnlistener*,
--- a/modules/adapters/peers/peer_network.h
+++ b/modules/adapters/peers/peer_network.h
@@ -90,8 +90,9 @@
   /** Sends a frame. Delivery is not guaranteed. */
   void SendFrame(const PeerFrame& frame);
 
-  /** Sends a heartbeat to a peer. Delivery is not guaranteed. */
-  void SendHeartbeat(const DaemonId& to, const Heartbeat& heartbeat);
+  /** Sends a heartbeat to peers. Delivery is not guaranteed. */
+  void SendHeartbeat(const std::vector<DaemonId>& to,
+                     const Heartbeat& heartbeat);
 
   /** Closes the outbound connection to a peer. The next frame opens a new one.
    */
@@ -135,6 +136,8 @@
   int datagram_socket = -1;
   event* datagram_event = nullptr;
   std::map<DaemonId, DaemonMember> members;
+  /** Addresses from which the members send, with their UDP port or with 0. */
+  std::set<std::pair<uint32_t, uint16_t>> member_addresses;
   std::map<DaemonId, bufferevent*> outbound;
   std::set<bufferevent*> inbound;
 };
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/fleet/handover_flow.h"
+#include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_commands.h"
 
@@ -36,13 +37,9 @@
   if (previous == DaemonRef() || previous == node.self ||
       peer_status == node.peers.end())
     return {};
-  const Millis last_received_at =
-      HasSession(node.sessions, previous)
-          ? peer_status->second.last_received_at
-          : peer_status->second.previous_incarnation_received_at;
-  const Millis remaining =
-      std::max(last_received_at, pending.previous_assumed_alive_at) +
-      kRunLease + kPreviousSchedulerMargin - now;
+  const Millis remaining = std::max(GetLastKnownAlive(node, previous, now),
+                                    pending.previous_assumed_alive_at) +
+                           kRunLease + kPreviousSchedulerMargin - now;
   return std::max(remaining, Millis());
 }
 
@@ -112,23 +109,14 @@
   return true;
 }
 
-/** Returns the group whose scheduler lists a job as running in its heartbeat,
- * as a caller may send a job again to any daemon; else the job's group in the
- * own zone.
+/** Returns the group that a new job is sent to: the one that runs it already,
+ * or the job's group in the own zone.
  */
-EndpointGroup FindRunningGroup(const FleetNode& node,
-                               const SubmissionId& job,
-                               Millis now) {
-  for (const auto& [id, peer_status] : node.peers) {
-    if (now - peer_status.last_received_at >= kHeartbeatValidity)
-      continue;
-    for (const JobInProgress& running :
-         peer_status.last_heartbeat.jobs_in_progress) {
-      if (running.job == job)
-        return running.group;
-    }
-  }
-  return GroupOfJob(node.view, node.zone, job);
+EndpointGroup ChooseGroup(const FleetNode& node,
+                          const SubmissionId& job,
+                          Millis now) {
+  return FindRunningGroup(node, job, now)
+      .value_or(GroupOfJob(node.view, node.zone, job));
 }
 
 /** Requests the handover of a job from a scheduler that no longer owns its
@@ -157,11 +145,26 @@
 
 }  // namespace
 
+std::optional<EndpointGroup> FindRunningGroup(const FleetNode& node,
+                                              const SubmissionId& job,
+                                              Millis now) {
+  for (const auto& [id, peer_status] : node.peers) {
+    if (now - peer_status.last_received_at >= kHeartbeatValidity)
+      continue;
+    for (const JobInProgress& running :
+         peer_status.last_heartbeat.jobs_in_progress) {
+      if (running.job == job)
+        return running.group;
+    }
+  }
+  return std::nullopt;
+}
+
 void AssignNewJob(FleetNode& node,
                   PendingJob& pending,
                   Millis now,
                   Actions& actions) {
-  AssignToGroup(node, pending, FindRunningGroup(node, pending.job.id, now), now,
+  AssignToGroup(node, pending, ChooseGroup(node, pending.job.id, now), now,
                 actions);
 }
 
--- a/modules/core/fleet/assignment_flow.h
+++ b/modules/core/fleet/assignment_flow.h
@@ -1,10 +1,19 @@
 #ifndef DOGWOODFALL_MODULES_CORE_FLEET_ASSIGNMENT_FLOW_H_
 #define DOGWOODFALL_MODULES_CORE_FLEET_ASSIGNMENT_FLOW_H_
 
+#include <optional>
+
 #include "core/fleet/fleet_node.h"
 
 namespace dogwoodfall {
 
+/** Returns the group whose scheduler lists a job as running in its heartbeat. A
+ * caller may send a job again to any daemon.
+ */
+std::optional<EndpointGroup> FindRunningGroup(const FleetNode& node,
+                                              const SubmissionId& job,
+                                              Millis now);
+
 /** Assigns a newly received job to the scheduler that already runs it, or to
  * the scheduler of its group in the own zone.
  */
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -5,10 +5,10 @@
 
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
+#include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
-#include "core/fleet/spillover_flow.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
@@ -17,10 +17,6 @@
 namespace dogwoodfall {
 namespace {
 
-/** Several heartbeats must be missed before another daemon takes ownership of a
- * peer's endpoints.
- */
-constexpr Millis kHeartbeatPeriod{100};
 /** Time without a message after which a peer counts as unreachable and its item
  * is removed. No longer than the lease of runs (kRunLease), so that the next
  * owner can still claim the peer's runs.
@@ -49,69 +45,21 @@
  * them at once.
  */
 constexpr Millis kStoppingRetryAfter{1'000};
-/** Age from which a job is listed in heartbeats, because its caller may
- * send it again to any daemon from 1,300 ms on.
- */
-constexpr Millis kAnnounceJobAfter{700};
-
 /** Time for which a peer's view or routes may be outdated before this daemon
  * sends its own. A peer that reaches the store has them within 400 ms.
  */
 constexpr Millis kUpdatePeerAfter{600};
 
-/** Number of daemons up to which each sends heartbeats to all others. Above it,
- * only schedulers do, because the number of messages grows with the square of
- * the number of daemons.
- */
-constexpr size_t kMaxSmallFleetSize = 12;
-
 /** Time without a message after which an unregistered daemon is removed. */
 constexpr Millis kUnregisteredDaemonTimeout{5'000};
 
-bool IsSmallFleet(const FleetNode& node) {
-  return node.view.members.size() <= kMaxSmallFleetSize;
-}
-
-Heartbeat MakeHeartbeat(FleetNode& node, Millis now) {
-  Heartbeat heartbeat;
-  heartbeat.from = node.self;
-  heartbeat.zone = node.zone;
-  heartbeat.sent_at = now;
-  heartbeat.number = ++node.heartbeat_number;
-  heartbeat.revision = node.routes.version;
-  heartbeat.store_revision = node.view.revision;
-  heartbeat.draining = node.is_stopping;
-  for (const auto& [id, job] : node.scheduler.jobs) {
-    if (now - job.received_at >= kAnnounceJobAfter)
-      heartbeat.jobs_in_progress.push_back({id, job.group});
-  }
-  heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
-  return heartbeat;
-}
-
-void SendHeartbeats(FleetNode& node, Millis now, Actions& actions) {
-  if (now < node.next_heartbeat_at)
-    return;
-  node.next_heartbeat_at = now + kHeartbeatPeriod;
-  const Heartbeat heartbeat = MakeHeartbeat(node, now);
-  const bool is_sent_to_all = IsScheduler(node) || IsSmallFleet(node);
-  for (const auto& [id, member] : node.view.members) {
-    if (id != node.self.id &&
-        (is_sent_to_all || member.address.zone == node.zone))
-      actions.push_back(SendHeartbeat{id, heartbeat});
-  }
-  for (const auto& [id, member] : node.unregistered_daemons) {
-    if (id != node.self.id)
-      actions.push_back(SendHeartbeat{id, heartbeat});
-  }
-}
-
 /** Requests removal of the store items of unreachable peers in the own zone. */
 void EvictUnreachablePeers(FleetNode& node, Millis now, Actions& actions) {
   for (auto& [id, peer_status] : node.peers) {
     const auto member = node.view.members.find(id);
     if (member == node.view.members.end() ||
-        member->second.address.zone != node.zone)
+        member->second.address.zone != node.zone ||
+        !peer_status.is_heartbeat_expected)
       continue;
     const bool is_unreachable =
         now - peer_status.last_received_at >= kPeerTimeout;
@@ -171,7 +119,7 @@
       now - peer_status->second.last_received_at < kPeerTimeout)
     return false;
   const auto member = node.view.members.find(receiver.id);
-  if (member == node.view.members.end() || IsSmallFleet(node))
+  if (member == node.view.members.end() || IsSmallFleet(node.view))
     return true;
   const ZoneId& zone = member->second.address.zone;
   return zone == node.zone || !IsZoneReachable(node, zone, now);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -9,6 +9,7 @@
  * - store_session.h: calls to the store
  * - reception.h: callers' jobs until they are answered
  * - assignment_flow.h: assigns these jobs to schedulers
+ * - heartbeat_flow.h: which daemons exchange heartbeats
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_delay.h: detects delayed messages
@@ -41,6 +42,10 @@
   Millis previous_incarnation_received_at;
   Heartbeat last_heartbeat;
   PeerDelay delay;
+  /** True when this daemon gets heartbeats from it; stays so after the peer's
+   * removal from the view.
+   */
+  bool is_heartbeat_expected = false;
   /** True once the removal of its store item was requested. */
   bool is_eviction_requested = false;
   /** Time since which its view or routes are known to be outdated; zero while
--- a/modules/core/fleet/fleet_view.cc
+++ b/modules/core/fleet/fleet_view.cc
@@ -81,16 +81,26 @@
   for (const auto& [id, member] : view.members)
     ++members[member.address.zone];
   view.owners.clear();
+  view.all_owners.clear();
   view.group_counts.clear();
   for (const auto& [zone, count] : members) {
     const size_t groups = (count + kMembersPerGroup - 1) / kMembersPerGroup;
     view.group_counts[zone] = static_cast<uint32_t>(groups);
     view.owners[zone] = ChooseOwnersInZone(view, zone, groups);
+    view.all_owners.insert(view.owners[zone].begin(), view.owners[zone].end());
   }
 }
 
 }  // namespace
 
+bool IsSmallFleet(const FleetView& view) {
+  return view.members.size() <= kMaxSmallFleetSize;
+}
+
+bool IsOwner(const FleetView& view, const DaemonId& daemon) {
+  return view.all_owners.count(daemon) > 0;
+}
+
 bool ApplyMember(FleetView& view, const FleetMember& member) {
   if (member.revision <= view.revision)
     return false;
--- a/modules/core/fleet/fleet_view.h
+++ b/modules/core/fleet/fleet_view.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 #include <vector>
 
@@ -28,8 +29,19 @@
   std::map<ZoneId, std::vector<DaemonId>> owners;
   /** Number of each zone's groups, computed with the owners. */
   std::map<ZoneId, uint32_t> group_counts;
+  /** All daemons that own groups, computed with the owners. */
+  std::set<DaemonId> all_owners;
 };
 
+/** Number of daemons up to which each sends heartbeats to all others. */
+inline constexpr size_t kMaxSmallFleetSize = 12;
+
+/** Returns true when the fleet has at most kMaxSmallFleetSize daemons. */
+bool IsSmallFleet(const FleetView& view);
+
+/** Returns true when a daemon owns a group of any zone. */
+bool IsOwner(const FleetView& view, const DaemonId& daemon);
+
 /** Number of a zone's daemons for each group of its endpoints. Fewer, larger
  * groups let a scheduler pack tasks better; one scheduler for four daemons is
  * enough for a zone's starts on the smallest instances in use.
--- /dev/null
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -0,0 +1,112 @@
+#include "core/fleet/heartbeat_flow.h"
+
+#include <utility>
+#include <vector>
+
+#include "core/fleet/spillover_flow.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Age from which a job is listed in heartbeats, because its caller may
+ * send it again to any daemon from 1,300 ms on.
+ */
+constexpr Millis kAnnounceJobAfter{700};
+
+Heartbeat MakeHeartbeat(const FleetNode& node, Millis now) {
+  Heartbeat heartbeat;
+  heartbeat.from = node.self;
+  heartbeat.zone = node.zone;
+  heartbeat.sent_at = now;
+  heartbeat.number = node.heartbeat_number;
+  heartbeat.revision = node.routes.version;
+  heartbeat.store_revision = node.view.revision;
+  heartbeat.draining = node.is_stopping;
+  for (const auto& [id, job] : node.scheduler.jobs) {
+    if (now - job.received_at >= kAnnounceJobAfter)
+      heartbeat.jobs_in_progress.push_back({id, job.group});
+  }
+  heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
+  return heartbeat;
+}
+
+/** Returns the period of heartbeats to a peer. A daemon without connection to
+ * the store may have lost its item, so that other zones only know it by its
+ * heartbeats; it sends them to all owners.
+ */
+Millis GetOwnPeriod(const FleetNode& node,
+                    const FleetMember& self,
+                    const FleetMember& peer) {
+  const Millis period = GetHeartbeatPeriod(node.view, self, peer);
+  const bool is_isolated =
+      !node.store.is_reachable && IsOwner(node.view, peer.address.id);
+  return period == Millis() && is_isolated ? kRemoteHeartbeatPeriod : period;
+}
+
+}  // namespace
+
+Millis GetHeartbeatPeriod(const FleetView& view,
+                          const FleetMember& from,
+                          const FleetMember& to) {
+  if (IsSmallFleet(view))
+    return kHeartbeatPeriod;
+  const bool is_from_owner = IsOwner(view, from.address.id);
+  const bool is_to_owner = IsOwner(view, to.address.id);
+  if (from.address.zone == to.address.zone)
+    return is_from_owner || is_to_owner ? kHeartbeatPeriod : Millis();
+  return is_from_owner && is_to_owner ? kRemoteHeartbeatPeriod : Millis();
+}
+
+void SendHeartbeats(FleetNode& node, Millis now, Actions& actions) {
+  if (now < node.next_heartbeat_at)
+    return;
+  node.next_heartbeat_at = now + kHeartbeatPeriod;
+  ++node.heartbeat_number;
+  FleetMember self;
+  self.address = node.store.self.address;
+  SendHeartbeat sent;
+  for (const auto* members : {&node.view.members, &node.unregistered_daemons}) {
+    for (const auto& [id, member] : *members) {
+      const Millis period = GetOwnPeriod(node, self, member);
+      if (id == node.self.id || period == Millis())
+        continue;
+      const auto periods_per_beat =
+          static_cast<uint64_t>(period.count / kHeartbeatPeriod.count);
+      if (node.heartbeat_number % periods_per_beat == 0)
+        sent.to.push_back(id);
+    }
+  }
+  if (sent.to.empty())
+    return;
+  sent.heartbeat = MakeHeartbeat(node, now);
+  actions.push_back(std::move(sent));
+}
+
+void UpdateExpectedHeartbeats(FleetNode& node, Millis now) {
+  FleetMember self;
+  self.address = node.store.self.address;
+  for (auto& [id, peer_status] : node.peers) {
+    const auto member = node.view.members.find(id);
+    if (member == node.view.members.end())
+      continue;
+    const bool is_expected =
+        GetHeartbeatPeriod(node.view, member->second, self) > Millis();
+    if (is_expected && !peer_status.is_heartbeat_expected)
+      peer_status.last_received_at = now;
+    peer_status.is_heartbeat_expected = is_expected;
+  }
+}
+
+Millis GetLastKnownAlive(const FleetNode& node,
+                         const DaemonRef& daemon,
+                         Millis now) {
+  const auto found = node.peers.find(daemon.id);
+  if (found == node.peers.end())
+    return now;
+  if (!HasSession(node.sessions, daemon))
+    return found->second.previous_incarnation_received_at;
+  return found->second.is_heartbeat_expected ? found->second.last_received_at
+                                             : now;
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/fleet/heartbeat_flow.h
@@ -0,0 +1,47 @@
+#ifndef DOGWOODFALL_MODULES_CORE_FLEET_HEARTBEAT_FLOW_H_
+#define DOGWOODFALL_MODULES_CORE_FLEET_HEARTBEAT_FLOW_H_
+
+#include "base/millis.h"
+#include "core/fleet/fleet_node.h"
+#include "ports/action.h"
+
+namespace dogwoodfall {
+
+/** Period of heartbeats within a zone. Several must be missed before another
+ * daemon takes ownership of a peer's endpoints.
+ */
+inline constexpr Millis kHeartbeatPeriod{100};
+/** Period of heartbeats between owners in different zones. */
+inline constexpr Millis kRemoteHeartbeatPeriod{200};
+
+/** Returns the period at which one daemon sends heartbeats to another one, or
+ * zero when it sends none.
+ *
+ * In a small fleet every daemon sends to every other one. In a larger one, the
+ * number of messages must not grow with the square of the number of daemons:
+ * the daemons of a zone exchange heartbeats with the owners of its groups,
+ * which detect each other's failure and that of the zone's receivers, and the
+ * owners of all zones exchange their loads and jobs.
+ */
+Millis GetHeartbeatPeriod(const FleetView& view,
+                          const FleetMember& from,
+                          const FleetMember& to);
+
+/** Sends the heartbeats that are due. */
+void SendHeartbeats(FleetNode& node, Millis now, Actions& actions);
+
+/** Updates from which peers heartbeats are expected. A peer from which they
+ * were not expected before counts as heard now.
+ */
+void UpdateExpectedHeartbeats(FleetNode& node, Millis now);
+
+/** Returns the time at which a daemon was certainly alive last, as far as this
+ * one can know: the present when it sends this one no heartbeats.
+ */
+Millis GetLastKnownAlive(const FleetNode& node,
+                         const DaemonRef& daemon,
+                         Millis now);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_FLEET_HEARTBEAT_FLOW_H_
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -6,6 +6,7 @@
 
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
+#include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/job_flow.h"
@@ -149,8 +150,11 @@
       continue;
     StartSession(node.sessions, RefOf(member));
     PeerStatus peer_status;
+    const auto previous = node.peers.find(id);
+    const bool was_expected =
+        previous != node.peers.end() && previous->second.is_heartbeat_expected;
     peer_status.previous_incarnation_received_at =
-        node.peers[id].last_received_at;
+        was_expected ? previous->second.last_received_at : now;
     peer_status.last_received_at = now;
     node.peers[id] = peer_status;
   }
@@ -236,6 +240,7 @@
                         Actions& actions) {
   if (has_view_changed) {
     StartMissingSessions(node, now, actions);
+    UpdateExpectedHeartbeats(node, now);
     RestoreOwnItem(node, now, actions);
   }
   UpdateOwnership(node, now, actions);
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -208,7 +208,7 @@
     RecordForwardedJob(node, submission, RefOf(*owner), now);
     return;
   }
-  if (!is_known && FollowSpillover(node, receiver, submission))
+  if (!is_known && RedirectToRunningGroup(node, receiver, submission, now))
     return;
   if (!is_known &&
       ForwardToLessLoadedGroup(node, receiver, submission, now, actions))
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -4,16 +4,17 @@
 #include <set>
 
 #include "base/hash.h"
+#include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/scheduling/spillover.h"
 
 namespace dogwoodfall {
 namespace {
 
-/** Time for which the load in a peer's heartbeat is used; two heartbeats in a
- * row may be lost.
+/** Time for which the load in a peer's heartbeat is used; one heartbeat from
+ * another zone, or three from the own zone, may be lost.
  */
-constexpr Millis kLoadValidity{350};
+constexpr Millis kLoadValidity{450};
 
 /** Returns the load of other daemons' groups from their last heartbeats. */
 std::vector<GroupLoad*> CollectPeerLoads(FleetNode& node, Millis now) {
@@ -54,18 +55,22 @@
   return loads;
 }
 
-bool FollowSpillover(FleetNode& node,
-                     const DaemonRef& receiver,
-                     const JobSubmission& submission) {
+bool RedirectToRunningGroup(FleetNode& node,
+                            const DaemonRef& receiver,
+                            const JobSubmission& submission,
+                            Millis now) {
+  std::optional<EndpointGroup> group =
+      FindRunningGroup(node, submission.job.id, now);
   const auto record = node.forwarded_jobs.find(submission.job.id);
-  if (!submission.may_forward || record == node.forwarded_jobs.end() ||
-      record->second.spillover_group.zone.value.empty())
+  if (!group && record != node.forwarded_jobs.end() &&
+      !record->second.spillover_group.zone.value.empty())
+    group = record->second.spillover_group;
+  if (!submission.may_forward || !group || *group == submission.group)
     return false;
-  const EndpointGroup& group = record->second.spillover_group;
-  const FleetMember* owner = OwnerOfGroup(node.view, group);
+  const FleetMember* owner = OwnerOfGroup(node.view, *group);
   if (owner == nullptr || RefOf(*owner) == node.self)
     return false;
-  JobRedirect redirect = MakeRedirect(node, submission.job.id, *owner, group,
+  JobRedirect redirect = MakeRedirect(node, submission.job.id, *owner, *group,
                                       submission.may_have_started);
   redirect.is_spillover = true;
   node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
--- a/modules/core/fleet/spillover_flow.h
+++ b/modules/core/fleet/spillover_flow.h
@@ -11,14 +11,17 @@
 /** Computes the load of all groups that this daemon owns, for heartbeats. */
 std::vector<GroupLoad> ComputeOwnGroupLoads(const FleetNode& node, Millis now);
 
-/** Redirects a submission of a job that was forwarded to another group shortly
- * before, as an earlier submission of it may still run there.
+/** Redirects a submission of a job whose earlier submission runs, or may run,
+ * in another group: one that it was forwarded to shortly before, or one whose
+ * scheduler lists it in its heartbeats. In a large fleet a receiver gets the
+ * heartbeats of its own zone only, so that the scheduler has to check this.
  *
  * @return true when the submission was redirected
  */
-bool FollowSpillover(FleetNode& node,
-                     const DaemonRef& receiver,
-                     const JobSubmission& submission);
+bool RedirectToRunningGroup(FleetNode& node,
+                            const DaemonRef& receiver,
+                            const JobSubmission& submission,
+                            Millis now);
 
 /** Forwards a job that has not started to a less loaded group, if there is one.
  *
--- a/modules/core/node/peer_flow.cc
+++ b/modules/core/node/peer_flow.cc
@@ -67,7 +67,7 @@
                             Actions& actions) {
   Heartbeat heartbeat = MakeHeartbeat(node, now);
   heartbeat.ended_receiver = ended.incarnation;
-  actions.push_back(SendHeartbeat{ended.id, heartbeat});
+  actions.push_back(SendHeartbeat{{ended.id}, heartbeat});
 }
 
 /** Handles the notification that peers have declared this incarnation ended.
@@ -137,11 +137,13 @@
 }
 
 void SendHeartbeats(Node& node, Millis now, Actions& actions) {
-  const Heartbeat heartbeat = MakeHeartbeat(node, now);
+  SendHeartbeat sent;
+  sent.heartbeat = MakeHeartbeat(node, now);
   for (const auto& [id, known] : node.membership.daemons) {
     if (known.listed)
-      actions.push_back(SendHeartbeat{id, heartbeat});
+      sent.to.push_back(id);
   }
+  actions.push_back(std::move(sent));
 }
 
 void ResolveEndedIncarnation(Node& node,
--- a/modules/ports/action.h
+++ b/modules/ports/action.h
@@ -26,9 +26,9 @@
   PeerFrame frame;
 };
 
-/** Sends a heartbeat to a peer over UDP. A loss is not reported. */
+/** Sends a heartbeat to peers over UDP. A loss is not reported. */
 struct SendHeartbeat {
-  DaemonId to;
+  std::vector<DaemonId> to;
   Heartbeat heartbeat;
 };
 
--- a/tests/support/fake_world.cc
+++ b/tests/support/fake_world.cc
@@ -157,7 +157,8 @@
   if (const auto* frame = std::get_if<SendFrame>(&action)) {
     this->DeliverFrame(daemon, frame->frame);
   } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
-    this->DeliverHeartbeat(daemon, *heartbeat);
+    for (const DaemonId& to : heartbeat->to)
+      this->DeliverHeartbeat(daemon, to, heartbeat->heartbeat);
   } else if (const auto* start = std::get_if<StartTask>(&action)) {
     this->SimulateStart(daemon, *start);
   } else if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
@@ -214,17 +215,19 @@
   }
 }
 
-void FakeWorld::DeliverHeartbeat(size_t from, const SendHeartbeat& action) {
-  const std::optional<size_t> to = this->IndexOf(action.to);
+void FakeWorld::DeliverHeartbeat(size_t from,
+                                 const DaemonId& receiver,
+                                 const Heartbeat& sent) {
+  const std::optional<size_t> to = this->IndexOf(receiver);
   if (!to || this->IsPartitioned(from, *to))
     return;
-  this->ScheduleAt(this->now + kNetworkDelay, [this, to = *to,
-                                               heartbeat = action.heartbeat] {
-    this->DeliverEvent(to, this->IncarnationOf(to),
-                       [this, heartbeat](Node& node, Actions& actions) {
-                         OnHeartbeat(node, this->now, heartbeat, actions);
-                       });
-  });
+  this->ScheduleAt(
+      this->now + kNetworkDelay, [this, to = *to, heartbeat = sent] {
+        this->DeliverEvent(to, this->IncarnationOf(to),
+                           [this, heartbeat](Node& node, Actions& actions) {
+                             OnHeartbeat(node, this->now, heartbeat, actions);
+                           });
+      });
 }
 
 void FakeWorld::SimulateStart(size_t daemon, const StartTask& start) {
--- a/tests/support/fake_world.h
+++ b/tests/support/fake_world.h
@@ -152,7 +152,9 @@
   void HandleEvent(size_t daemon, const Handler& handler);
   void Perform(size_t daemon, const Action& action);
   void DeliverFrame(size_t from, const PeerFrame& frame);
-  void DeliverHeartbeat(size_t from, const SendHeartbeat& action);
+  void DeliverHeartbeat(size_t from,
+                        const DaemonId& receiver,
+                        const Heartbeat& sent);
   void SimulateStart(size_t daemon, const StartTask& start);
   void SimulateStoreCall(size_t daemon, const CallStore& call);
   void TickAll();
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -193,18 +193,8 @@
       });
     } else if (const auto* send_heartbeat =
                    std::get_if<SendHeartbeat>(&action)) {
-      const std::string to = send_heartbeat->to.value;
-      if (this->incarnations.count(to) == 0 ||
-          this->is_partitioned(from, send_heartbeat->to))
-        continue;
-      const Millis delay =
-          kNetworkLatency + this->message_delay(from, DaemonId(to));
-      this->Schedule(delay, [this, to, incarnation = this->incarnations.at(to),
-                             sent = send_heartbeat->heartbeat]() {
-        this->DeliverEvent(to, incarnation, [=](FleetNode& node, Actions& out) {
-          OnHeartbeat(node, this->now, sent, out);
-        });
-      });
+      for (const DaemonId& to : send_heartbeat->to)
+        this->DeliverHeartbeat(from, to, send_heartbeat->heartbeat);
     } else if (const auto* call = std::get_if<CallEndpoint>(&action)) {
       this->Schedule(kNetworkLatency + this->command_delay(from),
                      [this, daemon, command = call->command]() {
@@ -228,6 +218,22 @@
   }
 }
 
+void FleetWorld::DeliverHeartbeat(const DaemonId& from,
+                                  const DaemonId& to,
+                                  const Heartbeat& heartbeat) {
+  ++this->heartbeat_count;
+  const auto incarnation = this->incarnations.find(to.value);
+  if (incarnation == this->incarnations.end() || this->is_partitioned(from, to))
+    return;
+  const Millis delay = kNetworkLatency + this->message_delay(from, to);
+  this->Schedule(delay, [this, to = to.value, incarnation = incarnation->second,
+                         heartbeat]() {
+    this->DeliverEvent(to, incarnation, [=](FleetNode& node, Actions& out) {
+      OnHeartbeat(node, this->now, heartbeat, out);
+    });
+  });
+}
+
 void FleetWorld::ExecuteEndpointCommand(const std::string& daemon,
                                         const EndpointCommand& command) {
   const auto incarnation = this->incarnations.find(daemon);
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -51,6 +51,10 @@
   /** Prints the daemons' log; set by the environment variable FLEET_WORLD_LOG.
    */
   bool prints_log;
+  /** Number of heartbeats sent so far. */
+  uint64_t heartbeat_count = 0;
+  /** Number of items that the store has sent to daemons so far. */
+  uint64_t store_item_count = 0;
   /** Results by job id. */
   std::map<std::string, JobResult> results;
   /** Tasks that had two runs at the same time. */
@@ -106,6 +110,9 @@
                          uint64_t incarnation,
                          StoreToken token,
                          const KeyValueReply& reply);
+  void DeliverHeartbeat(const DaemonId& from,
+                        const DaemonId& to,
+                        const Heartbeat& heartbeat);
   void ExecuteEndpointCommand(const std::string& daemon,
                               const EndpointCommand& command);
   void RemoveMember(const DaemonId& id);
