Reserve fast endpoints for long jobs from half load on

At half load, a short task took a fast endpoint over an equally filled slow one: the weight of reserving (0.15) was no higher than that of a longer run time.

Before: ShortTaskLeavesFastEndpointFreeAtHalfLoad, the long job's caller waits 919 ms. After: at most 800.

--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -22,7 +22,7 @@
 /** Use of a fast endpoint by a task that a slow one could run as well; counts
  * most at high load.
  */
-constexpr double kReserveWeight = 0.15;
+constexpr double kReserveWeight = 0.5;
 /** Expected failures. Less than 1, because a failed run is repeated elsewhere
  * and mostly still ends in time.
  */
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -206,6 +206,29 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// At half load, a short task must leave the free half of a fast endpoint to the
+// long job that comes next: only there can that one be completed in time.
+TEST(SchedulingTest, ShortTaskLeavesFastEndpointFreeAtHalfLoad) {
+  SchedulerWorld world;
+  world.AddEndpoint("fast", 16, 0.55);
+  world.AddEndpoint("slow", 16, 1.2);
+  world.Run({20});
+  for (auto& [id, endpoint] : world.scheduler.endpoints)
+    endpoint.slowness = world.endpoints.at(id).slowness;
+  JobSubmission busy =
+      SchedulerWorld::MakeSubmission("busy", 2, 7, {500}, "busy");
+  busy.job.steps[0].max_per_endpoint = 1;
+  world.SubmitJob(busy, {500});
+  world.Run({40});
+  world.Submit("short", 1, 7, {400}, "short");
+  world.Run({20});
+  world.Submit("long", 1, 7, {1'300}, "long");
+  world.Run({1'600});
+  EXPECT_EQ(ResultOf(world, "short"), JobResult::kCompleted);
+  EXPECT_EQ(ResultOf(world, "long"), JobResult::kCompleted);
+  EXPECT_LE(world.results[SubmissionId("long")].waited.count, 800);
+}
+
 // A run on an endpoint that has become slow is moved. A run that takes long
 // because its job is large must not be moved: it is slow on every endpoint.
 TEST(SchedulingTest, StragglersAreMovedAndLargeJobsAreNot) {
