Let only owners follow endpoints, and keep groups when daemons join

Now only the owners of groups and two standbys a zone follow endpoints; all daemons watch members and routes. A new owner reads the endpoints at once, and jobs wait for that instead of being refused. - A number of groups that changed (every fourth daemon of a zone) regrouped nearly all endpoints and jobs, and jobs of a vanished group were never started. Now consistent hashing moves a new group's share only, owners are matched by score, and jobs of a vanished group get another one. - Heartbeats: 100 ms between owners and standbys of a zone, 200 ms to and from its other daemons; time-outs are five periods.

Ruled out: one reader a zone that feeds the others; next step, as owners still read all 1,100 endpoints. Exact minimal movement of owners: not possible without a state of the view; the test of it is red and listed.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -25,7 +25,7 @@
 /** Period of the timer on which the core runs what is due. Retries and
  * heartbeats have periods of 20 ms or more; answers are handled on arrival.
  */
-constexpr timeval kTickPeriod = {0, 10'000};
+constexpr timeval kTickPeriod = {0, 20'000};
 /** Time for the last answers to be sent after the core has finished. */
 constexpr timeval kExitDelay = {0, 100'000};
 
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -77,9 +77,11 @@
  */
 bool AssignToGroup(FleetNode& node,
                    PendingJob& pending,
-                   const EndpointGroup& group,
+                   const EndpointGroup& requested_group,
                    Millis now,
                    Actions& actions) {
+  const EndpointGroup group =
+      CurrentGroupOfJob(node.view, requested_group, pending.job.id);
   const FleetMember* scheduler = OwnerOfGroup(node.view, group);
   if (scheduler == nullptr)
     return false;
@@ -126,6 +128,7 @@
                      PendingJob& pending,
                      Millis now,
                      Actions& actions) {
+  pending.group = CurrentGroupOfJob(node.view, pending.group, pending.job.id);
   const FleetMember* next = OwnerOfGroup(node.view, pending.group);
   pending.previous_scheduler = pending.scheduler;
   pending.previous_assumed_alive_at = pending.assigned_at;
@@ -139,7 +142,8 @@
 
 /** Returns true when a job's group has an owner other than its scheduler. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
-  const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
+  const FleetMember* owner = OwnerOfGroup(
+      node.view, CurrentGroupOfJob(node.view, pending.group, pending.job.id));
   return owner != nullptr && RefOf(*owner) != pending.scheduler;
 }
 
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -17,11 +17,10 @@
 namespace dogwoodfall {
 namespace {
 
-/** Time without a message after which a peer counts as unreachable and its item
- * is removed. No longer than the lease of runs (kRunLease), so that the next
- * owner can still claim the peer's runs.
+/** Time without a message from any of its daemons after which a zone counts as
+ * unreachable.
  */
-constexpr Millis kPeerTimeout{500};
+constexpr Millis kZoneTimeout{800};
 /** Period of the checks of peers, queue, endpoints and pending jobs. */
 constexpr Millis kReviewPeriod{20};
 /** Minimum time of a graceful shutdown: the platform checks readiness twice, a
@@ -59,10 +58,10 @@
     const auto member = node.view.members.find(id);
     if (member == node.view.members.end() ||
         member->second.address.zone != node.zone ||
-        !peer_status.is_heartbeat_expected)
+        peer_status.heartbeat_period == Millis())
       continue;
-    const bool is_unreachable =
-        now - peer_status.last_received_at >= kPeerTimeout;
+    const bool is_unreachable = now - peer_status.last_received_at >=
+                                GetPeerTimeout(peer_status.heartbeat_period);
     if (!is_unreachable || peer_status.is_eviction_requested ||
         !node.store.is_reachable)
       continue;
@@ -101,7 +100,7 @@
                      [&](const auto& entry) {
                        const PeerStatus& peer_status = entry.second;
                        return peer_status.last_heartbeat.zone == zone &&
-                              now - peer_status.last_received_at < kPeerTimeout;
+                              now - peer_status.last_received_at < kZoneTimeout;
                      });
 }
 
@@ -116,7 +115,9 @@
     return true;
   const auto peer_status = node.peers.find(receiver.id);
   if (peer_status == node.peers.end() ||
-      now - peer_status->second.last_received_at < kPeerTimeout)
+      now - peer_status->second.last_received_at <
+          GetPeerTimeout(
+              std::max(peer_status->second.heartbeat_period, kHeartbeatPeriod)))
     return false;
   const auto member = node.view.members.find(receiver.id);
   if (member == node.view.members.end() || IsSmallFleet(node.view))
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -42,10 +42,10 @@
   Millis previous_incarnation_received_at;
   Heartbeat last_heartbeat;
   PeerDelay delay;
-  /** True when this daemon gets heartbeats from it; stays so after the peer's
-   * removal from the view.
+  /** Period of the heartbeats that it sends to this daemon, or zero; unchanged
+   * after the peer's removal from the view.
    */
-  bool is_heartbeat_expected = false;
+  Millis heartbeat_period;
   /** True once the removal of its store item was requested. */
   bool is_eviction_requested = false;
   /** Time since which its view or routes are known to be outdated; zero while
--- a/modules/core/fleet/fleet_view.cc
+++ b/modules/core/fleet/fleet_view.cc
@@ -1,7 +1,9 @@
 #include "core/fleet/fleet_view.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/hash.h"
@@ -52,26 +54,62 @@
   return members;
 }
 
+/** Maps a hash to one of a number of buckets. When a bucket is added, only keys
+ * that move to it change (jump consistent hash, Lamping and Veach, 2014).
+ */
+uint32_t ChooseBucket(uint64_t hash, uint32_t buckets) {
+  constexpr uint64_t kMultiplier = 2862933555777941757ULL;
+  constexpr double kTwoToThe31 = 2147483648.0;
+  constexpr int kUnusedBits = 33;
+  int64_t bucket = 0;
+  int64_t next = 0;
+  while (next < static_cast<int64_t>(buckets)) {
+    bucket = next;
+    hash = hash * kMultiplier + 1;
+    next = static_cast<int64_t>(
+        static_cast<double>(bucket + 1) *
+        (kTwoToThe31 / static_cast<double>((hash >> kUnusedBits) + 1)));
+  }
+  return static_cast<uint32_t>(bucket);
+}
+
+/** Assigns the free groups to members, each to one: repeatedly the pair with
+ * the highest score. When a member or a group is added or removed, only a short
+ * chain of pairs changes.
+ */
+void AssignFreeGroups(const Members& members,
+                      const ZoneId& zone,
+                      std::vector<DaemonId>& owners) {
+  std::vector<std::tuple<uint64_t, size_t, DaemonId>> pairs;
+  for (uint32_t index = 0; index < owners.size(); ++index) {
+    if (!owners[index].value.empty())
+      continue;
+    for (const FleetMember* member : members) {
+      const uint64_t score = StableHash(member->address.id.value + "\n" +
+                                        NameOf(EndpointGroup{zone, index}));
+      pairs.emplace_back(score, index, member->address.id);
+    }
+  }
+  std::sort(pairs.rbegin(), pairs.rend());
+  std::set<DaemonId> assigned;
+  for (const auto& [score, index, id] : pairs) {
+    if (owners[index].value.empty() && assigned.insert(id).second)
+      owners[index] = id;
+  }
+}
+
 /** Chooses the owners of a zone's groups, by index; empty when all of its
  * daemons are leaving.
  */
-std::vector<DaemonId> ChooseOwnersInZone(const FleetView& view,
+std::vector<DaemonId> ChooseOwnersInZone(Members ranked,
                                          const ZoneId& zone,
                                          size_t group_count) {
-  Members ranked = RankMembers(view, zone);
   if (ranked.empty())
     return {};
   ranked.resize(std::min(ranked.size(), group_count));
-  std::vector<DaemonId> owners;
-  Members unassigned = ranked;
-  for (uint32_t index = 0; index < group_count; ++index) {
-    if (unassigned.empty())
-      unassigned = ranked;
-    const FleetMember& owner =
-        ChooseMember(unassigned, NameOf(EndpointGroup{zone, index}));
-    owners.push_back(owner.address.id);
-    unassigned.erase(std::find(unassigned.begin(), unassigned.end(), &owner));
-  }
+  std::vector<DaemonId> owners(group_count);
+  for (size_t assigned = 0; assigned < group_count; assigned += ranked.size())
+    AssignFreeGroups(ranked, zone, owners);
   return owners;
 }
 
@@ -82,11 +120,16 @@
     ++members[member.address.zone];
   view.owners.clear();
   view.all_owners.clear();
+  view.owner_candidates.clear();
   view.group_counts.clear();
   for (const auto& [zone, count] : members) {
     const size_t groups = (count + kMembersPerGroup - 1) / kMembersPerGroup;
     view.group_counts[zone] = static_cast<uint32_t>(groups);
-    view.owners[zone] = ChooseOwnersInZone(view, zone, groups);
+    const Members ranked = RankMembers(view, zone);
+    view.owners[zone] = ChooseOwnersInZone(ranked, zone, groups);
+    for (size_t i = 0;
+         i < std::min(ranked.size(), groups + kStandbyOwnersPerZone); ++i)
+      view.owner_candidates.insert(ranked[i]->address.id);
     view.all_owners.insert(view.owners[zone].begin(), view.owners[zone].end());
   }
 }
@@ -97,6 +140,10 @@
   return view.members.size() <= kMaxSmallFleetSize;
 }
 
+bool IsOwnerCandidate(const FleetView& view, const DaemonId& daemon) {
+  return view.owner_candidates.count(daemon) > 0;
+}
+
 bool IsOwner(const FleetView& view, const DaemonId& daemon) {
   return view.all_owners.count(daemon) > 0;
 }
@@ -140,15 +187,22 @@
 EndpointGroup GroupOfEndpoint(const FleetView& view,
                               const ZoneId& zone,
                               const EndpointId& endpoint) {
-  const uint64_t hash = StableHash(endpoint.value);
-  return {zone, static_cast<uint32_t>(hash % GroupCount(view, zone))};
+  return {zone,
+          ChooseBucket(StableHash(endpoint.value), GroupCount(view, zone))};
 }
 
 EndpointGroup GroupOfJob(const FleetView& view,
                          const ZoneId& zone,
                          const SubmissionId& job) {
-  const uint64_t hash = StableHash(job.value);
-  return {zone, static_cast<uint32_t>(hash % GroupCount(view, zone))};
+  return {zone, ChooseBucket(StableHash(job.value), GroupCount(view, zone))};
+}
+
+EndpointGroup CurrentGroupOfJob(const FleetView& view,
+                                const EndpointGroup& group,
+                                const SubmissionId& job) {
+  return group.index < GroupCount(view, group.zone)
+             ? group
+             : GroupOfJob(view, group.zone, job);
 }
 
 const FleetMember* OwnerOfGroup(const FleetView& view,
--- a/modules/core/fleet/fleet_view.h
+++ b/modules/core/fleet/fleet_view.h
@@ -31,14 +31,22 @@
   std::map<ZoneId, uint32_t> group_counts;
   /** All daemons that own groups, computed with the owners. */
   std::set<DaemonId> all_owners;
+  /** The owners, and the daemons that replace them next. */
+  std::set<DaemonId> owner_candidates;
 };
 
+/** Number of daemons of a zone that stand by to replace an owner. */
+inline constexpr size_t kStandbyOwnersPerZone = 2;
+
 /** Number of daemons up to which each sends heartbeats to all others. */
 inline constexpr size_t kMaxSmallFleetSize = 12;
 
 /** Returns true when the fleet has at most kMaxSmallFleetSize daemons. */
 bool IsSmallFleet(const FleetView& view);
 
+/** Returns true when a daemon owns a group, or is next to own one. */
+bool IsOwnerCandidate(const FleetView& view, const DaemonId& daemon);
+
 /** Returns true when a daemon owns a group of any zone. */
 bool IsOwner(const FleetView& view, const DaemonId& daemon);
 
@@ -80,6 +88,13 @@
                          const ZoneId& zone,
                          const SubmissionId& job);
 
+/** Returns the group that a job belongs to which was assigned to a group
+ * before: the same one, or another one of the zone when that no longer exists.
+ */
+EndpointGroup CurrentGroupOfJob(const FleetView& view,
+                                const EndpointGroup& group,
+                                const SubmissionId& job);
+
 /** Returns the daemon that owns a group and sends commands to its endpoints.
  *
  * Of the zone's daemons that are not leaving, large instances and then older
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -40,21 +40,34 @@
   const Millis period = GetHeartbeatPeriod(node.view, self, peer);
   const bool is_isolated =
       !node.store.is_reachable && IsOwner(node.view, peer.address.id);
-  return period == Millis() && is_isolated ? kRemoteHeartbeatPeriod : period;
+  return period == Millis() && is_isolated ? kSlowHeartbeatPeriod : period;
 }
 
 }  // namespace
 
+Millis GetPeerTimeout(Millis heartbeat_period) {
+  // No longer than the lease of runs for the fast period, so that the next
+  // owner can still claim the peer's runs.
+  constexpr int64_t kPeriodsPerTimeout = 5;
+  return {kPeriodsPerTimeout * heartbeat_period.count};
+}
+
 Millis GetHeartbeatPeriod(const FleetView& view,
                           const FleetMember& from,
                           const FleetMember& to) {
   if (IsSmallFleet(view))
     return kHeartbeatPeriod;
-  const bool is_from_owner = IsOwner(view, from.address.id);
-  const bool is_to_owner = IsOwner(view, to.address.id);
-  if (from.address.zone == to.address.zone)
-    return is_from_owner || is_to_owner ? kHeartbeatPeriod : Millis();
-  return is_from_owner && is_to_owner ? kRemoteHeartbeatPeriod : Millis();
+  if (from.address.zone == to.address.zone) {
+    const bool is_from_candidate = IsOwnerCandidate(view, from.address.id);
+    const bool is_to_candidate = IsOwnerCandidate(view, to.address.id);
+    if (is_from_candidate && is_to_candidate)
+      return kHeartbeatPeriod;
+    return is_from_candidate || is_to_candidate ? kSlowHeartbeatPeriod
+                                                : Millis();
+  }
+  const bool are_owners =
+      IsOwner(view, from.address.id) && IsOwner(view, to.address.id);
+  return are_owners ? kSlowHeartbeatPeriod : Millis();
 }
 
 void SendHeartbeats(FleetNode& node, Millis now, Actions& actions) {
@@ -89,11 +102,11 @@
     const auto member = node.view.members.find(id);
     if (member == node.view.members.end())
       continue;
-    const bool is_expected =
-        GetHeartbeatPeriod(node.view, member->second, self) > Millis();
-    if (is_expected && !peer_status.is_heartbeat_expected)
+    const Millis period = GetHeartbeatPeriod(node.view, member->second, self);
+    const bool was_expected = peer_status.heartbeat_period > Millis();
+    if (period > Millis() && !was_expected)
       peer_status.last_received_at = now;
-    peer_status.is_heartbeat_expected = is_expected;
+    peer_status.heartbeat_period = period;
   }
 }
 
@@ -105,8 +118,9 @@
     return now;
   if (!HasSession(node.sessions, daemon))
     return found->second.previous_incarnation_received_at;
-  return found->second.is_heartbeat_expected ? found->second.last_received_at
-                                             : now;
+  return found->second.heartbeat_period > Millis()
+             ? found->second.last_received_at
+             : now;
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/heartbeat_flow.h
+++ b/modules/core/fleet/heartbeat_flow.h
@@ -11,17 +11,24 @@
  * daemon takes ownership of a peer's endpoints.
  */
 inline constexpr Millis kHeartbeatPeriod{100};
-/** Period of heartbeats between owners in different zones. */
-inline constexpr Millis kRemoteHeartbeatPeriod{200};
+/** Period of heartbeats between owners in different zones, and between owners
+ * and the receivers of their zone.
+ */
+inline constexpr Millis kSlowHeartbeatPeriod{200};
+
+/** Returns the time without a message after which a peer counts as unreachable,
+ * by the period of its heartbeats. Several may be lost.
+ */
+Millis GetPeerTimeout(Millis heartbeat_period);
 
 /** Returns the period at which one daemon sends heartbeats to another one, or
  * zero when it sends none.
  *
  * In a small fleet every daemon sends to every other one. In a larger one, the
  * number of messages must not grow with the square of the number of daemons:
- * the daemons of a zone exchange heartbeats with the owners of its groups,
- * which detect each other's failure and that of the zone's receivers, and the
- * owners of all zones exchange their loads and jobs.
+ * the daemons of a zone exchange heartbeats with the owners of its groups and
+ * their next replacements, which detect each other's failure and that of the
+ * zone's receivers, and the owners of all zones exchange their loads and jobs.
  */
 Millis GetHeartbeatPeriod(const FleetView& view,
                           const FleetMember& from,
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -51,11 +51,6 @@
                 {"members", std::to_string(node.view.members.size())}}});
 }
 
-bool IsAboutDaemon(const StoreChange& change) {
-  return std::holds_alternative<MemberChanged>(change) ||
-         std::holds_alternative<MemberRemoved>(change);
-}
-
 /** @return true when the view of the daemons has changed */
 bool ApplyChange(FleetNode& node,
                  const StoreChange& change,
@@ -151,8 +146,8 @@
     StartSession(node.sessions, RefOf(member));
     PeerStatus peer_status;
     const auto previous = node.peers.find(id);
-    const bool was_expected =
-        previous != node.peers.end() && previous->second.is_heartbeat_expected;
+    const bool was_expected = previous != node.peers.end() &&
+                              previous->second.heartbeat_period > Millis();
     peer_status.previous_incarnation_received_at =
         was_expected ? previous->second.last_received_at : now;
     peer_status.last_received_at = now;
@@ -203,9 +198,15 @@
 
 /** Takes and releases ownership of endpoints according to the view. */
 void UpdateOwnership(FleetNode& node, Millis now, Actions& actions) {
+  for (auto& [id, job] : node.scheduler.jobs)
+    job.group = CurrentGroupOfJob(node.view, job.group, id);
   HandOverJobs(node, now, actions);
   std::vector<EndpointId> to_release;
-  for (const auto& [id, endpoint] : node.scheduler.endpoints) {
+  for (auto& [id, endpoint] : node.scheduler.endpoints) {
+    // Endpoints that are not in the store belong to the group of the jobs whose
+    // runs they have.
+    if (node.entries.count(id) > 0)
+      endpoint.group = GroupOfEndpoint(node.view, endpoint.entry.zone, id);
     if (OtherOwnerOf(node, endpoint.group) != nullptr)
       to_release.push_back(id);
   }
@@ -231,6 +232,24 @@
   }
 }
 
+/** Starts to follow the endpoints' items before this daemon may own some, and
+ * stops after it can't own any. While there are no members, as when the store
+ * has lost all items, nothing changes.
+ */
+void UpdateEndpointsNeeded(FleetNode& node, Millis now, Actions& actions) {
+  if (node.view.members.empty())
+    return;
+  const bool is_needed = IsOwnerCandidate(node.view, node.self.id);
+  if (is_needed == node.store.needs_endpoints)
+    return;
+  SetEndpointsNeeded(node.store, is_needed);
+  if (!is_needed) {
+    node.entries.clear();
+    node.scheduler.are_endpoints_known = false;
+  }
+  AdvanceStoreSession(node.store, now, actions);
+}
+
 /** Updates sessions, ownership and assignments after the view or the endpoints
  * have changed.
  */
@@ -241,6 +260,7 @@
   if (has_view_changed) {
     StartMissingSessions(node, now, actions);
     UpdateExpectedHeartbeats(node, now);
+    UpdateEndpointsNeeded(node, now, actions);
     RestoreOwnItem(node, now, actions);
   }
   UpdateOwnership(node, now, actions);
@@ -259,10 +279,6 @@
   return owner != nullptr && RefOf(*owner) != node.self ? owner : nullptr;
 }
 
-bool IsScheduler(const FleetNode& node) {
-  return !node.scheduler.endpoints.empty();
-}
-
 void SendPeerList(const FleetNode& node, Actions& actions) {
   UpdatePeers peers;
   for (const auto& [id, member] : node.view.members) {
@@ -285,14 +301,15 @@
     has_view_changed = ApplyMembers(node, CollectMembers(update),
                                     update.revision, "store", actions);
   } else {
-    if (update.is_snapshot)
+    if (update.is_snapshot && update.scope == ItemScope::kEndpoints) {
       RemoveMissingEndpoints(node, update, now, actions);
+      node.scheduler.are_endpoints_known = true;
+    }
     for (const StoreChange& change : update.changes) {
-      if (IsAboutDaemon(change) == (update.scope == ItemScope::kDaemons))
-        has_view_changed |= ApplyChange(node, change, now, actions);
+      has_view_changed |= ApplyChange(node, change, now, actions);
     }
   }
-  if (has_view_changed || !update.changes.empty())
+  if (has_view_changed || update.is_snapshot || !update.changes.empty())
     UpdateAfterChanges(node, has_view_changed, now, actions);
 }
 
--- a/modules/core/fleet/ownership_flow.h
+++ b/modules/core/fleet/ownership_flow.h
@@ -32,9 +32,6 @@
 const FleetMember* OtherOwnerOf(const FleetNode& node,
                                 const EndpointGroup& group);
 
-/** Returns true when this daemon owns endpoints and so schedules jobs. */
-bool IsScheduler(const FleetNode& node);
-
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_CORE_FLEET_OWNERSHIP_FLOW_H_
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -196,7 +196,8 @@
     node.early_jobs.push_back({receiver, submission, now});
     return;
   }
-  const EndpointGroup& group = submission.group;
+  const EndpointGroup group =
+      CurrentGroupOfJob(node.view, submission.group, submission.job.id);
   const FleetMember* owner = OtherOwnerOf(node, group);
   const bool is_known = node.scheduler.jobs.count(submission.job.id) > 0;
   if (!is_known && owner != nullptr) {
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -16,14 +16,15 @@
 constexpr Millis kRenewalPeriod{600};
 constexpr Millis kRegistrationTimeout{400};
 /** Time for which the store waits for a change before it answers a watch. It
- * bounds the time until a broken connection is noticed to about a second.
+ * bounds the time until a broken connection is noticed; until then, peers send
+ * what this daemon lacks.
  */
-constexpr Millis kWatchTimeout{1'000};
-/** Time beyond kWatchTimeout in which the reply to a watch must arrive. */
+constexpr Millis kDaemonsWatchTimeout{2'000};
+constexpr Millis kRoutesWatchTimeout{3'000};
+/** Time beyond its wait in which the reply to a watch must arrive. */
 constexpr Millis kWatchMargin{300};
-/** Pause between two polls for changes of all items. Routes and leaving
- * endpoints have to take effect within 2 s; this period leaves time for a
- * retry.
+/** Pause between two polls for changes of endpoints. Leaving ones have to be
+ * known within 2 s; this period leaves time for a retry.
  */
 constexpr Millis kPollPeriod{400};
 /** The store usually answers in 4 ms, and occasionally takes about 60 times
@@ -62,19 +63,31 @@
   actions.push_back(CallKeyValue{token, std::move(call), timeout});
 }
 
+StoreCallPurpose PurposeOf(ItemScope scope) {
+  switch (scope) {
+    case ItemScope::kDaemons:
+      return StoreCallPurpose::kFollowDaemons;
+    case ItemScope::kEndpoints:
+      return StoreCallPurpose::kFollowEndpoints;
+    case ItemScope::kRoutes:
+      break;
+  }
+  return StoreCallPurpose::kFollowRoutes;
+}
+
 void Follow(StoreSession& session, StoreFollower& follower, Actions& actions) {
-  const StoreCallPurpose purpose = follower.scope == ItemScope::kDaemons
-                                       ? StoreCallPurpose::kFollowDaemons
-                                       : StoreCallPurpose::kFollowEverything;
+  const StoreCallPurpose purpose = PurposeOf(follower.scope);
   follower.is_call_pending = true;
   if (!follower.is_following) {
     Call(session, purpose, ReadItems{follower.scope, follower.last_page_key},
          kCallTimeout, actions);
     return;
   }
-  Call(session, purpose,
-       WatchItems{follower.scope, follower.followed_to, kWatchTimeout},
-       kWatchTimeout + kWatchMargin, actions);
+  const Millis wait = follower.scope == ItemScope::kRoutes
+                          ? kRoutesWatchTimeout
+                          : kDaemonsWatchTimeout;
+  Call(session, purpose, WatchItems{follower.scope, follower.followed_to, wait},
+       wait + kWatchMargin, actions);
 }
 
 void Register(StoreSession& session, Actions& actions) {
@@ -150,12 +163,22 @@
   follower.failures = 0;
   if (!follower.is_following)
     return HandlePage(follower, reply);
-  if (follower.scope == ItemScope::kEverything)
+  if (follower.scope == ItemScope::kEndpoints)
     follower.next_call_at = now + kPollPeriod;
   follower.followed_to = std::max(follower.followed_to, reply.store_revision);
   return {follower.scope, false, follower.followed_to, reply.changes};
 }
 
+StoreUpdate HandleEndpointsReply(StoreSession& session,
+                                 const KeyValueReply& reply,
+                                 Millis now,
+                                 Actions& actions) {
+  if (session.needs_endpoints)
+    return HandleFollowReply(session, session.endpoints, reply, now, actions);
+  session.endpoints.is_call_pending = false;
+  return {};
+}
+
 void HandleRegisterReply(StoreSession& session,
                          const KeyValueReply& reply,
                          Millis now) {
@@ -207,17 +230,21 @@
   if (has_answered == session.is_reachable)
     return;
   session.is_reachable = has_answered;
-  actions.push_back(LogEvent{
-      has_answered ? "store_regained" : "store_lost",
-      {{"outcome", std::to_string(static_cast<int>(reply.outcome))},
-       {"followed_to", std::to_string(session.everything.followed_to)}}});
+  actions.push_back(
+      LogEvent{has_answered ? "store_regained" : "store_lost",
+               {{"outcome", std::to_string(static_cast<int>(reply.outcome))},
+                {"followed_to", std::to_string(session.daemons.followed_to)}}});
 }
 
 }  // namespace
 
 void AdvanceStoreSession(StoreSession& session, Millis now, Actions& actions) {
-  for (StoreFollower* follower : {&session.daemons, &session.everything}) {
-    if (!follower->is_call_pending && follower->next_call_at <= now)
+  for (StoreFollower* follower :
+       {&session.daemons, &session.routes, &session.endpoints}) {
+    const bool is_needed =
+        follower != &session.endpoints || session.needs_endpoints;
+    if (is_needed && !follower->is_call_pending &&
+        follower->next_call_at <= now)
       Follow(session, *follower, actions);
   }
   if (!session.is_registration_pending && session.next_registration_at <= now &&
@@ -239,9 +266,10 @@
   StoreUpdate update;
   if (purpose == StoreCallPurpose::kFollowDaemons)
     update = HandleFollowReply(session, session.daemons, reply, now, actions);
-  else if (purpose == StoreCallPurpose::kFollowEverything)
-    update =
-        HandleFollowReply(session, session.everything, reply, now, actions);
+  else if (purpose == StoreCallPurpose::kFollowRoutes)
+    update = HandleFollowReply(session, session.routes, reply, now, actions);
+  else if (purpose == StoreCallPurpose::kFollowEndpoints)
+    update = HandleEndpointsReply(session, reply, now, actions);
   else if (purpose == StoreCallPurpose::kRegister)
     HandleRegisterReply(session, reply, now);
   else if (purpose == StoreCallPurpose::kConfirmMembership)
@@ -250,6 +278,12 @@
   return update;
 }
 
+void SetEndpointsNeeded(StoreSession& session, bool is_needed) {
+  if (session.needs_endpoints && !is_needed)
+    RestartReading(session.endpoints);
+  session.needs_endpoints = is_needed;
+}
+
 void RequestRegistration(StoreSession& session, Millis now) {
   session.is_registered = false;
   session.next_registration_at = now;
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -17,14 +17,16 @@
 enum class StoreCallPurpose : uint8_t {
   /** Reads the daemons' items, then watches them for changes. */
   kFollowDaemons = 0,
-  /** Reads all items, then polls for changes. */
-  kFollowEverything = 1,
+  /** Reads the endpoints' items, then polls for changes. */
+  kFollowEndpoints = 1,
   /** Keeps this daemon's item under a lease. */
   kRegister = 2,
   /** Removes the item of an unreachable daemon. */
   kEvict = 3,
   /** Reads the changes of the daemons' items since the last ones received. */
   kConfirmMembership = 4,
+  /** Reads the operators' items, then watches them for changes. */
+  kFollowRoutes = 5,
 };
 
 /** Follows the changes of a part of the store's items. */
@@ -35,7 +37,7 @@
     return follower;
   }
 
-  ItemScope scope = ItemScope::kEverything;
+  ItemScope scope = ItemScope::kEndpoints;
   /** Items of the pages read so far, during the initial read. */
   std::vector<StoreChange> pages;
   std::string last_page_key;
@@ -52,11 +54,12 @@
 
 /** A daemon's session with the platform's store.
  *
- * One long-polling call watches the daemons' items, so that joining and leaving
- * daemons are seen at once. Another call polls all items in batches, because
- * endpoints write their items far more often than anything changes. A third
- * call keeps the own item. Each is retried after a delay when it fails, so that
- * an outage costs few calls.
+ * Two long-polling calls watch the daemons' and the operators' items, so that
+ * changes are seen at once. Another call polls the endpoints' items in batches,
+ * because endpoints write them far more often than anything changes; only
+ * daemons that own endpoints, or may soon, make it. A fourth call keeps the own
+ * item. Each is retried after a delay when it fails, so that an outage costs
+ * few calls.
  */
 struct StoreSession {
   /** The item to keep; the store sets its revisions. */
@@ -67,7 +70,10 @@
   StoreToken confirmation;
 
   StoreFollower daemons = StoreFollower::Of(ItemScope::kDaemons);
-  StoreFollower everything = StoreFollower::Of(ItemScope::kEverything);
+  StoreFollower endpoints = StoreFollower::Of(ItemScope::kEndpoints);
+  StoreFollower routes = StoreFollower::Of(ItemScope::kRoutes);
+  /** True while this daemon needs the endpoints' items. */
+  bool needs_endpoints = false;
 
   /** Lease of the own item; 0 while none is open. */
   uint64_t lease = 0;
@@ -87,7 +93,7 @@
 
 /** Items or changes received from the store. */
 struct StoreUpdate {
-  ItemScope scope = ItemScope::kEverything;
+  ItemScope scope = ItemScope::kEndpoints;
   /** True when the changes list all items of the scope, so that items that are
    * not listed no longer exist.
    */
@@ -113,6 +119,11 @@
                                 Millis now,
                                 Actions& actions);
 
+/** Starts or stops following the endpoints' items. They are read again after
+ * they were not followed.
+ */
+void SetEndpointsNeeded(StoreSession& session, bool is_needed);
+
 /** Requests that the own item is written again, after it has changed or was
  * lost.
  */
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -65,6 +65,8 @@
     return ReviewWaitingJob(scheduler, job, now);
   // After a partition, the endpoints of a zone are registered again one by one.
   // For a group without endpoints it is not known yet which tasks it can run.
+  if (!HasEndpoints(scheduler, job.group) && !scheduler.are_endpoints_known)
+    return std::nullopt;
   if (!HasEndpoints(scheduler, job.group))
     return JobOutcome{JobResult::kRefused, kMinRetryAfter, "no_endpoints"};
   if (!HasFittingEndpoint(scheduler, job, FitScope::kAllKnown))
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -104,6 +104,11 @@
 /** The scheduling state of a daemon. */
 struct Scheduler {
   std::map<EndpointId, ManagedEndpoint> endpoints;
+  /** False until the endpoints have been read from the store for the first time
+   * since this daemon may own some. Jobs are not refused for a lack of
+   * endpoints until then.
+   */
+  bool are_endpoints_known = false;
   std::unordered_map<SubmissionId, ScheduledJob> jobs;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
--- a/modules/ports/key_value_call.h
+++ b/modules/ports/key_value_call.h
@@ -16,20 +16,22 @@
 enum class ItemScope : uint8_t {
   /** Items of daemons; they rarely change. */
   kDaemons = 0,
-  /** All items. Endpoints write theirs every one to two seconds. */
-  kEverything = 1,
+  /** Items of endpoints. Each is written every one to two seconds. */
+  kEndpoints = 1,
+  /** Items of the operators, with the routes; they rarely change. */
+  kRoutes = 2,
 };
 
 /** Reads one page of items. */
 struct ReadItems {
-  ItemScope scope = ItemScope::kEverything;
+  ItemScope scope = ItemScope::kEndpoints;
   /** The page begins after this key; empty for the first page. */
   std::string after_key;
 };
 
 /** Waits until an item changes. */
 struct WatchItems {
-  ItemScope scope = ItemScope::kEverything;
+  ItemScope scope = ItemScope::kEndpoints;
   /** Only changes after this revision of the store are reported. */
   uint64_t after_revision = 0;
   Millis wait;
