Block tasks whose reported run can't be listed here

A job's next scheduler holds endpoints that another daemon owns, to list the runs that were reported for the job. When the view changed, such an endpoint was given back to its group before it was listed, or its owner's higher token fenced the list off; the job was then free to start its task beside the run.

Such endpoints are marked and kept until their runs have ended, and get no other work. If one is fenced or released before it is listed, its jobs wait for the longest lease.

Before: both new tests failed (two runs at a time).

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -203,8 +203,8 @@
   HandOverJobs(node, now, actions);
   std::vector<EndpointId> to_release;
   for (auto& [id, endpoint] : node.scheduler.endpoints) {
-    // Endpoints that are not in the store belong to the group of the jobs whose
-    // runs they have.
+    if (endpoint.is_held_for_reported_runs)
+      continue;
     if (node.entries.count(id) > 0)
       endpoint.group = GroupOfEndpoint(node.view, endpoint.entry.zone, id);
     if (OtherOwnerOf(node, endpoint.group) != nullptr)
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -46,10 +46,12 @@
                             known->second.status == EndpointStatus::kFenced &&
                             known->second.fencing_token < fencing_token;
   if (known != scheduler.endpoints.end() && !is_new_token) {
+    known->second.is_held_for_reported_runs = false;
     UpdateEndpoint(scheduler, entry, now, actions);
     return;
   }
   ManagedEndpoint& endpoint = scheduler.endpoints[entry.id];
+  endpoint.is_held_for_reported_runs = false;
   endpoint.entry = entry;
   endpoint.group = group;
   endpoint.is_registered = true;
@@ -107,7 +109,11 @@
   if (known == scheduler.endpoints.end())
     return;
   const std::map<RunKey, Run> runs = std::move(known->second.runs);
+  const bool is_reconciled =
+      known->second.status != EndpointStatus::kReconciling;
   scheduler.endpoints.erase(known);
+  if (!is_reconciled)
+    BlockJobsWithReportedRuns(scheduler, id, now);
   for (const auto& [key, run] : runs) {
     if (run.may_requeue)
       RequeueTaskAfterLease(scheduler, id, key, now);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -258,6 +258,8 @@
       RecordUnansweredCommand(endpoint, now, actions);
       return false;
     case CommandOutcome::kFenced:
+      if (endpoint.status == EndpointStatus::kReconciling)
+        BlockJobsWithReportedRuns(scheduler, endpoint.entry.id, now);
       SetEndpointStatus(endpoint, EndpointStatus::kFenced, "fenced", now,
                         actions);
       return false;
@@ -302,7 +304,10 @@
     else if (reply.outcome == CommandOutcome::kDone)
       HandleRenewalReply(scheduler, endpoint, reply, command, now, actions);
   }
-  if (!endpoint.is_registered && endpoint.runs.empty())
+  const bool is_needed = endpoint.is_registered &&
+                         !(endpoint.is_held_for_reported_runs &&
+                           endpoint.status != EndpointStatus::kReconciling);
+  if (!is_needed && endpoint.runs.empty())
     ReleaseEndpoint(scheduler, command.endpoint, now);
   else
     EnsureRenewal(scheduler, endpoint, now, actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -317,7 +317,7 @@
     }
     TakeOwnershipOfEndpoint(scheduler, run.endpoint, job.group, fencing_token,
                             now, actions);
-    scheduler.endpoints.at(run.endpoint.id).is_registered = false;
+    scheduler.endpoints.at(run.endpoint.id).is_held_for_reported_runs = true;
   }
   for (const auto& [step, index] : progress.done)
     RecordTaskSuccess(scheduler, {progress.job, step, index}, {}, now, actions);
@@ -524,6 +524,23 @@
   }
 }
 
+void BlockJobsWithReportedRuns(Scheduler& scheduler,
+                               const EndpointId& endpoint,
+                               Millis now) {
+  for (auto& [id, job] : scheduler.jobs) {
+    const bool has_run =
+        std::any_of(job.reported_runs.begin(), job.reported_runs.end(),
+                    [&endpoint](const ActiveRun& run) {
+                      return run.endpoint.id == endpoint;
+                    });
+    if (!has_run)
+      continue;
+    job.may_have_started = true;
+    job.start_blocked_until =
+        std::max(job.start_blocked_until, now + kMaxLease);
+  }
+}
+
 void RequeueTaskAfterLease(Scheduler& scheduler,
                            const EndpointId& endpoint,
                            const RunKey& run,
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -114,6 +114,14 @@
                  const RunKey& run,
                  Millis now);
 
+/** Blocks the starts of jobs with reported runs on an endpoint until the lease
+ * of these runs has expired. Called when the endpoint can no longer be
+ * reconciled here.
+ */
+void BlockJobsWithReportedRuns(Scheduler& scheduler,
+                               const EndpointId& endpoint,
+                               Millis now);
+
 /** Requeues a task whose run may still be active on an endpoint that is no
  * longer managed here. Its job starts nothing until the run's lease has
  * expired.
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -77,6 +77,10 @@
 struct ManagedEndpoint {
   EndpointEntry entry;
   EndpointGroup group;
+  /** True when the endpoint belongs to another owner and is managed here only
+   * until the runs on it end that were reported for a job of this daemon.
+   */
+  bool is_held_for_reported_runs = false;
   /** False once the endpoint's entry has been removed from the store. */
   bool is_registered = true;
   uint64_t fencing_token = 0;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -140,8 +140,8 @@
 
 bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now) {
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
-         !endpoint.entry.draining && endpoint.backoff_until <= now &&
-         endpoint.unanswered == 0;
+         !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
+         endpoint.backoff_until <= now && endpoint.unanswered == 0;
 }
 
 bool CanEverRun(const EndpointEntry& endpoint,
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -94,6 +94,59 @@
             JobResult::kCompleted);
 }
 
+/** Submits a job that was handed over, with one reported run on an endpoint
+ * that this scheduler does not know, and adds that endpoint to the world.
+ */
+FakeEndpoint& SubmitWithReportedRun(SchedulerWorld& world) {
+  FakeEndpoint& endpoint = world.endpoints[EndpointId("foreign")];
+  endpoint.entry = world.endpoints.at(EndpointId("e1")).entry;
+  endpoint.entry.id = EndpointId("foreign");
+  endpoint.lease_until = world.now + Millis{800};
+  endpoint.running[{TaskOf("job", 0), 1}] = {
+      world.now, {600}, {7'000, 64, 0}, RunResult::kDone};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.may_have_started = true;
+  submission.job.time_left = {4'000};
+  submission.job.target_latency = {4'000};
+  submission.max_progress_wait = {600};
+  world.SubmitJob(submission, {600});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {{0, 0, Attempt(1), endpoint.entry}};
+  world.SubmitProgress(progress);
+  return endpoint;
+}
+
+// A job is handed over with a run on an endpoint that another daemon owns. That
+// owner's higher token keeps this scheduler from listing the run. The task must
+// not be started before the run's lease has surely ended.
+TEST(RunIdentityTest, ReportedRunOnFencedEndpointBlocksItsTask) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.endpoints[EndpointId("foreign")].max_fencing_token = 99;
+  SubmitWithReportedRun(world);
+  world.Run({3'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
+// The same endpoint is released, because the view has changed, before its runs
+// are listed.
+TEST(RunIdentityTest, ReportedRunOnReleasedEndpointBlocksItsTask) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  SubmitWithReportedRun(world);
+  ReleaseEndpoint(world.scheduler, EndpointId("foreign"), world.now);
+  world.Run({3'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
