Release silent endpoints of reported runs after the lease, and join test set-up

Found while reading the diff: an endpoint held for a reported run that never answers would have been polled for as long as the daemon runs, as a held endpoint was only released once it was listed. It is released when the longest lease has ended. The set-up of two zones, which stood in three test files, stands once.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -109,10 +109,11 @@
   if (known == scheduler.endpoints.end())
     return;
   const std::map<RunKey, Run> runs = std::move(known->second.runs);
-  const bool is_reconciled =
-      known->second.status != EndpointStatus::kReconciling;
+  const bool may_have_unlisted_runs =
+      known->second.status == EndpointStatus::kReconciling &&
+      now - known->second.status_since < kMaxLease;
   scheduler.endpoints.erase(known);
-  if (!is_reconciled)
+  if (may_have_unlisted_runs)
     BlockJobsWithReportedRuns(scheduler, id, now);
   for (const auto& [key, run] : runs) {
     if (run.may_requeue)
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -278,6 +278,17 @@
   }
 }
 
+/** Returns true when an endpoint that has no runs is still managed: it may get
+ * work, or the runs that were reported there have not been listed and may be
+ * active.
+ */
+bool IsNeededWithoutRuns(const ManagedEndpoint& endpoint, Millis now) {
+  if (!endpoint.is_held_for_reported_runs)
+    return endpoint.is_registered;
+  return endpoint.status == EndpointStatus::kReconciling &&
+         now - endpoint.status_since < kMaxLease;
+}
+
 }  // namespace
 
 void HandleEndpointReply(Scheduler& scheduler,
@@ -304,10 +315,7 @@
     else if (reply.outcome == CommandOutcome::kDone)
       HandleRenewalReply(scheduler, endpoint, reply, command, now, actions);
   }
-  const bool is_needed = endpoint.is_registered &&
-                         !(endpoint.is_held_for_reported_runs &&
-                           endpoint.status != EndpointStatus::kReconciling);
-  if (!is_needed && endpoint.runs.empty())
+  if (endpoint.runs.empty() && !IsNeededWithoutRuns(endpoint, now))
     ReleaseEndpoint(scheduler, command.endpoint, now);
   else
     EnsureRenewal(scheduler, endpoint, now, actions);
--- a/tests/core/fleet_test.cc
+++ b/tests/core/fleet_test.cc
@@ -26,25 +26,6 @@
   return member;
 }
 
-/** Starts two zones with two daemons and four endpoints each, and runs them
- * until they are ready.
- */
-void SetUpTwoZones(FleetWorld& world) {
-  for (const char* zone : {"north", "south"}) {
-    for (int i = 0; i < 2; ++i)
-      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
-    for (int i = 0; i < 4; ++i)
-      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
-  }
-  world.RunFor({3'000});
-}
-
-std::string OtherDaemonInZone(const std::string& daemon) {
-  std::string other = daemon;
-  other.back() = other.back() == '0' ? '1' : '0';
-  return other;
-}
-
 // A daemon that joins must not move the ownership of endpoints, which would
 // interrupt the work of their owner. Only a leaving owner is replaced.
 TEST(FleetViewTest, OldestDaemonOwnsAndNewDaemonDoesNotTakeOver) {
--- a/tests/core/late_messages_test.cc
+++ b/tests/core/late_messages_test.cc
@@ -11,23 +11,6 @@
 namespace dogwoodfall {
 namespace {
 
-/** Starts two zones with two daemons and four endpoints each, and runs them
- * until they are ready.
- */
-void SetUpTwoZones(FleetWorld& world) {
-  for (const char* zone : {"north", "south"}) {
-    for (int i = 0; i < 2; ++i)
-      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
-    for (int i = 0; i < 4; ++i)
-      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
-  }
-  world.RunFor({3'000});
-}
-
-std::string OtherDaemonInZone(const std::string& daemon) {
-  return daemon.substr(0, 5) + (daemon.back() == '0' ? "1" : "0");
-}
-
 uint64_t CountStarts(const FleetWorld& world) {
   uint64_t starts = 0;
   for (const auto& [id, endpoint] : world.endpoints)
--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -9,19 +9,6 @@
 namespace dogwoodfall {
 namespace {
 
-/** Starts two zones with two daemons and four endpoints each, and runs them
- * until they are ready.
- */
-void SetUpTwoZones(FleetWorld& world) {
-  for (const char* zone : {"north", "south"}) {
-    for (int i = 0; i < 2; ++i)
-      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
-    for (int i = 0; i < 4; ++i)
-      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
-  }
-  world.RunFor({3'000});
-}
-
 template <typename Content>
 bool HasEndpointCommand(const Actions& actions) {
   for (const Action& action : actions) {
@@ -136,7 +123,7 @@
       FleetWorld world;
       SetUpTwoZones(world);
       const std::string owner = world.OwnerOf("north");
-      const std::string other = owner == "north0" ? "north1" : "north0";
+      const std::string other = OtherDaemonInZone(owner);
       for (int i = 0; i < 6; ++i) {
         world.Submit(i % 2 == 0 ? owner : other, "job" + std::to_string(i), 2,
                      {300});
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -147,6 +147,23 @@
             JobResult::kCompleted);
 }
 
+// The endpoint of a reported run never answers. It must not be polled for ever
+// after the lease of the run has ended, and the task must be started then.
+TEST(RunIdentityTest, SilentEndpointOfAReportedRunIsReleasedAfterTheLease) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.is_command_lost = [](const EndpointCommand& command) {
+    return command.endpoint == EndpointId("foreign");
+  };
+  SubmitWithReportedRun(world);
+  world.Run({3'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.scheduler.endpoints.count(EndpointId("foreign")), 0U);
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -432,4 +432,20 @@
   }
 }
 
+void SetUpTwoZones(FleetWorld& world) {
+  for (const char* zone : {"north", "south"}) {
+    for (int i = 0; i < 2; ++i)
+      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
+    for (int i = 0; i < 4; ++i)
+      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
+  }
+  world.RunFor({3'000});
+}
+
+std::string OtherDaemonInZone(const std::string& daemon) {
+  std::string other = daemon;
+  other.back() = other.back() == '0' ? '1' : '0';
+  return other;
+}
+
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -53,8 +53,6 @@
   bool prints_log;
   /** Number of heartbeats sent so far. */
   uint64_t heartbeat_count = 0;
-  /** Number of items that the store has sent to daemons so far. */
-  uint64_t store_item_count = 0;
   /** Results by job id. */
   std::map<std::string, JobResult> results;
   /** Tasks that had two runs at the same time. */
@@ -142,6 +140,14 @@
   uint64_t last_event = 0;
 };
 
+/** Starts the zones "north" and "south" with two daemons and four endpoints
+ * each, and runs them until they are ready.
+ */
+void SetUpTwoZones(FleetWorld& world);
+
+/** Returns the other daemon of a zone that SetUpTwoZones() has started. */
+std::string OtherDaemonInZone(const std::string& daemon);
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_TESTS_SUPPORT_FLEET_WORLD_H_
