--- a/modules/base/base.h
+++ b/modules/base/base.h
@@ -1,5 +1,5 @@
 /** @file
- * Module base: ids, time, result codes and hashing.
+ * Module base: ids, time, result codes, hashing and helpers for containers.
  *
  * Everything else builds on this module; it depends on the C++ library and on
  * xxHash only, and does no input or output.
@@ -7,6 +7,7 @@
 #ifndef DOGWOODFALL_MODULES_BASE_BASE_H_
 #define DOGWOODFALL_MODULES_BASE_BASE_H_
 
+#include "base/erase_if.h"
 #include "base/hash.h"
 #include "base/ids.h"
 #include "base/millis.h"
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -128,7 +128,6 @@
                      PendingJob& pending,
                      Millis now,
                      Actions& actions) {
-  pending.group = CurrentGroupOfJob(node.view, pending.group, pending.job.id);
   const FleetMember* next = OwnerOfGroup(node.view, pending.group);
   pending.previous_scheduler = pending.scheduler;
   pending.previous_assumed_alive_at = pending.assigned_at;
@@ -142,8 +141,7 @@
 
 /** Returns true when a job's group has an owner other than its scheduler. */
 bool HasLostScheduler(const FleetNode& node, const PendingJob& pending) {
-  const FleetMember* owner = OwnerOfGroup(
-      node.view, CurrentGroupOfJob(node.view, pending.group, pending.job.id));
+  const FleetMember* owner = OwnerOfGroup(node.view, pending.group);
   return owner != nullptr && RefOf(*owner) != pending.scheduler;
 }
 
@@ -209,6 +207,7 @@
     }
     if (pending.required_view_revision > node.view.revision)
       continue;
+    pending.group = CurrentGroupOfJob(node.view, pending.group, id);
     const bool has_scheduler = pending.scheduler != DaemonRef();
     if (has_scheduler && !HasLostScheduler(node, pending))
       continue;
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/erase_if.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -184,12 +185,9 @@
 }
 
 void RemoveExpiredForwardedJobs(FleetNode& node, Millis now) {
-  for (auto job = node.forwarded_jobs.begin();
-       job != node.forwarded_jobs.end();) {
-    const bool is_expired =
-        now - job->second.forwarded_at > kForwardedJobRetention;
-    job = is_expired ? node.forwarded_jobs.erase(job) : std::next(job);
-  }
+  EraseIf(node.forwarded_jobs, [now](const ForwardedJob& job) {
+    return now - job.forwarded_at > kForwardedJobRetention;
+  });
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -34,10 +34,8 @@
  * the store may have lost its item, so that other zones only know it by its
  * heartbeats; it sends them to all owners.
  */
-Millis GetOwnPeriod(const FleetNode& node,
-                    const FleetMember& self,
-                    const FleetMember& peer) {
-  const Millis period = GetHeartbeatPeriod(node.view, self, peer);
+Millis GetOwnPeriod(const FleetNode& node, const FleetMember& peer) {
+  const Millis period = GetHeartbeatPeriod(node.view, node.store.self, peer);
   const bool is_isolated =
       !node.store.is_reachable && IsOwner(node.view, peer.address.id);
   return period == Millis() && is_isolated ? kSlowHeartbeatPeriod : period;
@@ -75,12 +73,10 @@
     return;
   node.next_heartbeat_at = now + kHeartbeatPeriod;
   ++node.heartbeat_number;
-  FleetMember self;
-  self.address = node.store.self.address;
   SendHeartbeat sent;
   for (const auto* members : {&node.view.members, &node.unregistered_daemons}) {
     for (const auto& [id, member] : *members) {
-      const Millis period = GetOwnPeriod(node, self, member);
+      const Millis period = GetOwnPeriod(node, member);
       if (id == node.self.id || period == Millis())
         continue;
       const auto periods_per_beat =
@@ -96,13 +92,12 @@
 }
 
 void UpdateExpectedHeartbeats(FleetNode& node, Millis now) {
-  FleetMember self;
-  self.address = node.store.self.address;
   for (auto& [id, peer_status] : node.peers) {
     const auto member = node.view.members.find(id);
     if (member == node.view.members.end())
       continue;
-    const Millis period = GetHeartbeatPeriod(node.view, member->second, self);
+    const Millis period =
+        GetHeartbeatPeriod(node.view, member->second, node.store.self);
     const bool was_expected = peer_status.heartbeat_period > Millis();
     if (period > Millis() && !was_expected)
       peer_status.last_received_at = now;
--- a/modules/core/fleet/pause_flow.cc
+++ b/modules/core/fleet/pause_flow.cc
@@ -10,9 +10,9 @@
 namespace dogwoodfall {
 namespace {
 
-/** Time between two events from which the process counts as paused. Events
- * occur every 10 ms; peers take over the endpoints of a daemon that is silent
- * for 500 ms.
+/** Time between two events from which the process counts as paused. Timer
+ * events occur every 20 ms; peers take over the endpoints of a daemon that is
+ * silent for 500 ms.
  */
 constexpr Millis kMinPause{300};
 
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -59,13 +59,15 @@
                             const DaemonRef& receiver,
                             const JobSubmission& submission,
                             Millis now) {
+  if (!submission.may_forward)
+    return false;
   std::optional<EndpointGroup> group =
       FindRunningGroup(node, submission.job.id, now);
   const auto record = node.forwarded_jobs.find(submission.job.id);
   if (!group && record != node.forwarded_jobs.end() &&
       !record->second.spillover_group.zone.value.empty())
     group = record->second.spillover_group;
-  if (!submission.may_forward || !group || *group == submission.group)
+  if (!group || *group == submission.group)
     return false;
   const FleetMember* owner = OwnerOfGroup(node.view, *group);
   if (owner == nullptr || RefOf(*owner) == node.self)
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/erase_if.h"
 #include "core/scheduling/admission.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_flow.h"
@@ -448,19 +449,12 @@
     else
       InsertIntoQueue(scheduler, job, now);
   }
-  for (auto early = scheduler.early_progress.begin();
-       early != scheduler.early_progress.end();) {
-    const bool is_expired =
-        now - early->second.received_at > kEarlyProgressRetention;
-    early =
-        is_expired ? scheduler.early_progress.erase(early) : std::next(early);
-  }
-  for (auto result = scheduler.retained_results.begin();
-       result != scheduler.retained_results.end();) {
-    const bool is_expired = now - result->second.ended_at > kResultRetention;
-    result = is_expired ? scheduler.retained_results.erase(result)
-                        : std::next(result);
-  }
+  EraseIf(scheduler.early_progress, [now](const EarlyProgress& early) {
+    return now - early.received_at > kEarlyProgressRetention;
+  });
+  EraseIf(scheduler.retained_results, [now](const RetainedResult& result) {
+    return now - result.ended_at > kResultRetention;
+  });
   std::vector<SubmissionId> expired;
   for (const auto& [id, job] : scheduler.jobs) {
     if (job.caller_deadline <= now)
--- a/tests/adapters/malformed_answers_test.cc
+++ b/tests/adapters/malformed_answers_test.cc
@@ -34,11 +34,10 @@
     R"({"bestEffort":true,"spec":"text","steps":[{"count":4,"cpu":500,)"
     R"("memMb":256,"estimateMs":900,"after":[]}]})";
 
-EndpointCommand MakeRenewal() {
-  EndpointCommand command;
-  command.id = CommandId(3);
-  command.command = RenewRuns();
-  return command;
+/** Decodes the answer to a renewal. */
+EndpointReply DecodeRenewalReply(int status, const std::string& body) {
+  return DecodeEndpointReply(CommandId(3), EndpointCallKind::kRenewal,
+                             MakeResponse(status, body));
 }
 
 /** Bodies of a successful answer that say nothing. */
@@ -99,16 +98,13 @@
 // without runs: their tasks would be started again elsewhere.
 TEST(MalformedAnswersTest, EmptyBodyIsNoEmptyEndpoint) {
   for (const std::string& body : EmptyBodies()) {
-    EXPECT_EQ(
-        DecodeEndpointReply(MakeRenewal(), MakeResponse(200, body)).outcome,
-        CommandOutcome::kUnanswered)
+    EXPECT_EQ(DecodeRenewalReply(200, body).outcome,
+              CommandOutcome::kUnanswered)
         << body;
   }
   const std::string lists = kRunLists;
   for (size_t length = 0; length < lists.size(); ++length) {
-    EXPECT_EQ(DecodeEndpointReply(MakeRenewal(),
-                                  MakeResponse(200, lists.substr(0, length)))
-                  .outcome,
+    EXPECT_EQ(DecodeRenewalReply(200, lists.substr(0, length)).outcome,
               CommandOutcome::kUnanswered)
         << length;
   }
@@ -137,10 +133,9 @@
 // process with an exception.
 RC_GTEST_PROP(MalformedAnswersTest, MutatedMessagesAreDecodedOrRejected, ()) {
   const std::string lists = Mutate(kRunLists);
-  const EndpointReply reply =
-      DecodeEndpointReply(MakeRenewal(), MakeResponse(200, lists));
+  const EndpointReply reply = DecodeRenewalReply(200, lists);
   RC_ASSERT(reply.id == CommandId(3));
-  DecodeEndpointReply(MakeRenewal(), MakeResponse(409, lists));
+  DecodeRenewalReply(409, lists);
   DecodeKeyValueReply(ReadItems(), MakeResponse(200, Mutate(kStorePage)));
   DecodeKeyValueReply(WatchItems(), MakeResponse(200, Mutate(kStoreEvents)));
   DecodeKeyValueReply(OpenLease(), MakeResponse(200, Mutate(R"({"lease":7})")));
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -44,14 +44,6 @@
           {"createRevision", 4}};
 }
 
-EndpointCommand MakeCommand(
-    std::variant<StartRun, StopRun, RenewRuns> content) {
-  EndpointCommand command;
-  command.id = CommandId(3);
-  command.command = std::move(content);
-  return command;
-}
-
 TEST(JobCodecTest, DecodesAJob) {
   const auto decoded = DecodeSampleJob(
       R"({"bestEffort":true,"spec":"text","steps":[{"count":4,"cpu":500,)"
@@ -112,7 +104,7 @@
 
 TEST(EndpointCodecTest, DecodesRunLists) {
   const EndpointReply reply = DecodeEndpointReply(
-      MakeCommand(RenewRuns()),
+      CommandId(3), EndpointCallKind::kRenewal,
       MakeResponse(200, R"({"clockMs":482113,"born":5,"running":)"
                         R"([["5c0e7a21d94b36f8.0.1.17",2,"",41]],"ended":)"
                         R"([[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"));
@@ -128,7 +120,7 @@
 
 TEST(EndpointCodecTest, DistinguishesRefusals) {
   const auto outcome = [](int status, const std::string& body) {
-    return DecodeEndpointReply(MakeCommand(RenewRuns()),
+    return DecodeEndpointReply(CommandId(3), EndpointCallKind::kRenewal,
                                MakeResponse(status, body))
         .outcome;
   };
@@ -141,9 +133,10 @@
   EXPECT_EQ(outcome(421, ""), CommandOutcome::kOtherIncarnation);
   EXPECT_EQ(outcome(503, "{}"), CommandOutcome::kUnhealthy);
   EXPECT_EQ(outcome(200, R"({"running":7})"), CommandOutcome::kUnanswered);
-  EXPECT_EQ(
-      DecodeEndpointReply(MakeCommand(RenewRuns()), HttpResponse()).outcome,
-      CommandOutcome::kUnanswered);
+  EXPECT_EQ(DecodeEndpointReply(CommandId(3), EndpointCallKind::kRenewal,
+                                HttpResponse())
+                .outcome,
+            CommandOutcome::kUnanswered);
 }
 
 TEST(ItemCodecTest, Base64RoundTrips) {
