Wait for reported runs on endpoints of other groups

Cause: a job's next scheduler waits while an endpoint of the job's group is being reconciled. When the groups have changed since a run was started, the run's endpoint belongs to another group, possibly of the same daemon: the scheduler reconciled it, but did not wait for that, and started the task beside the run as the next attempt.

A job now waits for the endpoints of its reported runs, whatever their group. The condition that a reconciling endpoint may have unlisted runs stood three times; MayHaveUnlistedRuns.

Before: ReportedRunInAnotherGroupBlocksItsTask had two runs at a time for each silence of 50 to 500 ms.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -109,9 +109,7 @@
   if (known == scheduler.endpoints.end())
     return;
   const std::map<RunKey, Run> runs = std::move(known->second.runs);
-  const bool may_have_unlisted_runs =
-      known->second.status == EndpointStatus::kReconciling &&
-      now - known->second.status_since < kMaxLease;
+  const bool may_have_unlisted_runs = MayHaveUnlistedRuns(known->second, now);
   scheduler.endpoints.erase(known);
   if (may_have_unlisted_runs)
     BlockJobsWithReportedRuns(scheduler, id, now);
@@ -121,6 +119,11 @@
   }
 }
 
+bool MayHaveUnlistedRuns(const ManagedEndpoint& endpoint, Millis now) {
+  return endpoint.status == EndpointStatus::kReconciling &&
+         now - endpoint.status_since < kMaxLease;
+}
+
 bool HasReconcilingEndpoint(const Scheduler& scheduler,
                             const EndpointGroup& group,
                             Millis now) {
@@ -128,8 +131,7 @@
                      [&group, now](const auto& entry) {
                        const ManagedEndpoint& endpoint = entry.second;
                        return endpoint.group == group &&
-                              endpoint.status == EndpointStatus::kReconciling &&
-                              now - endpoint.status_since < kMaxLease;
+                              MayHaveUnlistedRuns(endpoint, now);
                      });
 }
 
--- a/modules/core/scheduling/endpoint_flow.h
+++ b/modules/core/scheduling/endpoint_flow.h
@@ -39,9 +39,12 @@
 /** Stops managing an endpoint, for example because another daemon owns it. */
 void ReleaseEndpoint(Scheduler& scheduler, const EndpointId& id, Millis now);
 
-/** Returns true while an endpoint of the group is being reconciled and runs of
- * its previous owner may still be active there.
+/** Returns true while an endpoint is being reconciled and runs of its previous
+ * owner may still be active there.
  */
+bool MayHaveUnlistedRuns(const ManagedEndpoint& endpoint, Millis now);
+
+/** Returns true while any endpoint of the group may have unlisted runs. */
 bool HasReconcilingEndpoint(const Scheduler& scheduler,
                             const EndpointGroup& group,
                             Millis now);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -285,8 +285,7 @@
 bool IsNeededWithoutRuns(const ManagedEndpoint& endpoint, Millis now) {
   if (!endpoint.is_held_for_reported_runs)
     return endpoint.is_registered;
-  return endpoint.status == EndpointStatus::kReconciling &&
-         now - endpoint.status_since < kMaxLease;
+  return MayHaveUnlistedRuns(endpoint, now);
 }
 
 }  // namespace
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -87,6 +87,22 @@
   }
 }
 
+/** Returns true while a run may be active that was reported for a job. Its
+ * endpoint may belong to another group than the job, when the groups have
+ * changed since the run was started.
+ */
+bool HasUnlistedReportedRun(const Scheduler& scheduler,
+                            const ScheduledJob& job,
+                            Millis now) {
+  return std::any_of(job.reported_runs.begin(), job.reported_runs.end(),
+                     [&scheduler, now](const ActiveRun& run) {
+                       const auto endpoint =
+                           scheduler.endpoints.find(run.endpoint.id);
+                       return endpoint != scheduler.endpoints.end() &&
+                              MayHaveUnlistedRuns(endpoint->second, now);
+                     });
+}
+
 /** Returns true while runs of a job may be active that are not known here. */
 bool MayHaveUnknownRuns(const Scheduler& scheduler,
                         const ScheduledJob& job,
@@ -94,7 +110,8 @@
   if (!job.may_have_started)
     return false;
   return now < job.start_blocked_until ||
-         HasReconcilingEndpoint(scheduler, job.group, now);
+         HasReconcilingEndpoint(scheduler, job.group, now) ||
+         HasUnlistedReportedRun(scheduler, job, now);
 }
 
 LogEvent MakeJobEvent(const char* name, const ScheduledJob& job, Millis now) {
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -164,6 +164,44 @@
             JobResult::kCompleted);
 }
 
+// The endpoint of a reported run belongs to another group of this daemon, as
+// the groups have changed since the run was started. While it does not answer,
+// the task must wait for it, although all endpoints of the job's own group are
+// known.
+TEST(RunIdentityTest, ReportedRunInAnotherGroupBlocksItsTask) {
+  for (int64_t silence_ms = 0; silence_ms <= 500; silence_ms += 50) {
+    SchedulerWorld world;
+    world.AddEndpoint("e1", 16, 1);
+    FakeEndpoint& other = world.AddEndpoint("e2", 16, 1);
+    world.Run({20});
+    world.scheduler.endpoints.at(EndpointId("e2")).group = {ZoneId("north"), 1};
+    other.lease_until = world.now + Millis{900};
+    other.running[{TaskOf("job", 0), 1}] = {
+        world.now, {700}, {7'000, 64, 0}, RunResult::kDone};
+    const Millis silent_until = world.now + Millis{silence_ms};
+    world.is_command_lost = [&world,
+                             silent_until](const EndpointCommand& command) {
+      return command.endpoint == EndpointId("e2") && world.now < silent_until;
+    };
+    JobSubmission submission =
+        SchedulerWorld::MakeSubmission("job", 1, 7, {700}, "route");
+    submission.may_have_started = true;
+    submission.job.time_left = {4'000};
+    submission.job.target_latency = {4'000};
+    submission.max_progress_wait = {600};
+    world.SubmitJob(submission, {700});
+    JobProgress progress;
+    progress.job = SubmissionId("job");
+    progress.active_runs = {{0, 0, Attempt(1), other.entry}};
+    world.SubmitProgress(progress);
+    world.Run({3'000});
+    EXPECT_TRUE(world.overlaps.empty()) << silence_ms;
+    EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+              JobResult::kCompleted)
+        << silence_ms;
+  }
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
