--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -193,6 +193,12 @@
                      const JobSubmission& submission,
                      Actions& actions) {
   if (submission.view_revision > node.view.revision) {
+    actions.push_back(
+        LogEvent{"job_waits_for_view",
+                 {{"job", submission.job.id.value},
+                  {"receiver", receiver.id.value},
+                  {"needed", std::to_string(submission.view_revision)},
+                  {"view", std::to_string(node.view.revision)}}});
     node.early_jobs.push_back({receiver, submission, now});
     return;
   }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -144,6 +144,27 @@
       std::min(known.remaining_wait, reported.remaining_wait);
 }
 
+void LogReportedRun(const Scheduler& scheduler,
+                    const SubmissionId& job,
+                    const ActiveRun& run,
+                    Actions& actions) {
+  const auto endpoint = scheduler.endpoints.find(run.endpoint.id);
+  const bool is_managed = endpoint != scheduler.endpoints.end();
+  const JobTask task{job, run.step, run.index};
+  const bool is_listed =
+      is_managed && endpoint->second.runs.count({task, run.attempt.value}) > 0;
+  actions.push_back(LogEvent{
+      "run_reported",
+      {{"job", job.value},
+       {"task", FormatTaskPosition(task)},
+       {"attempt", std::to_string(run.attempt.value)},
+       {"endpoint", run.endpoint.id.value},
+       {"standing",
+        is_managed ? std::to_string(static_cast<int>(endpoint->second.status))
+                   : "none"},
+       {"listed", is_listed ? "true" : "false"}}});
+}
+
 void UpdateMeanTaskSize(Scheduler& scheduler, const TransientJob& job) {
   // Weight of one step. The moving average covers some seconds.
   constexpr double kTaskSizeSmoothing = 0.02;
@@ -322,6 +343,7 @@
                            progress.active_runs.end());
   for (const ActiveRun& run : progress.active_runs) {
     job.has_started = true;
+    LogReportedRun(scheduler, progress.job, run, actions);
     if (run.step < job.tasks.size() && run.index < job.tasks[run.step].size()) {
       uint32_t& attempt = job.tasks[run.step][run.index].attempt;
       attempt = std::max(attempt, run.attempt.value);
@@ -419,8 +441,13 @@
                Millis now,
                Actions& actions) {
   const auto found = scheduler.jobs.find(id);
-  if (found == scheduler.jobs.end())
+  if (found == scheduler.jobs.end()) {
+    actions.push_back(LogEvent{"job_cancel_unknown",
+                               {{"job", id.value},
+                                {"receiver", receiver.id.value},
+                                {"reason", reason}}});
     return;
+  }
   ScheduledJob& job = found->second;
   std::vector<DaemonRef>& others = job.other_receivers;
   others.erase(std::remove(others.begin(), others.end(), receiver),
