Cancel jobs that wait at their scheduler for a newer view

Callers saw: a job could run twice at a time after its caller's connection had broken and it had sent the job again to another daemon (TWICE).

Cause: a scheduler that gets a job under a view that it doesn't have yet keeps the job in early_jobs. CancelJob() and the review of lost receivers looked only among accepted jobs. When the view came, the job was started, although nobody waited for it and its repeat, 1,300 ms later, was running elsewhere. Views stay old for seconds when the store loses answers or turns daemons away.

Change: a cancellation and the review of lost receivers remove early jobs of that receiver, with a log line. Those of other receivers stay.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -135,8 +135,12 @@
     if (job.receiver != node.self && IsReceiverLost(node, job.receiver, now))
       orphaned.emplace_back(id, job.receiver);
   }
+  for (const EarlyJob& job : node.early_jobs) {
+    if (job.receiver != node.self && IsReceiverLost(node, job.receiver, now))
+      orphaned.emplace_back(job.submission.job.id, job.receiver);
+  }
   for (const auto& [id, receiver] : orphaned)
-    CancelJob(node.scheduler, id, receiver, "receiver_gone", now, actions);
+    CancelReceivedJob(node, id, receiver, "receiver_gone", now, actions);
 }
 
 /** Returns true when a job received now can be answered before a graceful
@@ -218,7 +222,7 @@
   if (const auto* submission = std::get_if<JobSubmission>(&message)) {
     HandleJobSubmission(node, now, from, *submission, actions);
   } else if (const auto* cancel = std::get_if<JobCancellation>(&message)) {
-    CancelJob(node.scheduler, cancel->job, from, "caller_gone", now, actions);
+    CancelReceivedJob(node, cancel->job, from, "caller_gone", now, actions);
   } else if (const auto* report = std::get_if<JobReport>(&message)) {
     HandleReport(node, now, from, *report, actions);
   } else if (const auto* request = std::get_if<JobReleaseRequest>(&message)) {
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -37,7 +37,7 @@
                  Millis now,
                  Actions& actions) {
   if (scheduler == node.self)
-    CancelJob(node.scheduler, id, node.self, "caller_gone", now, actions);
+    CancelReceivedJob(node, id, node.self, "caller_gone", now, actions);
   else
     Send(node.sessions, scheduler, JobCancellation{id}, SessionLimits(), now,
          actions);
@@ -224,6 +224,28 @@
   AcceptJob(node.scheduler, receiver, group, submission, now, actions);
 }
 
+void CancelReceivedJob(FleetNode& node,
+                       const SubmissionId& id,
+                       const DaemonRef& receiver,
+                       const char* reason,
+                       Millis now,
+                       Actions& actions) {
+  std::vector<EarlyJob>& early = node.early_jobs;
+  const auto cancelled = std::remove_if(
+      early.begin(), early.end(), [&id, &receiver](const EarlyJob& job) {
+        return job.submission.job.id == id && job.receiver == receiver;
+      });
+  if (cancelled == early.end()) {
+    CancelJob(node.scheduler, id, receiver, reason, now, actions);
+    return;
+  }
+  early.erase(cancelled, early.end());
+  actions.push_back(LogEvent{"early_job_cancelled",
+                             {{"job", id.value},
+                              {"receiver", receiver.id.value},
+                              {"reason", reason}}});
+}
+
 void ReportFinishedJobs(FleetNode& node, Millis now, Actions& actions) {
   while (!node.scheduler.finished.empty()) {
     const std::vector<FinishedJob> finished =
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -43,6 +43,16 @@
                 const char* reason,
                 Actions& actions);
 
+/** Cancels a job that a receiver has sent to this daemon, whether it is
+ * scheduled or still waits for a newer view.
+ */
+void CancelReceivedJob(FleetNode& node,
+                       const SubmissionId& id,
+                       const DaemonRef& receiver,
+                       const char* reason,
+                       Millis now,
+                       Actions& actions);
+
 /** Reports the jobs that the own scheduler has finished to their receivers. */
 void ReportFinishedJobs(FleetNode& node, Millis now, Actions& actions);
 
