Count reported runs as active until they are listed or their lease has ended

Callers saw: a task ran twice at a time, the second run started some 100 ms after the first by another daemon of the same zone, while daemons joined one after the other or were taken back by the store (TWICE).

Cause: a job changes hands with the list of its runs. The next scheduler waited for such a run only if it managed the run's endpoint and that endpoint was being reconciled. An endpoint that it still knew from an earlier view and that its new owner had fenced counted as listed: RestartReconciliation() does nothing there, and the task was started a second time. Class of fault: what is not known was taken for proof that nothing runs.

Change: each reported run counts as active until a list that was requested after the report shows or disproves it, or until the longest lease has passed; being fenced or releasing the endpoint extends that. The status of the endpoint no longer decides.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -112,7 +112,7 @@
   const bool may_have_unlisted_runs = MayHaveUnlistedRuns(known->second, now);
   scheduler.endpoints.erase(known);
   if (may_have_unlisted_runs)
-    BlockJobsWithReportedRuns(scheduler, id, now);
+    ExtendReportedRuns(scheduler, id, now);
   for (const auto& [key, run] : runs) {
     if (run.may_requeue)
       RequeueTaskAfterLease(scheduler, id, key, now);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -165,6 +165,7 @@
       !HasUnclaimedRun(endpoint)) {
     if (endpoint.runs.empty())
       endpoint.lease_until = now;
+    RemoveListedReports(scheduler, endpoint.entry.id, command.sent_at);
     SetEndpointStatus(endpoint, EndpointStatus::kUsable, "reconciled", now,
                       actions);
   }
@@ -259,7 +260,7 @@
       return false;
     case CommandOutcome::kFenced:
       if (endpoint.status == EndpointStatus::kReconciling)
-        BlockJobsWithReportedRuns(scheduler, endpoint.entry.id, now);
+        ExtendReportedRuns(scheduler, endpoint.entry.id, now);
       SetEndpointStatus(endpoint, EndpointStatus::kFenced, "fenced", now,
                         actions);
       return false;
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -87,19 +87,20 @@
   }
 }
 
-/** Returns true while a run may be active that was reported for a job. Its
- * endpoint may belong to another group than the job, when the groups have
- * changed since the run was started.
+bool IsTaskQueued(const ScheduledJob& job, const ActiveRun& run) {
+  return run.step < job.tasks.size() &&
+         run.index < job.tasks[run.step].size() &&
+         job.tasks[run.step][run.index].phase == TaskPhase::kQueued;
+}
+
+/** Returns true while a reported run of a queued task may be active, whether or
+ * not its endpoint can be listed here.
  */
-bool HasUnlistedReportedRun(const Scheduler& scheduler,
-                            const ScheduledJob& job,
-                            Millis now) {
+bool HasUnlistedReportedRun(const ScheduledJob& job, Millis now) {
   return std::any_of(job.reported_runs.begin(), job.reported_runs.end(),
-                     [&scheduler, now](const ActiveRun& run) {
-                       const auto endpoint =
-                           scheduler.endpoints.find(run.endpoint.id);
-                       return endpoint != scheduler.endpoints.end() &&
-                              MayHaveUnlistedRuns(endpoint->second, now);
+                     [&job, now](const ReportedRun& reported) {
+                       return now < reported.active_until &&
+                              IsTaskQueued(job, reported.run);
                      });
 }
 
@@ -111,7 +112,7 @@
     return false;
   return now < job.start_blocked_until ||
          HasReconcilingEndpoint(scheduler, job.group, now) ||
-         HasUnlistedReportedRun(scheduler, job, now);
+         HasUnlistedReportedRun(job, now);
 }
 
 LogEvent MakeJobEvent(const char* name, const ScheduledJob& job, Millis now) {
@@ -338,11 +339,10 @@
   else if (!job.has_started)
     job.start_blocked_until =
         std::max(job.start_blocked_until, now + progress.remaining_wait);
-  job.reported_runs.insert(job.reported_runs.end(),
-                           progress.active_runs.begin(),
-                           progress.active_runs.end());
   for (const ActiveRun& run : progress.active_runs) {
     job.has_started = true;
+    job.may_have_started = true;
+    job.reported_runs.push_back({run, now, now + kMaxLease});
     LogReportedRun(scheduler, progress.job, run, actions);
     if (run.step < job.tasks.size() && run.index < job.tasks[run.step].size()) {
       uint32_t& attempt = job.tasks[run.step][run.index].attempt;
@@ -383,12 +383,9 @@
       }
     }
   }
-  for (const ActiveRun& run : job.reported_runs) {
-    const bool is_task_queued =
-        run.step < job.tasks.size() && run.index < job.tasks[run.step].size() &&
-        job.tasks[run.step][run.index].phase == TaskPhase::kQueued;
-    if (is_task_queued)
-      progress.active_runs.push_back(run);
+  for (const ReportedRun& reported : job.reported_runs) {
+    if (IsTaskQueued(job, reported.run))
+      progress.active_runs.push_back(reported.run);
   }
   return progress;
 }
@@ -562,20 +559,28 @@
   }
 }
 
-void BlockJobsWithReportedRuns(Scheduler& scheduler,
-                               const EndpointId& endpoint,
-                               Millis now) {
+void ExtendReportedRuns(Scheduler& scheduler,
+                        const EndpointId& endpoint,
+                        Millis now) {
   for (auto& [id, job] : scheduler.jobs) {
-    const bool has_run =
-        std::any_of(job.reported_runs.begin(), job.reported_runs.end(),
-                    [&endpoint](const ActiveRun& run) {
-                      return run.endpoint.id == endpoint;
-                    });
-    if (!has_run)
-      continue;
-    job.may_have_started = true;
-    job.start_blocked_until =
-        std::max(job.start_blocked_until, now + kMaxLease);
+    for (ReportedRun& reported : job.reported_runs) {
+      if (reported.run.endpoint.id == endpoint)
+        reported.active_until = now + kMaxLease;
+    }
+  }
+}
+
+void RemoveListedReports(Scheduler& scheduler,
+                         const EndpointId& endpoint,
+                         Millis listed_at) {
+  for (auto& [id, job] : scheduler.jobs) {
+    std::vector<ReportedRun>& runs = job.reported_runs;
+    runs.erase(std::remove_if(runs.begin(), runs.end(),
+                              [&](const ReportedRun& reported) {
+                                return reported.run.endpoint.id == endpoint &&
+                                       reported.reported_at <= listed_at;
+                              }),
+               runs.end());
   }
 }
 
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -114,13 +114,20 @@
                  const RunKey& run,
                  Millis now);
 
-/** Blocks the starts of jobs with reported runs on an endpoint until the lease
- * of these runs has expired. Called when the endpoint can no longer be
- * reconciled here.
+/** Lets the reported runs on an endpoint count as active for another lease.
+ * Called when the endpoint can no longer be reconciled here, as its next owner
+ * may renew their lease until it has listed them.
  */
-void BlockJobsWithReportedRuns(Scheduler& scheduler,
-                               const EndpointId& endpoint,
-                               Millis now);
+void ExtendReportedRuns(Scheduler& scheduler,
+                        const EndpointId& endpoint,
+                        Millis now);
+
+/** Removes the reports of runs on an endpoint that a list requested at the
+ * given time has confirmed or disproved.
+ */
+void RemoveListedReports(Scheduler& scheduler,
+                         const EndpointId& endpoint,
+                         Millis listed_at);
 
 /** Requeues a task whose run may still be active on an endpoint that is no
  * longer managed here. Its job starts nothing until the run's lease has
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -36,6 +36,16 @@
   EndpointId endpoint;
 };
 
+/** A run that a previous scheduler has reported and that no list of its
+ * endpoint has confirmed or disproved since.
+ */
+struct ReportedRun {
+  ActiveRun run;
+  Millis reported_at;
+  /** Time by which the run has surely ended, as its lease is not renewed. */
+  Millis active_until;
+};
+
 /** A job that a scheduler has accepted. */
 struct ScheduledJob {
   TransientJob job;
@@ -64,10 +74,10 @@
    * scheduler, or the end of the leases of such runs.
    */
   Millis start_blocked_until;
-  /** Runs reported by previous schedulers. Those that have not been found yet
-   * are reported again when the job is handed over once more.
+  /** Nothing is started while one of these may be active. They are reported
+   * again when the job is handed over once more.
    */
-  std::vector<ActiveRun> reported_runs;
+  std::vector<ReportedRun> reported_runs;
 
   /** True once any run of it failed. */
   bool has_failed_run = false;
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -133,6 +133,22 @@
             JobResult::kCompleted);
 }
 
+// The endpoint was fenced before the report of the run arrived.
+TEST(RunIdentityTest, ReportedRunOnFormerEndpointBlocksItsTask) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.endpoints[EndpointId("foreign")].max_fencing_token = 99;
+  world.AddEndpoint("foreign", 16, 1);
+  world.Run({20});
+  ASSERT_EQ(world.scheduler.endpoints.at(EndpointId("foreign")).status,
+            EndpointStatus::kFenced);
+  SubmitWithReportedRun(world);
+  world.Run({3'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
 // The same endpoint is released, because the view has changed, before its runs
 // are listed.
 TEST(RunIdentityTest, ReportedRunOnReleasedEndpointBlocksItsTask) {
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -29,6 +29,7 @@
       message_delay([](const DaemonId&, const DaemonId&) { return Millis(); }),
       command_delay([](const DaemonId&) { return Millis(); }),
       is_answer_lost([](const EndpointCommand&) { return false; }),
+      store_delay([](const DaemonId&) { return Millis(); }),
       is_store_unreachable([](const DaemonId&) { return false; }) {
   RouteTable routes;
   routes.version = 3;
@@ -110,6 +111,15 @@
   return caller;
 }
 
+void FleetWorld::Disconnect(const std::string& daemon, CallerToken caller) {
+  if (!this->IsRunning(daemon))
+    return;
+  this->DeliverEvent(daemon, this->incarnations.at(daemon),
+                     [=](FleetNode& node, Actions& actions) {
+                       OnCallerDisconnected(node, this->now, caller, actions);
+                     });
+}
+
 FleetNode& FleetWorld::Node(const std::string& id) {
   return this->nodes.at(id);
 }
@@ -302,7 +312,8 @@
         {daemon, incarnation, call.token, *watch, this->now + watch->wait});
     return;
   }
-  this->Schedule(kStoreLatency, [this, daemon, incarnation, call]() {
+  const Millis delay = kStoreLatency + this->store_delay(DaemonId(daemon));
+  this->Schedule(delay, [this, daemon, incarnation, call]() {
     this->DeliverStoreReply(daemon, incarnation, call.token,
                             this->AnswerStoreCall(call));
   });
@@ -414,7 +425,9 @@
       pending.push_back(watch);
       continue;
     }
-    this->Schedule(kStoreLatency, [this, watch, reply]() {
+    const Millis delay =
+        kStoreLatency + this->store_delay(DaemonId(watch.daemon));
+    this->Schedule(delay, [this, watch, reply]() {
       this->DeliverStoreReply(watch.daemon, watch.incarnation, watch.token,
                               reply);
     });
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -39,6 +39,8 @@
                      const std::string& job,
                      uint32_t tasks,
                      Millis nominal_run_time);
+  /** Closes a caller's connection. */
+  void Disconnect(const std::string& daemon, CallerToken caller);
   /** Advances the clock. */
   void RunFor(Millis duration);
 
@@ -66,6 +68,8 @@
   std::function<Millis(const DaemonId&)> command_delay;
   /** Decides whether the answer to an executed endpoint command is lost. */
   std::function<bool(const EndpointCommand&)> is_answer_lost;
+  /** Additional time that an answer of the store takes to a daemon. */
+  std::function<Millis(const DaemonId&)> store_delay;
   /** True for daemons that the store does not answer. */
   std::function<bool(const DaemonId&)> is_store_unreachable;
   /** Paused daemons: their events are delayed until they are removed here. */
