Withdraw jobs from every daemon that may run them

Callers saw: a job whose caller's connection broke during a handover kept running, and its repeat, 1,300 ms later at another daemon, ran beside it (TWICE). Without a repeat, the runs occupied endpoints for nobody.

Cause: a cancellation went to the current scheduler alone. While the receiver waits for a view there is none, and after a request for release the previous scheduler, or the one that was sent the progress, isn't the current one. The previous scheduler has then removed the job, but while its own view is old it keeps the endpoints and renews the leases of the job's runs. It ignored a cancellation of a job that it no longer had, and one that found an early job left the runs going on. Class: a hand-over in which one side is forgotten.

Change: the receiver records the daemons that were sent the job or its progress (PendingJob::holders). When no caller waits any more, be it that the caller has left or was answered, all of them get a cancellation, except the one that reported the end. A daemon that gets it stops the runs of the job that it manages, whether or not it has the job, and logs their number. Why it works: a run is renewed only by a daemon that was sent the job or its progress, and a session keeps the order of messages, so that the cancellation comes after the release request and before a later submission of the same job.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -53,6 +53,13 @@
   return {};
 }
 
+void AddHolder(PendingJob& pending, const DaemonRef& holder) {
+  std::vector<DaemonRef>& holders = pending.holders;
+  if (holder != DaemonRef() &&
+      std::find(holders.begin(), holders.end(), holder) == holders.end())
+    holders.push_back(holder);
+}
+
 /** Requests the transfer of a job's progress to its next scheduler from the
  * daemon that holds the progress. Does nothing when no daemon holds it or the
  * next scheduler itself does.
@@ -86,7 +93,9 @@
   if (scheduler == nullptr)
     return false;
   pending.group = group;
-  RequestProgressTransfer(node, pending, RefOf(*scheduler), now, actions);
+  const DaemonRef to = RefOf(*scheduler);
+  AddHolder(pending, to);
+  RequestProgressTransfer(node, pending, to, now, actions);
   JobSubmission submission;
   submission.job = pending.job;
   submission.group = group;
@@ -98,7 +107,6 @@
   submission.view_revision = node.view.revision;
   submission.previous_scheduler = pending.previous_scheduler;
   submission.max_progress_wait = ComputeMaxProgressWait(node, pending, now);
-  const DaemonRef to = RefOf(*scheduler);
   pending.assigned_at = now;
   if (to == node.self) {
     pending.scheduler = to;
@@ -181,11 +189,14 @@
   PendingJob& pending = entry->second;
   pending.scheduler = DaemonRef();
   pending.may_have_started |= redirect.may_have_started;
+  if (!pending.may_have_started)
+    pending.holders.clear();
   if (redirect.may_have_started) {
     pending.previous_scheduler = from;
     pending.previous_assumed_alive_at = now;
     pending.progress_holder =
         redirect.is_progress_sent ? FindDaemonRef(node, redirect.to) : from;
+    AddHolder(pending, pending.progress_holder);
   }
   if (++pending.redirects > kMaxRedirects) {
     AbandonJob(node, now, redirect.job, "passed_on_too_often", actions);
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -43,6 +43,10 @@
    * accepted the job.
    */
   DaemonRef progress_holder;
+  /** All daemons that were sent the job or its progress and may have started
+   * it. They are notified when no caller waits for it any more.
+   */
+  std::vector<DaemonRef> holders;
   /** The job is not assigned before the view has this revision. */
   uint64_t required_view_revision = 0;
 };
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -30,17 +30,25 @@
   counters.latency_sum_ms[row] += static_cast<double>(waited.count);
 }
 
-/** Notifies a scheduler that no caller waits at this daemon for a job. */
+/** Notifies the daemons that may run a job that no caller waits for it here.
+ * @param ended_by the daemon that has reported its end; none if it has not
+ * ended
+ */
 void WithdrawJob(FleetNode& node,
-                 const SubmissionId& id,
-                 const DaemonRef& scheduler,
+                 const PendingJob& pending,
+                 const DaemonRef& ended_by,
                  Millis now,
                  Actions& actions) {
-  if (scheduler == node.self)
-    CancelReceivedJob(node, id, node.self, "caller_gone", now, actions);
-  else
-    Send(node.sessions, scheduler, JobCancellation{id}, SessionLimits(), now,
-         actions);
+  const SubmissionId& id = pending.job.id;
+  for (const DaemonRef& holder : pending.holders) {
+    if (holder == ended_by)
+      continue;
+    if (holder == node.self)
+      CancelReceivedJob(node, id, node.self, "caller_gone", now, actions);
+    else
+      Send(node.sessions, holder, JobCancellation{id}, SessionLimits(), now,
+           actions);
+  }
 }
 
 }  // namespace
@@ -89,14 +97,14 @@
       pending.callers.end());
   if (!pending.callers.empty())
     return;
-  const DaemonRef scheduler = pending.scheduler;
+  const PendingJob withdrawn = std::move(pending);
+  node.reception.pending.erase(entry);
   actions.push_back(LogEvent{
       "caller_gone",
       {{"job", id.value},
-       {"scheduler", scheduler.id.value},
-       {"waited_ms", std::to_string((now - pending.received_at).count)}}});
-  node.reception.pending.erase(entry);
-  WithdrawJob(node, id, scheduler, now, actions);
+       {"scheduler", withdrawn.scheduler.id.value},
+       {"waited_ms", std::to_string((now - withdrawn.received_at).count)}}});
+  WithdrawJob(node, withdrawn, DaemonRef(), now, actions);
 }
 
 void HandleReport(FleetNode& node,
@@ -107,20 +115,18 @@
   const auto entry = node.reception.pending.find(report.job);
   if (entry == node.reception.pending.end())
     return;
-  const DaemonRef scheduler = entry->second.scheduler;
   const bool is_final = report.outcome.result == JobResult::kCompleted ||
                         report.outcome.result == JobResult::kFailed;
   const bool is_from_previous_scheduler =
       entry->second.previous_scheduler == from && is_final;
-  if (scheduler != from && !is_from_previous_scheduler)
+  if (entry->second.scheduler != from && !is_from_previous_scheduler)
     return;
-  AnswerCallers(node, now, report.job, report.outcome, actions);
-  if (scheduler != from)
-    WithdrawJob(node, report.job, scheduler, now, actions);
+  AnswerCallers(node, now, from, report.job, report.outcome, actions);
 }
 
 void AnswerCallers(FleetNode& node,
                    Millis now,
+                   const DaemonRef& ended_by,
                    const SubmissionId& job,
                    const JobOutcome& outcome,
                    Actions& actions) {
@@ -143,6 +149,7 @@
     node.reception.by_caller.erase(caller);
     actions.push_back(AnswerJob{caller, outcome});
   }
+  WithdrawJob(node, pending, ended_by, now, actions);
 }
 
 void AbandonJob(FleetNode& node,
@@ -153,14 +160,12 @@
   const auto entry = node.reception.pending.find(job);
   if (entry == node.reception.pending.end())
     return;
-  const DaemonRef scheduler = entry->second.scheduler;
   const bool may_run =
-      entry->second.may_have_started || scheduler != DaemonRef();
-  AnswerCallers(node, now, job,
+      entry->second.may_have_started || entry->second.scheduler != DaemonRef();
+  AnswerCallers(node, now, DaemonRef(), job,
                 {may_run ? JobResult::kAbandoned : JobResult::kRefused,
                  kAbandonedRetryAfter, reason},
                 actions);
-  WithdrawJob(node, job, scheduler, now, actions);
 }
 
 void HandleJobSubmission(FleetNode& node,
@@ -235,15 +240,14 @@
       early.begin(), early.end(), [&id, &receiver](const EarlyJob& job) {
         return job.submission.job.id == id && job.receiver == receiver;
       });
-  if (cancelled == early.end()) {
-    CancelJob(node.scheduler, id, receiver, reason, now, actions);
-    return;
+  if (cancelled != early.end()) {
+    early.erase(cancelled, early.end());
+    actions.push_back(LogEvent{"early_job_cancelled",
+                               {{"job", id.value},
+                                {"receiver", receiver.id.value},
+                                {"reason", reason}}});
   }
-  early.erase(cancelled, early.end());
-  actions.push_back(LogEvent{"early_job_cancelled",
-                             {{"job", id.value},
-                              {"receiver", receiver.id.value},
-                              {"reason", reason}}});
+  CancelJob(node.scheduler, id, receiver, reason, now, actions);
 }
 
 void ReportFinishedJobs(FleetNode& node, Millis now, Actions& actions) {
@@ -260,7 +264,7 @@
       } else if (job.redirect) {
         RedirectJob(node, now, node.self, *job.redirect, actions);
       } else {
-        AnswerCallers(node, now, job.job, job.outcome, actions);
+        AnswerCallers(node, now, node.self, job.job, job.outcome, actions);
       }
     }
   }
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -20,9 +20,14 @@
                   CallerToken caller,
                   Actions& actions);
 
-/** Answers all callers that wait for a job. */
+/** Answers all callers that wait for a job, and withdraws it from the other
+ * daemons that may run it.
+ * @param ended_by the daemon that has reported its end; none if it has not
+ * ended
+ */
 void AnswerCallers(FleetNode& node,
                    Millis now,
+                   const DaemonRef& ended_by,
                    const SubmissionId& job,
                    const JobOutcome& outcome,
                    Actions& actions);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -176,18 +176,23 @@
   }
 }
 
-void StopRuns(Scheduler& scheduler,
-              const ScheduledJob& job,
-              Millis now,
-              Actions& actions) {
+/** Stops the runs of a job.
+ * @return the number of its runs
+ */
+size_t StopRuns(Scheduler& scheduler,
+                const SubmissionId& job,
+                Millis now,
+                Actions& actions) {
+  size_t count = 0;
   for (auto& [id, endpoint] : scheduler.endpoints) {
-    auto run = endpoint.runs.lower_bound({{job.job.id, 0, 0}, 0});
-    for (; run != endpoint.runs.end() && run->first.first.job == job.job.id;
-         ++run) {
+    auto run = endpoint.runs.lower_bound({{job, 0, 0}, 0});
+    for (; run != endpoint.runs.end() && run->first.first.job == job; ++run) {
       run->second.may_requeue = false;
       SendStop(scheduler, endpoint, run->first, now, actions);
+      ++count;
     }
   }
+  return count;
 }
 
 /** Stops the current run of a task if it is still active. */
@@ -415,7 +420,7 @@
   if (outcome.result == JobResult::kRefused &&
       (job.has_started || job.may_have_started))
     outcome.result = JobResult::kAbandoned;
-  StopRuns(scheduler, job, now, actions);
+  StopRuns(scheduler, id, now, actions);
   ++scheduler.counters.job_results[static_cast<size_t>(outcome.result)];
   LogEvent event = MakeJobEvent("job_ended", job, now);
   event.fields.emplace_back("end",
@@ -439,10 +444,13 @@
                Actions& actions) {
   const auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end()) {
+    // After a handover, runs may be active here without their job.
+    const size_t runs = StopRuns(scheduler, id, now, actions);
     actions.push_back(LogEvent{"job_cancel_unknown",
                                {{"job", id.value},
                                 {"receiver", receiver.id.value},
-                                {"reason", reason}}});
+                                {"reason", reason},
+                                {"runs", std::to_string(runs)}}});
     return;
   }
   ScheduledJob& job = found->second;
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -50,7 +50,8 @@
               const RunKey& key);
 
 /** Removes a receiver whose callers no longer wait for a job. When it was the
- * last receiver, the job is abandoned and no result is sent.
+ * last receiver, the job is abandoned and no result is sent. When the job is
+ * not known, as after a handover, only its runs are stopped.
  */
 void CancelJob(Scheduler& scheduler,
                const SubmissionId& id,
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -78,6 +78,10 @@
     this->RemoveMember(id);
 }
 
+void FleetWorld::DeregisterDaemon(const std::string& id) {
+  this->RemoveMember(DaemonId(id));
+}
+
 void FleetWorld::DeregisterEndpoint(const std::string& id) {
   this->endpoint_entries.erase(EndpointId(id));
   this->history.emplace_back(++this->revision, EndpointRemoved{EndpointId(id)});
@@ -139,6 +143,15 @@
       {this->now + delay, ++this->last_event, std::move(callback)});
 }
 
+size_t FleetWorld::CountRuns(const std::string& job) const {
+  size_t count = 0;
+  for (const auto& [id, endpoint] : this->endpoints) {
+    for (const auto& [key, run] : endpoint.running)
+      count += key.first.job == SubmissionId(job) ? 1 : 0;
+  }
+  return count;
+}
+
 void FleetWorld::RunFor(Millis duration) {
   const Millis end = this->now + duration;
   while (this->now < end) {
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -27,6 +27,8 @@
   void AddEndpoint(const std::string& id, const std::string& zone);
   /** Removes the items of all daemons from the store, but not their leases. */
   void RemoveAllMembers();
+  /** Removes a daemon's item from the store, but not its lease. */
+  void DeregisterDaemon(const std::string& id);
   /** Removes an endpoint's item from the store; the endpoint keeps running. */
   void DeregisterEndpoint(const std::string& id);
 
@@ -41,6 +43,8 @@
                      Millis nominal_run_time);
   /** Closes a caller's connection. */
   void Disconnect(const std::string& daemon, CallerToken caller);
+  /** Returns the number of runs of a job that are active on endpoints. */
+  size_t CountRuns(const std::string& job) const;
   /** Advances the clock. */
   void RunFor(Millis duration);
 
