Stop the runs of a handed over job whose receivers are lost

Callers saw: a job whose receiver ended during a handover kept running at its previous scheduler, and its repeat, 1,300 ms after its first submission, ran beside it at another daemon (TWICE).

Cause: the review of lost receivers looked only among scheduled and early jobs. A job that was released is neither, but while the view of the previous scheduler is old, it keeps the endpoints and renews the leases of the job's runs. The receiver that would withdraw the job is gone. Class: a hand-over in which one side is forgotten.

Evidence: withdrawn_job_test.cc, fixed clock.

Change: a forwarded job keeps its receivers as of its release. The review of lost receivers cancels it here once all of them are lost; the cancellation of a job that is not known stops its runs. Why it works: the review finds the loss within the peer timeout, before the caller's repeat, and the record outlives callers (2,000 ms against 1,500 ms).

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -127,18 +127,28 @@
 }
 
 /** Cancels the jobs of lost receivers, because their results can't be
- * delivered.
+ * delivered. After a handover, runs of such jobs may be active here.
  */
 void CancelOrphanedJobs(FleetNode& node, Millis now, Actions& actions) {
+  const auto is_lost = [&node, now](const DaemonRef& receiver) {
+    return receiver != node.self && IsReceiverLost(node, receiver, now);
+  };
   std::vector<std::pair<SubmissionId, DaemonRef>> orphaned;
   for (const auto& [id, job] : node.scheduler.jobs) {
-    if (job.receiver != node.self && IsReceiverLost(node, job.receiver, now))
+    if (is_lost(job.receiver))
       orphaned.emplace_back(id, job.receiver);
   }
   for (const EarlyJob& job : node.early_jobs) {
-    if (job.receiver != node.self && IsReceiverLost(node, job.receiver, now))
+    if (is_lost(job.receiver))
       orphaned.emplace_back(job.submission.job.id, job.receiver);
   }
+  for (auto& [id, job] : node.forwarded_jobs) {
+    if (job.receivers.empty() ||
+        !std::all_of(job.receivers.begin(), job.receivers.end(), is_lost))
+      continue;
+    orphaned.emplace_back(id, job.receivers.back());
+    job.receivers.clear();
+  }
   for (const auto& [id, receiver] : orphaned)
     CancelReceivedJob(node, id, receiver, "receiver_gone", now, actions);
 }
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -75,6 +75,10 @@
    */
   bool is_known_unstarted = false;
   Millis forwarded_at;
+  /** Daemons that waited for its result when it was released here. Once all of
+   * them are lost, its runs that this daemon still manages are stopped.
+   */
+  std::vector<DaemonRef> receivers;
 };
 
 /** The whole state of a daemon on the platform. */
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "base/erase_if.h"
 #include "core/scheduling/job_flow.h"
@@ -43,6 +44,22 @@
   return no_progress;
 }
 
+/** Returns the daemons that wait for a job's result, or that did when it was
+ * released here.
+ */
+std::vector<DaemonRef> FindReceivers(const FleetNode& node,
+                                     const SubmissionId& id) {
+  const auto job = node.scheduler.jobs.find(id);
+  if (job != node.scheduler.jobs.end()) {
+    std::vector<DaemonRef> receivers = job->second.other_receivers;
+    receivers.push_back(job->second.receiver);
+    return receivers;
+  }
+  const auto forwarded = node.forwarded_jobs.find(id);
+  return forwarded == node.forwarded_jobs.end() ? std::vector<DaemonRef>()
+                                                : forwarded->second.receivers;
+}
+
 /** Returns true when a release request is based on an older view, and this
  * daemon still owns the job's group in its own view.
  */
@@ -90,6 +107,7 @@
     SendView(node, request.to, now, actions);
     return;
   }
+  const std::vector<DaemonRef> receivers = FindReceivers(node, request.job);
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
   const bool is_forwarded = known != node.forwarded_jobs.end();
@@ -98,7 +116,7 @@
     progress->job = request.job;
   }
   const DaemonRef holder = is_forwarded ? known->second.to : DaemonRef();
-  node.forwarded_jobs[request.job] = {request.to, {}, false, now};
+  node.forwarded_jobs[request.job] = {request.to, {}, false, now, receivers};
   if (progress) {
     DeliverProgress(node, request.to, *progress, now, actions);
     return;
@@ -171,7 +189,7 @@
                         Millis now) {
   const auto known = node.forwarded_jobs.find(submission.job.id);
   if (known == node.forwarded_jobs.end() && !submission.may_have_started)
-    node.forwarded_jobs[submission.job.id] = {owner, {}, true, now};
+    node.forwarded_jobs[submission.job.id] = {owner, {}, true, now, {}};
   else if (known != node.forwarded_jobs.end() && submission.may_have_started)
     known->second.is_known_unstarted = false;
 }
@@ -181,7 +199,7 @@
                      const DaemonRef& owner,
                      const EndpointGroup& group,
                      Millis now) {
-  node.forwarded_jobs[job] = {owner, group, true, now};
+  node.forwarded_jobs[job] = {owner, group, true, now, {}};
 }
 
 void RemoveExpiredForwardedJobs(FleetNode& node, Millis now) {
--- a/tests/core/withdrawn_job_test.cc
+++ b/tests/core/withdrawn_job_test.cc
@@ -238,6 +238,21 @@
   EXPECT_EQ(world.results.at("job"), JobResult::kCompleted);
 }
 
+// No receiver is left that could withdraw the job from its former scheduler.
+TEST(WithdrawnJobTest, RepeatOfAJobWhoseReceiverIsLostInItsHandoverRunsAlone) {
+  OwnershipChangeFixture fixture({1'400});
+  FleetWorld& world = fixture.world;
+  world.RunFor({600});
+  fixture.ChangeOwner({fixture.scheduler, fixture.next});
+  ASSERT_EQ(world.CountRuns("job"), 2U);
+  world.KillDaemon(fixture.receiver);
+  world.RunFor({630});
+  world.Submit("south0", "job", 2, {1'400});
+  world.RunFor({1'600});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results.at("job"), JobResult::kCompleted);
+}
+
 // The next scheduler gives the job up, while the previous one still runs it.
 TEST(WithdrawnJobTest, AbandonedJobIsCancelledAtItsPreviousScheduler) {
   OwnershipChangeFixture fixture({1'000});
