Count a forwarded job as unstarted only until it may have started

Callers saw: a job that its caller had sent again could run twice at a time, started by schedulers of two zones or groups, about 1,300 ms after the first submission (TWICE).

Cause: a daemon that forwards a job which nobody has started keeps a record of that for 2 s (is_known_unstarted). When it is asked to release the job, it answers with an empty, complete progress, and the next scheduler starts at once. The record outlives the submission: the repeat may have been started elsewhere before it, or its progress, reaches this daemon. Only RecordForwardedJob() withdrew the claim; a redirect to the group of the earlier spillover, a wait for a newer view, a submission that came late and progress that passes through left it. Class of fault: what is not known was taken for proof that nothing runs.

Evidence: job_handover_test.cc; its three tests failed before, with one progress message instead of none.

Why it works: any submission that may have started and any progress of the job withdraws the claim, on each path by which they arrive. The next scheduler then waits for the holder's progress or the end of the leases, as for any job that may have started.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -174,6 +174,7 @@
                        const JobProgress& progress,
                        Millis now,
                        Actions& actions) {
+  RecordPossibleStart(node, progress.job);
   const auto forwarded = node.forwarded_jobs.find(progress.job);
   const bool is_elsewhere = forwarded != node.forwarded_jobs.end() &&
                             forwarded->second.to != node.self &&
@@ -183,15 +184,21 @@
                   progress, now, actions);
 }
 
+void RecordPossibleStart(FleetNode& node, const SubmissionId& job) {
+  const auto known = node.forwarded_jobs.find(job);
+  if (known != node.forwarded_jobs.end())
+    known->second.is_known_unstarted = false;
+}
+
 void RecordForwardedJob(FleetNode& node,
                         const JobSubmission& submission,
                         const DaemonRef& owner,
                         Millis now) {
-  const auto known = node.forwarded_jobs.find(submission.job.id);
-  if (known == node.forwarded_jobs.end() && !submission.may_have_started)
-    node.forwarded_jobs[submission.job.id] = {owner, {}, true, now, {}};
-  else if (known != node.forwarded_jobs.end() && submission.may_have_started)
-    known->second.is_known_unstarted = false;
+  if (submission.may_have_started)
+    RecordPossibleStart(node, submission.job.id);
+  else
+    node.forwarded_jobs.try_emplace(submission.job.id,
+                                    ForwardedJob{owner, {}, true, now, {}});
 }
 
 void RecordSpillover(FleetNode& node,
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -49,6 +49,9 @@
                        Millis now,
                        Actions& actions);
 
+/** Records that tasks of a job may have started since it was forwarded. */
+void RecordPossibleStart(FleetNode& node, const SubmissionId& job);
+
 /** Records that a job was not accepted because another daemon is to schedule
  * it. A job that may have started is not recorded, and an earlier record of it
  * no longer counts as proof that it is unstarted.
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -183,6 +183,8 @@
                              {{"job", submission.job.id.value},
                               {"receiver", from.id.value},
                               {"late_ms", std::to_string(delay.count)}}});
+  if (submission.may_have_started)
+    RecordPossibleStart(node, submission.job.id);
   JobRedirect redirect;
   redirect.job = submission.job.id;
   redirect.to = node.self.id;
@@ -197,6 +199,8 @@
                      const DaemonRef& receiver,
                      const JobSubmission& submission,
                      Actions& actions) {
+  if (submission.may_have_started)
+    RecordPossibleStart(node, submission.job.id);
   if (submission.view_revision > node.view.revision) {
     actions.push_back(
         LogEvent{"job_waits_for_view",
--- /dev/null
+++ b/tests/core/job_handover_test.cc
@@ -0,0 +1,131 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "core/fleet/handover_flow.h"
+#include "fleet_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Two zones, and the daemons that exchange a job in them. */
+struct Handover {
+  FleetWorld world;
+  std::string receiver;
+  /** Owner of the receiver's zone, which was sent the job. */
+  std::string owner;
+  /** Owner of the other zone, which is to get the job. */
+  std::string next;
+
+  Handover() {
+    SetUpTwoZones(this->world);
+    this->owner = this->world.OwnerOf("north");
+    this->receiver = OtherDaemonInZone(this->owner);
+    this->next = this->world.OwnerOf("south");
+  }
+
+  FleetNode& Owner() { return this->world.Node(this->owner); }
+
+  /** Sends a message from the receiver to the owner; it arrives at once. */
+  Actions Deliver(PeerMessage message) {
+    Actions sent;
+    Send(this->world.Node(this->receiver).sessions, this->Owner().self,
+         std::move(message), SessionLimits(), this->world.now, sent);
+    Actions actions;
+    for (const Action& action : sent) {
+      if (const auto* frame = std::get_if<SendFrame>(&action))
+        OnPeerFrame(this->Owner(), this->world.now, frame->frame, actions);
+    }
+    return actions;
+  }
+
+  /** Makes a submission of a job that another scheduler had before. */
+  JobSubmission MakeSubmission() {
+    JobStep step;
+    step.task_count = 1;
+    step.resources = {7'000, 64, 0};
+    step.declared_run_time = {100};
+    JobSubmission submission;
+    submission.job.id = SubmissionId("job");
+    submission.job.route = "route";
+    submission.job.service = "service";
+    submission.job.steps = {step};
+    submission.job.max_attempts = 3;
+    submission.job.target_latency = {1'000};
+    submission.job.time_left = {1'500};
+    submission.group = {ZoneId("north"), 0};
+    submission.sent_at = this->world.now;
+    submission.may_forward = true;
+    submission.may_have_started = true;
+    submission.view_revision = this->Owner().view.revision;
+    return submission;
+  }
+
+  /** Makes the progress of that job: one run, on an endpoint of the south. */
+  JobProgress MakeProgress() {
+    JobProgress progress;
+    progress.job = SubmissionId("job");
+    progress.active_runs = {
+        {0, 0, Attempt(1),
+         this->world.endpoints.at(EndpointId("south-e0")).entry}};
+    return progress;
+  }
+
+  JobReleaseRequest MakeReleaseRequest() {
+    return {SubmissionId("job"), this->world.Node(this->next).self,
+            this->Owner().view.revision};
+  }
+
+  /** Records that the owner has forwarded the job to the other zone, as it does
+   * when its own endpoints are full.
+   */
+  void RecordEarlierSpillover() {
+    RecordSpillover(this->Owner(), SubmissionId("job"),
+                    this->world.Node(this->next).self, {ZoneId("south"), 0},
+                    this->world.now);
+  }
+};
+
+size_t CountProgressMessages(const Actions& actions) {
+  size_t count = 0;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame != nullptr && frame->frame.message &&
+        std::holds_alternative<JobProgress>(*frame->frame.message))
+      ++count;
+  }
+  return count;
+}
+
+// The record is of the job's first submission; its repeat has been started.
+TEST(JobHandoverTest, EarlierSpilloverDoesNotProveThatARepeatedJobIsUnstarted) {
+  Handover handover;
+  handover.RecordEarlierSpillover();
+  handover.Deliver(handover.MakeSubmission());
+  const Actions actions = handover.Deliver(handover.MakeReleaseRequest());
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
+TEST(JobHandoverTest, EarlierSpilloverDoesNotProveThatALateJobIsUnstarted) {
+  Handover handover;
+  handover.RecordEarlierSpillover();
+  JobSubmission late = handover.MakeSubmission();
+  late.sent_at = late.sent_at - Millis{600};
+  handover.Deliver(late);
+  const Actions actions = handover.Deliver(handover.MakeReleaseRequest());
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
+TEST(JobHandoverTest, JobWhoseProgressWasForwardedIsNotReportedAsUnstarted) {
+  Handover handover;
+  handover.RecordEarlierSpillover();
+  const Actions forwarded = handover.Deliver(handover.MakeProgress());
+  EXPECT_EQ(CountProgressMessages(forwarded), 1U);
+  const Actions actions = handover.Deliver(handover.MakeReleaseRequest());
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
+}  // namespace
+}  // namespace dogwoodfall
