Forget a job that waits for a newer view when it is released

Cause: a daemon that gets a job before its view, and then the job's progress, is asked to hand the job over. ExtractProgress() returned the progress and left the job in early_jobs. When the view came, the daemon scheduled a job that it had given away, without the progress that it had passed on.

Evidence: ReleasedJobThatWaitedForANewerViewIsNotStarted failed before: the job was accepted with the view.

Why it works: a release removes the job wherever it is kept.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -16,12 +16,30 @@
  */
 constexpr Millis kForwardedJobRetention{2'000};
 
-/** Removes a job from the scheduler or from the early jobs and returns its
+/** Removes the early jobs with an id.
+ * @return true when there were some and none of them may have started
+ */
+bool RemoveEarlyJobs(FleetNode& node, const SubmissionId& id) {
+  std::vector<EarlyJob>& jobs = node.early_jobs;
+  const auto removed = std::stable_partition(
+      jobs.begin(), jobs.end(),
+      [&id](const EarlyJob& job) { return job.submission.job.id != id; });
+  const bool is_known_unstarted =
+      removed != jobs.end() &&
+      std::none_of(removed, jobs.end(), [](const EarlyJob& job) {
+        return job.submission.may_have_started;
+      });
+  jobs.erase(removed, jobs.end());
+  return is_known_unstarted;
+}
+
+/** Removes a job from the scheduler and from the early jobs and returns its
  * progress; none when its progress is unknown.
  */
 std::optional<JobProgress> ExtractProgress(FleetNode& node,
                                            const SubmissionId& id,
                                            Millis now) {
+  const bool is_known_unstarted = RemoveEarlyJobs(node, id);
   if (const auto job = RemoveJob(node.scheduler, id))
     return MakeJobProgress(node.scheduler, *job, now);
   const auto early_progress = node.scheduler.early_progress.find(id);
@@ -30,13 +48,6 @@
     node.scheduler.early_progress.erase(early_progress);
     return progress;
   }
-  const auto early_job = std::find_if(
-      node.early_jobs.begin(), node.early_jobs.end(),
-      [&id](const EarlyJob& job) { return job.submission.job.id == id; });
-  if (early_job == node.early_jobs.end())
-    return std::nullopt;
-  const bool is_known_unstarted = !early_job->submission.may_have_started;
-  node.early_jobs.erase(early_job);
   if (!is_known_unstarted)
     return std::nullopt;
   JobProgress no_progress;
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -78,6 +78,15 @@
             this->Owner().view.revision};
   }
 
+  /** Makes a view with the same members under a later revision. */
+  ViewNotice MakeNextView() {
+    ViewNotice view;
+    view.revision = this->Owner().view.revision + 1;
+    for (const auto& [id, member] : this->Owner().view.members)
+      view.members.push_back(member);
+    return view;
+  }
+
   /** Records that the owner has forwarded the job to the other zone, as it does
    * when its own endpoints are full.
    */
@@ -127,5 +136,18 @@
   EXPECT_EQ(CountProgressMessages(actions), 0U);
 }
 
+TEST(JobHandoverTest, ReleasedJobThatWaitedForANewerViewIsNotStarted) {
+  Handover handover;
+  const ViewNotice view = handover.MakeNextView();
+  JobSubmission submission = handover.MakeSubmission();
+  submission.view_revision = view.revision;
+  handover.Deliver(submission);
+  handover.Deliver(handover.MakeProgress());
+  const Actions released = handover.Deliver(handover.MakeReleaseRequest());
+  EXPECT_EQ(CountProgressMessages(released), 1U);
+  handover.Deliver(view);
+  EXPECT_EQ(handover.Owner().scheduler.jobs.count(SubmissionId("job")), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
