Wait for the progress of a job that its receiver has scheduled itself

Callers saw: a task could run twice at a time, started by the next scheduler within milliseconds of the hand-over, while daemons join (TWICE).

Cause: a receiver that had scheduled a job itself sent it on with a maximum wait of 0, as it sends the progress first and on the same session. But the next scheduler may forward that progress by an older record of the job, so that it arrives after the job, by way of other daemons. Class of fault: that no progress has arrived was taken for proof that there is none.

Evidence: ReceiverThatScheduledTheJob... failed before, with a wait of 0. FakeEndpoint gets a time that a stop takes; the protocol allows 50 ms.

Why it works: the wait is that for any other previous scheduler and ends with the progress, so that a hand-over without a detour takes no longer. A previous scheduler that is not known as a peer counts as running, too.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -27,15 +27,14 @@
  * scheduler: the time for which runs that it has started may go on. It is
  * counted from the last message from that scheduler or, if that is later, from
  * the assignment of the job to it, because a partitioned scheduler keeps
- * running while its messages don't arrive.
+ * running while its messages don't arrive. It also applies when this daemon is
+ * the previous scheduler, because other daemons may forward the progress.
  */
 Millis ComputeMaxProgressWait(const FleetNode& node,
                               const PendingJob& pending,
                               Millis now) {
   const DaemonRef& previous = pending.previous_scheduler;
-  const auto peer_status = node.peers.find(previous.id);
-  if (previous == DaemonRef() || previous == node.self ||
-      peer_status == node.peers.end())
+  if (previous == DaemonRef())
     return {};
   const Millis remaining = std::max(GetLastKnownAlive(node, previous, now),
                                     pending.previous_assumed_alive_at) +
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -108,6 +109,19 @@
   return count;
 }
 
+/** Returns the first submission among actions. */
+std::optional<JobSubmission> FindSubmission(const Actions& actions) {
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame == nullptr || !frame->frame.message)
+      continue;
+    if (const auto* submission =
+            std::get_if<JobSubmission>(&*frame->frame.message))
+      return *submission;
+  }
+  return std::nullopt;
+}
+
 // The record is of the job's first submission; its repeat has been started.
 TEST(JobHandoverTest, EarlierSpilloverDoesNotProveThatARepeatedJobIsUnstarted) {
   Handover handover;
@@ -149,5 +163,21 @@
   EXPECT_EQ(handover.Owner().scheduler.jobs.count(SubmissionId("job")), 0U);
 }
 
+TEST(JobHandoverTest, ReceiverThatScheduledTheJobMakesTheNextOneWait) {
+  Handover handover;
+  handover.world.Submit(handover.owner, "job", 1, {600});
+  handover.world.RunFor({50});
+  ViewNotice view = handover.MakeNextView();
+  for (FleetMember& member : view.members) {
+    if (member.address.id == handover.Owner().self.id)
+      member.address.leaving = true;
+  }
+  const std::optional<JobSubmission> submission =
+      FindSubmission(handover.Deliver(view));
+  ASSERT_TRUE(submission.has_value());
+  EXPECT_TRUE(submission->may_have_started);
+  EXPECT_GT(submission->max_progress_wait, Millis());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/core/membership_churn_test.cc
+++ b/tests/core/membership_churn_test.cc
@@ -24,8 +24,10 @@
 
 /** Plays callers of daemons that join one after the other, and returns the
  * tasks that had two runs at the same time.
+ *
+ * @param stop_duration time from a stop command to the end of the run
  */
-std::set<JobTask> PlayJoiningDaemons(uint32_t seed) {
+std::set<JobTask> PlayJoiningDaemons(uint32_t seed, Millis stop_duration) {
   constexpr int kDaemonsPerZone = 10;
   constexpr Millis kRetransmitAfter{1'300};
   FleetWorld world;
@@ -53,6 +55,8 @@
     for (int i = 0; i < 12; ++i)
       world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
   }
+  for (auto& [id, endpoint] : world.endpoints)
+    endpoint.stop_duration = stop_duration;
   std::vector<Caller> callers;
   const Millis end = world.now + Millis{7'500};
   int jobs = 0;
@@ -98,11 +102,17 @@
 
 // Each join changes the groups and their owners, so that jobs change hands.
 TEST(MembershipChurnTest, JoiningDaemonsCauseNoDuplicateRuns) {
-  std::vector<uint32_t> seeds = {218, 263, 323};
+  std::vector<uint32_t> seeds = {218, 263, 323, 809};
   for (uint32_t seed = 1; seed <= 20; ++seed)
     seeds.push_back(seed);
   for (const uint32_t seed : seeds)
-    EXPECT_TRUE(PlayJoiningDaemons(seed).empty()) << seed;
+    EXPECT_TRUE(PlayJoiningDaemons(seed, {}).empty()) << seed;
+}
+
+// A run that is being stopped is still active.
+TEST(MembershipChurnTest, JoiningDaemonsCauseNoDuplicateRunsWhileRunsStop) {
+  for (const uint32_t seed : {1, 2, 3, 24})
+    EXPECT_TRUE(PlayJoiningDaemons(seed, {45}).empty()) << seed;
 }
 
 }  // namespace
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -53,10 +53,18 @@
   return CommandOutcome::kDone;
 }
 
-void Stop(FakeEndpoint& endpoint, const StopRun& stop) {
+void Stop(FakeEndpoint& endpoint, const StopRun& stop, Millis now) {
   const RunKey key{stop.task, stop.attempt.value};
-  if (endpoint.running.count(key) > 0)
-    EndRun(endpoint, key, RunResult::kStopped);
+  const auto run = endpoint.running.find(key);
+  if (run != endpoint.running.end()) {
+    const Millis stopped_after =
+        now - run->second.started_at + endpoint.stop_duration;
+    if (stopped_after < run->second.run_time) {
+      run->second.run_time = stopped_after;
+      run->second.result = RunResult::kStopped;
+    }
+    AdvanceFakeEndpoint(endpoint, now);
+  }
   uint32_t& closed = endpoint.closed_attempts[stop.task];
   closed = std::max(closed, key.second);
 }
@@ -118,7 +126,7 @@
   if (const auto* start = std::get_if<StartRun>(&command.command))
     reply.outcome = Start(endpoint, *start, nominal_run_time, resources, now);
   else if (const auto* stop = std::get_if<StopRun>(&command.command))
-    Stop(endpoint, *stop);
+    Stop(endpoint, *stop, now);
   else
     ListRuns(endpoint, std::get<RenewRuns>(command.command), now, reply);
   return reply;
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -25,6 +25,8 @@
   EndpointEntry entry;
   /** Factor of run times over the nominal ones. */
   double slowness = 1;
+  /** Time from a stop command to the end of the run. */
+  Millis stop_duration;
   /** True to make every started run fail after 25 ms. */
   bool fails_all = false;
   /** Runs of jobs whose id has this prefix fail in the same way; empty for
