Block a task whose endpoint was released until its run is listed or has ended

Callers saw: nothing traced yet; a task can run twice at a time when its endpoint gets another owner and late progress of its job arrives (TWICE).

Cause: for a run on an endpoint that is released, only start_blocked_until kept the job from starting, which is also the timeout for the progress from the previous scheduler. Progress that says that no more is to come set it to 0, and the task was started at once, beside the run. Class of fault: that a daemon knows of no run was taken for proof that nothing runs.

Why it works: such a run is now kept like a reported one. It blocks its task until a list shows or disproves it or its lease has ended, whatever other daemons report, and the next scheduler gets it by name instead of only a wait.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -108,14 +108,13 @@
   const auto known = scheduler.endpoints.find(id);
   if (known == scheduler.endpoints.end())
     return;
-  const std::map<RunKey, Run> runs = std::move(known->second.runs);
-  const bool may_have_unlisted_runs = MayHaveUnlistedRuns(known->second, now);
+  const ManagedEndpoint released = std::move(known->second);
   scheduler.endpoints.erase(known);
-  if (may_have_unlisted_runs)
-    ExtendReportedRuns(scheduler, id, now);
-  for (const auto& [key, run] : runs) {
+  if (MayHaveUnlistedRuns(released, now))
+    ExtendReportedRuns(scheduler, released.entry.id, now);
+  for (const auto& [key, run] : released.runs) {
     if (run.may_requeue)
-      RequeueTaskAfterLease(scheduler, id, key, now);
+      RequeueTaskAfterLease(scheduler, released.entry, key, now);
   }
 }
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -593,16 +593,17 @@
 }
 
 void RequeueTaskAfterLease(Scheduler& scheduler,
-                           const EndpointId& endpoint,
+                           const EndpointEntry& endpoint,
                            const RunKey& run,
                            Millis now) {
   const auto job = scheduler.jobs.find(run.first.job);
   if (job == scheduler.jobs.end())
     return;
   job->second.may_have_started = true;
-  job->second.start_blocked_until =
-      std::max(job->second.start_blocked_until, now + kMaxLease);
-  RequeueTask(scheduler, endpoint, run, now);
+  const ActiveRun active{run.first.step, run.first.index, Attempt(run.second),
+                         endpoint};
+  job->second.reported_runs.push_back({active, now, now + kMaxLease});
+  RequeueTask(scheduler, endpoint.id, run, now);
 }
 
 bool IsCurrentRun(Scheduler& scheduler,
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -135,7 +135,7 @@
  * expired.
  */
 void RequeueTaskAfterLease(Scheduler& scheduler,
-                           const EndpointId& endpoint,
+                           const EndpointEntry& endpoint,
                            const RunKey& run,
                            Millis now);
 
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -36,8 +36,9 @@
   EndpointId endpoint;
 };
 
-/** A run that a previous scheduler has reported and that no list of its
- * endpoint has confirmed or disproved since.
+/** A run that a previous scheduler has reported, or on an endpoint that was
+ * released here, and that no list of its endpoint has confirmed or disproved
+ * since.
  */
 struct ReportedRun {
   ActiveRun run;
@@ -71,7 +72,7 @@
   bool may_have_started = false;
   /** Nothing is started before this time, because runs may be active that are
    * not known here. It is the timeout for the progress from the previous
-   * scheduler, or the end of the leases of such runs.
+   * scheduler.
    */
   Millis start_blocked_until;
   /** Nothing is started while one of these may be active. They are reported
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -218,6 +218,23 @@
   }
 }
 
+// Progress without runs comes from a daemon that had the job earlier.
+TEST(RunIdentityTest, LateProgressDoesNotEndTheWaitForAReleasedEndpoint) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  world.Submit("job", 1, 7, {600});
+  world.Run({50});
+  world.AddEndpoint("e2", 16, 1);
+  world.Run({20});
+  ReleaseEndpoint(world.scheduler, EndpointId("e1"), world.now);
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  world.SubmitProgress(progress);
+  world.Run({600});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
