Ignore a redirect that answers an earlier submission of a job

Callers saw: a task could run twice at a time after messages between two daemons had been delayed for some 100 ms (TWICE).

Cause: a receiver sends a job to a scheduler, elsewhere, and to the first one again. That one's redirect of the first submission was taken for the answer to the second, so the receiver sent the job to a third daemon, while the first accepted it by the second submission.

Evidence: RedirectOfAnEarlierSubmissionIsIgnored failed before.

Why it works: between two submissions to one scheduler the receiver has recorded that the job may have started, each later submission says so, and a scheduler repeats it in its redirect. A redirect that doesn't is of an earlier submission.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -186,6 +186,11 @@
   if (entry == node.reception.pending.end() || entry->second.scheduler != from)
     return;
   PendingJob& pending = entry->second;
+  // A redirect of the latest submission repeats that the job may have started.
+  const bool is_of_earlier_submission =
+      pending.may_have_started && !redirect.may_have_started;
+  if (is_of_earlier_submission)
+    return;
   pending.scheduler = DaemonRef();
   pending.may_have_started |= redirect.may_have_started;
   if (!pending.may_have_started)
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -31,13 +31,21 @@
 
   /** Sends a message from the receiver to the owner; it arrives at once. */
   Actions Deliver(PeerMessage message) {
+    return this->Deliver(this->receiver, this->owner, std::move(message));
+  }
+
+  /** Sends a message from one daemon to another; it arrives at once. */
+  Actions Deliver(const std::string& from,
+                  const std::string& to,
+                  PeerMessage message) {
+    FleetNode& node = this->world.Node(to);
     Actions sent;
-    Send(this->world.Node(this->receiver).sessions, this->Owner().self,
-         std::move(message), SessionLimits(), this->world.now, sent);
+    Send(this->world.Node(from).sessions, node.self, std::move(message),
+         SessionLimits(), this->world.now, sent);
     Actions actions;
     for (const Action& action : sent) {
       if (const auto* frame = std::get_if<SendFrame>(&action))
-        OnPeerFrame(this->Owner(), this->world.now, frame->frame, actions);
+        OnPeerFrame(node, this->world.now, frame->frame, actions);
     }
     return actions;
   }
@@ -179,5 +187,24 @@
   EXPECT_GT(submission->max_progress_wait, Millis());
 }
 
+// The scheduler has the later submission, too, and may schedule the job by it.
+TEST(JobHandoverTest, RedirectOfAnEarlierSubmissionIsIgnored) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({5});
+  const SubmissionId job("job");
+  PendingJob& pending =
+      handover.world.Node(handover.receiver).reception.pending.at(job);
+  ASSERT_EQ(pending.scheduler, handover.Owner().self);
+  pending.may_have_started = true;
+  JobRedirect redirect;
+  redirect.job = job;
+  redirect.to = DaemonId(handover.next);
+  redirect.group = {ZoneId("south"), 0};
+  redirect.view_revision = handover.Owner().view.revision;
+  handover.Deliver(handover.owner, handover.receiver, redirect);
+  EXPECT_EQ(pending.scheduler, handover.Owner().self);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
