Release a job by an older view to a daemon that keeps it

Callers saw: a task could run twice at a time, some 650 ms after a scheduler was replaced, while daemons restart or are cut off (TWICE).

Cause: a scheduler refused to release a job that it was asked for by an older view, and sent its view, expecting that the next scheduler would hand the job back. That is so only if that daemon owns nothing in the newer view. When the groups have changed, it has the job in a group of its own and keeps it, waits until the previous scheduler's leases must have ended, and starts the tasks beside it. Class of fault: silence was taken for proof that nothing runs.

Evidence: OutdatedRequestReleases... failed before: no progress was sent.

Why it works: an owner that gets the job with its progress finds its runs. If the group isn't its own by the newer view, it hands the job over, as for any change.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -71,13 +71,15 @@
                                                 : forwarded->second.receivers;
 }
 
-/** Returns true when a release request is based on an older view, and this
- * daemon still owns the job's group in its own view.
+/** Returns true when a release request is based on an older view, and in its
+ * own view this daemon still owns the job's group and the next scheduler owns
+ * none, so that it will send the job back.
  */
 bool IsOutdated(const FleetNode& node, const JobReleaseRequest& request) {
   const auto job = node.scheduler.jobs.find(request.job);
   if (job == node.scheduler.jobs.end() ||
-      request.view_revision >= node.view.revision)
+      request.view_revision >= node.view.revision ||
+      IsOwner(node.view, request.to.id))
     return false;
   return IsOwnerOf(node.view, node.self, job->second.group);
 }
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -7,12 +7,12 @@
 
 /** Hands a job and its progress over to the next scheduler.
  *
- * When the request is based on an older view than the own one, and this daemon
- * still owns the job's group, it sends its view to that scheduler instead. When
- * the job has already been forwarded, the request is forwarded to the daemon
- * that schedules it now. A daemon without a record of the job sends no
- * progress, because runs of the job may be active. The next scheduler then
- * waits until the leases have expired.
+ * When the request is based on an older view than the own one, this daemon
+ * still owns the job's group and that scheduler owns none, it sends its view to
+ * that scheduler instead. When the job has already been forwarded, the request
+ * is forwarded to the daemon that schedules it now. A daemon without a record
+ * of the job sends no progress, because runs of the job may be active. The next
+ * scheduler then waits until the leases have expired.
  */
 void ReleaseJob(FleetNode& node,
                 const JobReleaseRequest& request,
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -206,5 +206,17 @@
   EXPECT_EQ(pending.scheduler, handover.Owner().self);
 }
 
+// The next scheduler has the job in a group of its own and keeps it.
+TEST(JobHandoverTest, OutdatedRequestReleasesTheJobToAnOwnerOfAnotherGroup) {
+  Handover handover;
+  handover.world.Submit(handover.owner, "job", 1, {600});
+  handover.world.RunFor({50});
+  JobReleaseRequest request = handover.MakeReleaseRequest();
+  --request.view_revision;
+  const Actions actions = handover.Deliver(request);
+  EXPECT_EQ(CountProgressMessages(actions), 1U);
+  EXPECT_EQ(handover.Owner().scheduler.jobs.count(SubmissionId("job")), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
