Wait for announced progress of a job of which a run was found

Callers saw: nothing traced yet; a task can run twice at a time when a job changes hands twice in a row (TWICE).

Cause: progress that says that more is to come blocked only jobs of which no run was known. One run found on an endpoint let the job's other tasks start at the end of the shorter wait that came with the submission, beside runs that only the announced progress names. Class of fault: one known run was taken for proof that all of them are known.

Evidence: FoundRunDoesNotEndTheWaitForFurtherProgress failed before with a double run. ReturnedJobKeepsItsRuns, for which the exception was made in, passes without it.

Why it works: only complete progress ends the wait. Announced progress is delivered on the session that announced it, so it comes after the announcement.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -341,7 +341,7 @@
   ScheduledJob& job = found->second;
   if (progress.remaining_wait == Millis())
     job.start_blocked_until = Millis();
-  else if (!job.has_started)
+  else
     job.start_blocked_until =
         std::max(job.start_blocked_until, now + progress.remaining_wait);
   for (const ActiveRun& run : progress.active_runs) {
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -235,6 +235,39 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// The job has a run here, and another one that only an earlier scheduler knows.
+TEST(RunIdentityTest, FoundRunDoesNotEndTheWaitForFurtherProgress) {
+  SchedulerWorld world;
+  FakeEndpoint& first = world.endpoints[EndpointId("e1")];
+  first.lease_until = world.now + Millis{800};
+  first.running[{TaskOf("job", 0), 1}] = {
+      world.now, {600}, {7'000, 64, 0}, RunResult::kDone};
+  world.AddEndpoint("e1", 7, 1);
+  world.AddEndpoint("e2", 16, 1);
+  FakeEndpoint& foreign = world.endpoints[EndpointId("foreign")];
+  foreign.entry = first.entry;
+  foreign.entry.id = EndpointId("foreign");
+  foreign.lease_until = world.now + Millis{800};
+  foreign.running[{TaskOf("job", 1), 1}] = {
+      world.now, {600}, {7'000, 64, 0}, RunResult::kDone};
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 2, 7, {600}, "route");
+  submission.may_have_started = true;
+  submission.max_progress_wait = {100};
+  world.SubmitJob(submission, {600});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.remaining_wait = {600};
+  world.SubmitProgress(progress);
+  world.Run({300});
+  progress.remaining_wait = {};
+  progress.active_runs = {{0, 1, Attempt(1), foreign.entry}};
+  world.SubmitProgress(progress);
+  world.Run({600});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
