Send the jobs of other zones to the standbys of owners

Callers saw: a job that was sent again after its answer had been lost could run twice at a time, in two zones, when the owner of the second zone had changed less than a heartbeat before; a graceful shutdown is enough (TWICE).

Cause: owners learn the jobs that run in other zones from the heartbeats of their owners, every 200 ms. In a fleet of more than twelve daemons a standby gets none, so for its first 200 ms as an owner it knows no job of another zone and starts the repeat. Class of fault: what is not known was taken for proof that nothing runs.

Evidence: NewOwnerKnowsTheJobsThatRunInOtherZones failed before with a double run.

Why it works: a standby hears other zones' owners before it becomes one.

Cost: five heartbeats a second from each owner to two standbys of each other zone; HeartbeatsGrowByOwnersAndNotByDaemons passes with its bound as it was. The bytes between zones were not measured, and docs/CAPACITY.md has not been changed.

--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -63,9 +63,10 @@
     return is_from_candidate || is_to_candidate ? kSlowHeartbeatPeriod
                                                 : Millis();
   }
-  const bool are_owners =
-      IsOwner(view, from.address.id) && IsOwner(view, to.address.id);
-  return are_owners ? kSlowHeartbeatPeriod : Millis();
+  // A standby has to know the jobs of other zones once it is an owner.
+  const bool is_from_owner_to_candidate =
+      IsOwner(view, from.address.id) && IsOwnerCandidate(view, to.address.id);
+  return is_from_owner_to_candidate ? kSlowHeartbeatPeriod : Millis();
 }
 
 void SendHeartbeats(FleetNode& node, Millis now, Actions& actions) {
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -218,5 +218,27 @@
   EXPECT_EQ(handover.Owner().scheduler.jobs.count(SubmissionId("job")), 0U);
 }
 
+// The owner has changed since the last heartbeats with the other zone's jobs.
+TEST(JobHandoverTest, NewOwnerKnowsTheJobsThatRunInOtherZones) {
+  constexpr int kDaemonsPerZone = 10;
+  FleetWorld world;
+  for (const char* zone : {"north", "south"}) {
+    for (int i = 0; i < kDaemonsPerZone; ++i)
+      world.StartDaemon(std::string(zone) + std::to_string(i), zone);
+    for (int i = 0; i < 12; ++i)
+      world.AddEndpoint(std::string(zone) + "-e" + std::to_string(i), zone);
+  }
+  world.RunFor({3'000});
+  world.Submit("south9", "job", 1, {1'400});
+  world.RunFor({1'250});
+  for (const DaemonId& owner :
+       world.Node("north9").view.owners[ZoneId("north")])
+    world.StopDaemon(owner.value);
+  world.RunFor({50});
+  world.Submit("north9", "job", 1, {1'400});
+  world.RunFor({150});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
