Log the number of tasks and run times of jobs

The log of a play couldn't tell why jobs of the largest tenth of a route were not served: neither the size of a job nor its estimate was in it, so a job that was under-declared looked like one that waited. job_taken and job_ended now give the number of tasks and the run time of the longest, declared and estimated; at the end the estimate is the one corrected by the job's runs.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -124,6 +124,26 @@
            {"slack_ms", std::to_string((job.latest_start - now).count)}}};
 }
 
+/** Describes the size of a job: its tasks, and the run time of its longest task
+ * at slowness 1, as declared and as estimated now.
+ */
+void AddJobSize(const Scheduler& scheduler,
+                const ScheduledJob& job,
+                LogEvent& event) {
+  uint32_t tasks = 0;
+  Millis declared;
+  Millis expected;
+  for (uint32_t step = 0; step < job.job.steps.size(); ++step) {
+    tasks += job.job.steps[step].task_count;
+    declared = std::max(declared, job.job.steps[step].declared_run_time);
+    expected =
+        std::max(expected, EstimateStepRunTime(scheduler, job, step, nullptr));
+  }
+  event.fields.emplace_back("tasks", std::to_string(tasks));
+  event.fields.emplace_back("declared_ms", std::to_string(declared.count));
+  event.fields.emplace_back("expected_ms", std::to_string(expected.count));
+}
+
 /** Stores progress of a job that has not been received yet. Several daemons may
  * each report a part of it.
  */
@@ -288,7 +308,9 @@
       return;
   }
   ClaimRuns(scheduler, job.id);
-  actions.push_back(MakeJobEvent("job_taken", accepted, now));
+  LogEvent event = MakeJobEvent("job_taken", accepted, now);
+  AddJobSize(scheduler, accepted, event);
+  actions.push_back(std::move(event));
   std::optional<JobOutcome> refusal = DecideAdmission(scheduler, accepted, now);
   if (refusal && refusal->result == JobResult::kRefused &&
       ForgetUnverifiedTimes(scheduler, job, now, actions)) {
@@ -423,6 +445,7 @@
   StopRuns(scheduler, id, now, actions);
   ++scheduler.counters.job_results[static_cast<size_t>(outcome.result)];
   LogEvent event = MakeJobEvent("job_ended", job, now);
+  AddJobSize(scheduler, job, event);
   event.fields.emplace_back("end",
                             std::to_string(static_cast<int>(outcome.result)));
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
