Log how many tasks of a job were still queued at its end

A job that ended with time_limit or can_not_be_in_time looked the same in the log whether all of its tasks were at work or some had no endpoint, and the two have different causes. job_ended now gives tasks_queued beside tasks_left.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -449,6 +449,7 @@
   event.fields.emplace_back("end",
                             std::to_string(static_cast<int>(outcome.result)));
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
+  event.fields.emplace_back("tasks_queued", std::to_string(job.tasks_queued));
   event.fields.emplace_back("reason", outcome.reason);
   actions.push_back(std::move(event));
   if (outcome.result == JobResult::kCompleted ||
