Start jobs first that only fast endpoints end in time

Cause: fast endpoints were kept for such jobs only by a cost in the choice among free endpoints. Once jobs wait, a fast endpoint that becomes free went to the job with the earliest latest start, that is to short jobs that any endpoint ends in time; and a large job that had missed its latest start, which includes a safety margin, went behind all others, though a fast endpoint would still have ended it in time. Its tasks stayed in the queue until the caller's limit. The class: a resource that is scarce for one kind of job is reserved by a weight and not in the order of the queue.

Change: jobs whose queued tasks would probably miss the caller's limit on a typical endpoint, but not on a fast one, are placed before the others, in the order of the queue.

What is left: jobs of 5 to 10 long tasks in a group with room for about 7 on fast endpoints, and the choice of another group counts room of any speed.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -498,6 +498,12 @@
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
+  // Other jobs would take each fast endpoint that becomes free.
+  std::stable_partition(queued_jobs.begin(), queued_jobs.end(),
+                        [&scheduler, now](const SubmissionId& id) {
+                          return NeedsFastEndpoints(scheduler,
+                                                    scheduler.jobs.at(id), now);
+                        });
   for (const SubmissionId& id : queued_jobs) {
     ScheduledJob& job = scheduler.jobs.at(id);
     if (MayHaveUnknownRuns(scheduler, job, now))
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -5,6 +5,7 @@
 
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/job_order.h"
+#include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
 namespace {
@@ -138,6 +139,29 @@
 
 }  // namespace
 
+bool NeedsFastEndpoints(const Scheduler& scheduler,
+                        const ScheduledJob& job,
+                        Millis now) {
+  for (uint32_t step = 0; step < job.tasks.size(); ++step) {
+    const bool is_queued =
+        std::any_of(job.tasks[step].begin(), job.tasks[step].end(),
+                    [](const TaskProgress& task) {
+                      return task.phase == TaskPhase::kQueued;
+                    });
+    if (!is_queued)
+      continue;
+    const Millis slowest_run_time =
+        ScaleRunTime(SlowestTaskFactor(job.job.steps[step].task_count),
+                     EstimateStepRunTime(scheduler, job, step, nullptr));
+    if (EstimateMissRisk(scheduler.median_slowness, job, slowest_run_time,
+                         now) > kMaxRiskAfterWait &&
+        EstimateMissRisk(scheduler.fast_slowness, job, slowest_run_time, now) <=
+            kMaxRiskAfterWait)
+      return true;
+  }
+  return false;
+}
+
 bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now) {
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
          !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -31,6 +31,13 @@
                const TaskResources& planned_use,
                Millis now);
 
+/** Returns true when queued tasks of a job would probably miss the caller's
+ * deadline on a typical endpoint, but not on a fast one.
+ */
+bool NeedsFastEndpoints(const Scheduler& scheduler,
+                        const ScheduledJob& job,
+                        Millis now);
+
 /** Chooses the endpoint for a queued task, or null when the task should wait.
  *
  * Designed for load close to capacity on endpoints of different size, speed and
