Wait for the longest lease when an endpoint gets another owner

Callers saw: nothing traced yet; a task can run twice at a time while the owner of an endpoint changes (TWICE).

Cause: a scheduler whose token is rejected took its own last renewal for the end of the runs that it had started there. The next owner renews the lease of the whole endpoint together with that of its own runs, and stops runs that no job of it claims only after 250 ms, later if a stop is lost. Class of fault: what is not known was taken for proof that nothing runs.

RunOnAFencedEndpointThatItsNextOwnerRenewsIsNotRepeated failed before with a double run, 900 ms after the change of the owner.

Why it works: the runs count as active for the longest lease from the moment the token is rejected, as for endpoints that are released. It is no proof if the next owner neither claims nor manages to stop the run for that long; that stays open. The price is a later restart of such tasks.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -261,6 +261,10 @@
     case CommandOutcome::kFenced:
       if (endpoint.status == EndpointStatus::kReconciling)
         ExtendReportedRuns(scheduler, endpoint.entry.id, now);
+      // Until the next owner has stopped the runs started here, it renews their
+      // lease together with that of its own runs.
+      if (endpoint.status != EndpointStatus::kFenced)
+        endpoint.lease_until = std::max(endpoint.lease_until, now + kMaxLease);
       SetEndpointStatus(endpoint, EndpointStatus::kFenced, "fenced", now,
                         actions);
       return false;
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -268,6 +268,25 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// The next owner renews the lease of all runs until it has stopped this one.
+TEST(RunIdentityTest, RunOnAFencedEndpointThatItsNextOwnerRenewsIsNotRepeated) {
+  SchedulerWorld world;
+  FakeEndpoint& fenced = world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {2'000}, "route");
+  submission.job.time_left = {10'000};
+  world.SubmitJob(submission, {2'000});
+  world.Run({50});
+  world.AddEndpoint("e2", 16, 1);
+  world.Run({20});
+  ++fenced.max_fencing_token;
+  fenced.lease_until = world.now + Millis{900};
+  world.Run({2'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.endpoints.at(EndpointId("e2")).starts, 1U);
+}
+
 /** Returns the id of the first start among actions. */
 CommandId FindStart(const Actions& actions) {
   for (const Action& action : actions) {
