--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -75,6 +75,8 @@
   AddCounter(families, "runs_relocated_total",
              "Runs stopped to start their tasks on a faster endpoint", "",
              {{"", counters.relocated_runs}});
+  AddCounter(families, "runs_lost_total", "Runs lost with their endpoints", "",
+             {{"", counters.lost_runs}});
   AddCounter(families, "ejections_total",
              "Ejections of endpoints because of failed runs", "",
              {{"", counters.ejections}});
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -80,6 +80,15 @@
   endpoint.runs.clear();
   endpoint.used = TaskResources();
   for (const auto& [key, run] : lost) {
+    ++scheduler.counters.lost_runs;
+    actions.push_back(
+        LogEvent{"run_lost",
+                 {{"job", key.first.job.value},
+                  {"task", FormatTaskPosition(key.first)},
+                  {"attempt", std::to_string(key.second)},
+                  {"endpoint", endpoint.entry.id.value},
+                  {"started_ms_ago",
+                   std::to_string((now - run.start_sent_at).count)}}});
     if (run.may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -23,6 +23,8 @@
   uint64_t overdue_runs = 0;
   /** Runs that were stopped to start their tasks on a faster endpoint. */
   uint64_t relocated_runs = 0;
+  /** Runs that were lost with their endpoints. */
+  uint64_t lost_runs = 0;
   /** Ejections of endpoints whose runs kept failing. */
   uint64_t ejections = 0;
 };
