Give up tasks that crash the endpoints that start them

Callers and operators saw: one task could crash endpoint after endpoint (BUDGET), and each crash took the tasks beside it along.

Cause: only runs that ended "failed" counted against a task. A run that was lost with its endpoint was queued again without a count, and what one scheduler knew was forgotten when the job changed hands, ended at its caller's time limit or was sent again. Class of fault: the loss of an endpoint was taken for bad luck of its tasks, never for their doing.

Evidence: crashing_task_test.cc. With RecordEndpointLoss() returning at once, 8 of its 10 tests fail: up to 13 crashes by one task where the rule allows fewer than 6, and sound jobs beside it fail. With the change: 2 crashes, 3 when the scheduler stops meanwhile, fewer than 6 when it is killed.

Change: the endpoints lost with a task are kept for a minute, by endpoint incarnation, so that an endpoint that was only silent is taken back, and one that leaves while draining never counts. A task is given up with the third one, or with the second if no other suspect was lost with it; its job fails at once. Suspects start apart from each other. The record goes along when a job changes hands; a job that was given up is announced to all daemons, as its caller may send it again anywhere. Reported runs that no list has shown count as well.

A daemon of an earlier landing can't decode the new message, LostEndpointsReport; beside one, its sender's later messages wait until that daemon is replaced.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -278,6 +278,21 @@
   archive(message.routes.version, message.routes.routes);
 }
 
+template <class Archive>
+void serialize(Archive& archive, EndpointIncarnation& incarnation) {
+  archive(incarnation.id, incarnation.started_at_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, TaskEndpointLosses& losses) {
+  archive(losses.step, losses.index, losses.endpoints, losses.is_given_up);
+}
+
+template <class Archive>
+void serialize(Archive& archive, LostEndpointsReport& message) {
+  archive(message.job, message.tasks);
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -9,6 +9,7 @@
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
@@ -247,6 +248,8 @@
     HandleJobProgress(node, from, *progress, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
     RedirectJob(node, now, from, *redirect, actions);
+  } else if (const auto* losses = std::get_if<LostEndpointsReport>(&message)) {
+    ApplyLostEndpointsReport(node.scheduler, *losses, now, actions);
   }
   ReportFinishedJobs(node, now, actions);
 }
@@ -365,6 +368,7 @@
   ReviewEndpoints(node.scheduler, now, actions);
   AssignJobs(node, now, actions);
   ReportFinishedJobs(node, now, actions);
+  AnnounceGivenUpJobs(node, now, actions);
   FinishShutdown(node, now, actions);
 }
 
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "base/erase_if.h"
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -71,6 +72,16 @@
                                                 : forwarded->second.receivers;
 }
 
+/** Sends a daemon the endpoints that were lost with tasks of a job. */
+void SendLostEndpoints(FleetNode& node,
+                       const DaemonRef& to,
+                       const SubmissionId& job,
+                       Millis now,
+                       Actions& actions) {
+  if (auto report = MakeLostEndpointsReport(node.scheduler, job))
+    Send(node.sessions, to, *std::move(report), SessionLimits(), now, actions);
+}
+
 /** Returns true when a release request is based on an older view, and in its
  * own view this daemon still owns the job's group and the next scheduler owns
  * none, so that it will send the job back.
@@ -101,6 +112,7 @@
                 {"view", std::to_string(node.view.revision)},
                 {"done", std::to_string(progress.done.size())},
                 {"running", std::to_string(progress.active_runs.size())}}});
+  SendLostEndpoints(node, to, progress.job, now, actions);
   Send(node.sessions, to, progress, SessionLimits(), now, actions);
 }
 
@@ -182,6 +194,19 @@
   Send(node.sessions, to, std::move(notice), SessionLimits(), now, actions);
 }
 
+void AnnounceGivenUpJobs(FleetNode& node, Millis now, Actions& actions) {
+  for (const SubmissionId& job :
+       std::exchange(node.scheduler.given_up_jobs, {})) {
+    for (const auto* members :
+         {&node.view.members, &node.unregistered_daemons}) {
+      for (const auto& [id, member] : *members) {
+        if (id != node.self.id)
+          SendLostEndpoints(node, RefOf(member), job, now, actions);
+      }
+    }
+  }
+}
+
 void HandleJobProgress(FleetNode& node,
                        const DaemonRef& from,
                        const JobProgress& progress,
--- /dev/null
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -0,0 +1,158 @@
+#include "core/scheduling/crash_tracking.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/erase_if.h"
+#include "core/scheduling/job_flow.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Number of lost endpoints at which a task is given up when no other suspected
+ * task was lost with the last one.
+ */
+constexpr size_t kMaxLossesOfSoleSuspect = 2;
+/** Number of lost endpoints at which a task is given up in any case. */
+constexpr size_t kMaxLosses = 3;
+/** Time after the last loss for which a record is kept. Callers may send a job
+ * again after its failure.
+ */
+constexpr Millis kCrashRecordRetention{60'000};
+
+bool AddEndpoint(CrashRecord& record,
+                 const EndpointIncarnation& endpoint,
+                 Millis now) {
+  std::vector<EndpointIncarnation>& known = record.endpoints;
+  if (std::find(known.begin(), known.end(), endpoint) != known.end())
+    return false;
+  known.push_back(endpoint);
+  record.updated_at = now;
+  return true;
+}
+
+void GiveUpTask(Scheduler& scheduler,
+                const JobTask& task,
+                CrashRecord& record,
+                Millis now,
+                Actions& actions) {
+  record.is_given_up = true;
+  ++scheduler.counters.given_up_tasks;
+  actions.push_back(
+      LogEvent{"task_given_up",
+               {{"job", task.job.value},
+                {"task", FormatTaskPosition(task)},
+                {"endpoints_lost", std::to_string(record.endpoints.size())},
+                {"last", record.endpoints.back().id.value}}});
+  scheduler.given_up_jobs.push_back(task.job);
+  EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
+}
+
+}  // namespace
+
+void RecordEndpointLoss(Scheduler& scheduler,
+                        const EndpointEntry& endpoint,
+                        int64_t started_at_ms,
+                        const std::vector<JobTask>& tasks,
+                        Millis now,
+                        Actions& actions) {
+  if (endpoint.draining)
+    return;
+  std::vector<JobTask> suspects;
+  for (const JobTask& task : tasks) {
+    if (IsSuspect(scheduler, task))
+      suspects.push_back(task);
+  }
+  for (const JobTask& task : tasks) {
+    CrashRecord& record = scheduler.crash_records[task];
+    if (!AddEndpoint(record, {endpoint.id, started_at_ms}, now) ||
+        record.is_given_up)
+      continue;
+    const bool is_sole_suspect =
+        suspects.size() == 1 && suspects.front() == task;
+    const size_t losses = record.endpoints.size();
+    if (losses >= kMaxLosses ||
+        (losses >= kMaxLossesOfSoleSuspect && is_sole_suspect))
+      GiveUpTask(scheduler, task, record, now, actions);
+  }
+}
+
+void RetractEndpointLoss(Scheduler& scheduler,
+                         const EndpointIncarnation& endpoint) {
+  for (auto& [task, record] : scheduler.crash_records) {
+    std::vector<EndpointIncarnation>& known = record.endpoints;
+    known.erase(std::remove(known.begin(), known.end(), endpoint), known.end());
+  }
+}
+
+bool IsSuspect(const Scheduler& scheduler, const JobTask& task) {
+  const auto record = scheduler.crash_records.find(task);
+  return record != scheduler.crash_records.end() &&
+         !record->second.endpoints.empty();
+}
+
+bool HasSuspectRun(const Scheduler& scheduler,
+                   const ManagedEndpoint& endpoint) {
+  if (scheduler.crash_records.empty())
+    return false;
+  return std::any_of(endpoint.runs.begin(), endpoint.runs.end(),
+                     [&scheduler](const auto& entry) {
+                       return IsSuspect(scheduler, entry.first.first);
+                     });
+}
+
+bool HasGivenUpTask(const Scheduler& scheduler, const SubmissionId& job) {
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record) {
+    if (record->second.is_given_up)
+      return true;
+  }
+  return false;
+}
+
+JobOutcome MakeGivenUpOutcome() {
+  return {JobResult::kFailed, {}, "task_crashes_endpoints"};
+}
+
+std::optional<LostEndpointsReport> MakeLostEndpointsReport(
+    const Scheduler& scheduler,
+    const SubmissionId& job) {
+  LostEndpointsReport report;
+  report.job = job;
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record) {
+    report.tasks.push_back({record->first.step, record->first.index,
+                            record->second.endpoints,
+                            record->second.is_given_up});
+  }
+  if (report.tasks.empty())
+    return std::nullopt;
+  return report;
+}
+
+void ApplyLostEndpointsReport(Scheduler& scheduler,
+                              const LostEndpointsReport& report,
+                              Millis now,
+                              Actions& actions) {
+  for (const TaskEndpointLosses& reported : report.tasks) {
+    CrashRecord& record =
+        scheduler.crash_records[{report.job, reported.step, reported.index}];
+    for (const EndpointIncarnation& endpoint : reported.endpoints)
+      AddEndpoint(record, endpoint, now);
+    record.is_given_up |= reported.is_given_up;
+    record.updated_at = now;
+  }
+  if (HasGivenUpTask(scheduler, report.job))
+    EndJob(scheduler, report.job, MakeGivenUpOutcome(), now, actions);
+}
+
+void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now) {
+  EraseIf(scheduler.crash_records, [now](const CrashRecord& record) {
+    return now - record.updated_at > kCrashRecordRetention;
+  });
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/modules/core/scheduling/crash_tracking.h
@@ -0,0 +1,61 @@
+#ifndef DOGWOODFALL_MODULES_CORE_SCHEDULING_CRASH_TRACKING_H_
+#define DOGWOODFALL_MODULES_CORE_SCHEDULING_CRASH_TRACKING_H_
+
+#include <optional>
+#include <vector>
+
+#include "core/scheduling/scheduler.h"
+#include "model/lost_endpoints_report.h"
+
+namespace dogwoodfall {
+
+/** Records that an endpoint was lost while it ran the given tasks. Gives up a
+ * task that has crashed its endpoints, and fails its job: one that three
+ * endpoints were lost with, or two when no other task lost with the second one
+ * was suspected before. Endpoints that are draining may leave with their runs,
+ * so they do not count.
+ */
+void RecordEndpointLoss(Scheduler& scheduler,
+                        const EndpointEntry& endpoint,
+                        int64_t started_at_ms,
+                        const std::vector<JobTask>& tasks,
+                        Millis now,
+                        Actions& actions);
+
+/** Removes an endpoint from all records because it has answered again without a
+ * restart, so no task has crashed it.
+ */
+void RetractEndpointLoss(Scheduler& scheduler,
+                         const EndpointIncarnation& endpoint);
+
+/** Returns true when an endpoint was lost while it ran the task. */
+bool IsSuspect(const Scheduler& scheduler, const JobTask& task);
+
+/** Returns true while an endpoint runs a task that is suspected of crashing
+ * endpoints.
+ */
+bool HasSuspectRun(const Scheduler& scheduler, const ManagedEndpoint& endpoint);
+
+/** Returns true when a task of the job has been given up. */
+bool HasGivenUpTask(const Scheduler& scheduler, const SubmissionId& job);
+
+/** The result of a job with a task that was given up. */
+JobOutcome MakeGivenUpOutcome();
+
+/** Returns what is recorded of a job; none when nothing is. */
+std::optional<LostEndpointsReport> MakeLostEndpointsReport(
+    const Scheduler& scheduler,
+    const SubmissionId& job);
+
+/** Adds what another daemon has recorded of a job. */
+void ApplyLostEndpointsReport(Scheduler& scheduler,
+                              const LostEndpointsReport& report,
+                              Millis now,
+                              Actions& actions);
+
+/** Removes the records of tasks whose last endpoint was lost long ago. */
+void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now);
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_CRASH_TRACKING_H_
--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -116,6 +116,7 @@
   const RunKey key{task, attempt};
   Run run;
   run.resources = step.resources;
+  run.endpoint_started_at_ms = endpoint.started_at_ms;
   run.start_sent_at = now;
   run.confirmed_at = kUnconfirmed;
   run.expected_run_time = expected_run_time;
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_flow.h"
@@ -113,12 +114,21 @@
         listed.count(key) == 0)
       missing.push_back(key);
   }
+  // Runs of earlier incarnations of the endpoint, by its start.
+  std::map<int64_t, std::vector<JobTask>> lost;
   for (const RunKey& key : missing) {
-    const bool may_requeue = endpoint.runs.at(key).may_requeue;
+    const Run run = endpoint.runs.at(key);
     RemoveRun(endpoint, key);
-    if (may_requeue)
+    if (run.endpoint_started_at_ms != 0 &&
+        run.endpoint_started_at_ms != endpoint.started_at_ms)
+      lost[run.endpoint_started_at_ms].push_back(key.first);
+    if (run.may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
+  for (const auto& [started_at_ms, tasks] : lost) {
+    RecordEndpointLoss(scheduler, endpoint.entry, started_at_ms, tasks, now,
+                       actions);
+  }
   for (const RunKey& key : unconfirmed)
     SendStop(scheduler, endpoint, key, now, actions);
   for (const auto& [key, percent] : listed) {
@@ -134,6 +144,7 @@
     }
     Run unclaimed;
     unclaimed.state = RunState::kUnclaimed;
+    unclaimed.endpoint_started_at_ms = endpoint.started_at_ms;
     unclaimed.start_sent_at = now;
     unclaimed.confirmed_at = now;
     unclaimed.percent = percent;
@@ -156,6 +167,8 @@
       endpoint.started_at_ms != reply.started_at_ms)
     HandleEndpointRestart(endpoint, reply.started_at_ms, actions);
   endpoint.started_at_ms = reply.started_at_ms;
+  if (endpoint.status != EndpointStatus::kUsable)
+    RetractEndpointLoss(scheduler, {endpoint.entry.id, endpoint.started_at_ms});
   ApplyEndedRuns(scheduler, endpoint, reply, now, actions);
   ReconcileRuns(scheduler, endpoint, reply, command.sent_at, now, actions);
   if (endpoint.status == EndpointStatus::kUnresponsive)
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -4,7 +4,9 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -79,16 +81,21 @@
   const std::map<RunKey, Run> lost = std::move(endpoint.runs);
   endpoint.runs.clear();
   endpoint.used = TaskResources();
+  std::vector<JobTask> tasks;
   for (const auto& [key, run] : lost) {
+    tasks.push_back(key.first);
     ++scheduler.counters.lost_runs;
-    actions.push_back(
-        LogEvent{"run_lost",
-                 {{"job", key.first.job.value},
-                  {"task", FormatTaskPosition(key.first)},
-                  {"attempt", std::to_string(key.second)},
-                  {"endpoint", endpoint.entry.id.value},
-                  {"started_ms_ago",
-                   std::to_string((now - run.start_sent_at).count)}}});
+    actions.push_back(LogEvent{
+        "run_lost",
+        {{"job", key.first.job.value},
+         {"task", FormatTaskPosition(key.first)},
+         {"attempt", std::to_string(key.second)},
+         {"endpoint", endpoint.entry.id.value},
+         {"started_ms_ago", std::to_string((now - run.start_sent_at).count)}}});
+  }
+  RecordEndpointLoss(scheduler, endpoint.entry, endpoint.started_at_ms, tasks,
+                     now, actions);
+  for (const auto& [key, run] : lost) {
     if (run.may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -5,8 +5,10 @@
 
 #include "base/erase_if.h"
 #include "core/scheduling/admission.h"
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/speed_learning.h"
@@ -115,6 +117,34 @@
          HasUnlistedReportedRun(job, now);
 }
 
+/** Returns true when an endpoint does not answer this daemon. */
+bool IsSilent(const Scheduler& scheduler, const EndpointId& id) {
+  const auto endpoint = scheduler.endpoints.find(id);
+  return endpoint != scheduler.endpoints.end() &&
+         endpoint->second.status != EndpointStatus::kFenced &&
+         IsOutOfContact(endpoint->second);
+}
+
+/** Records the loss of silent endpoints whose reported runs have not been
+ * listed and can't be active any more. May end the job.
+ */
+void RecordUnlistedReportedRuns(Scheduler& scheduler,
+                                const ScheduledJob& job,
+                                Millis now,
+                                Actions& actions) {
+  std::vector<ActiveRun> unlisted;
+  for (const ReportedRun& reported : job.reported_runs) {
+    if (reported.active_until <= now && IsTaskQueued(job, reported.run) &&
+        IsSilent(scheduler, reported.run.endpoint.id))
+      unlisted.push_back(reported.run);
+  }
+  const SubmissionId id = job.job.id;
+  for (const ActiveRun& run : unlisted) {
+    RecordEndpointLoss(scheduler, run.endpoint, run.endpoint.started_at_ms,
+                       {{id, run.step, run.index}}, now, actions);
+  }
+}
+
 LogEvent MakeJobEvent(const char* name, const ScheduledJob& job, Millis now) {
   return {name,
           {{"job", job.job.id.value},
@@ -246,7 +276,7 @@
       if (task.phase != TaskPhase::kQueued)
         continue;
       ManagedEndpoint* endpoint =
-          ChooseEndpoint(scheduler, job, step, task, expected_run_time, now);
+          ChooseEndpoint(scheduler, job, step, index, expected_run_time, now);
       if (endpoint == nullptr)
         break;  // The other tasks of the step need the same resources.
       task.phase = TaskPhase::kPlaced;
@@ -291,6 +321,14 @@
         FinishedJob::Ended(receiver, job.id, retained->second.outcome));
     return;
   }
+  if (HasGivenUpTask(scheduler, job.id)) {
+    actions.push_back(
+        LogEvent{"job_given_up_before",
+                 {{"job", job.id.value}, {"receiver", receiver.id.value}}});
+    scheduler.finished.push_back(
+        FinishedJob::Ended(receiver, job.id, MakeGivenUpOutcome()));
+    return;
+  }
   ++scheduler.counters.jobs;
   UpdateMeanTaskSize(scheduler, job);
   ScheduledJob& accepted =
@@ -508,6 +546,9 @@
     ScheduledJob& job = scheduler.jobs.at(id);
     if (MayHaveUnknownRuns(scheduler, job, now))
       continue;
+    RecordUnlistedReportedRuns(scheduler, job, now, actions);
+    if (scheduler.jobs.count(id) == 0)
+      continue;
     PlaceJobTasks(scheduler, job, now, actions);
     if (job.tasks_queued == 0)
       scheduler.queue.erase(job.order_key);
@@ -531,6 +572,7 @@
   EraseIf(scheduler.early_progress, [now](const EarlyProgress& early) {
     return now - early.received_at > kEarlyProgressRetention;
   });
+  RemoveExpiredCrashRecords(scheduler, now);
   EraseIf(scheduler.retained_results, [now](const RetainedResult& result) {
     return now - result.ended_at > kResultRetention;
   });
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -33,6 +33,10 @@
   CommandId start_command;
   /** All zero for a run that no job of this daemon has claimed. */
   TaskResources resources;
+  /** Incarnation of the endpoint that runs it: its start in ms since 1970, or 0
+   * when not known.
+   */
+  int64_t endpoint_started_at_ms = 0;
   /** When the start was sent, or when the run was found on the endpoint. */
   Millis start_sent_at;
   /** When its start was found to be unanswered; zero if it was not. */
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/speed_learning.h"
@@ -30,6 +31,13 @@
 constexpr double kFailureWeight = 0.5;
 /** Last failure of the task on the same endpoint: makes it the last choice. */
 constexpr double kPreviousFailureWeight = 10;
+/** Another task on the endpoint that may crash it as well: makes it the last
+ * choice, because a crash would not show which of them has caused it.
+ */
+constexpr double kSharedSuspicionWeight = 10;
+/** Tasks that would be lost with the endpoint if the suspected one crashes it.
+ */
+constexpr double kSuspectNeighbourWeight = 0.5;
 /** A rack other than the preferred one, where the data is. */
 constexpr double kRemoteRackWeight = 0.5;
 /** Standard deviation of the logarithm of run times around the expected run
@@ -85,6 +93,22 @@
   return std::erfc(deviations / std::sqrt(2.0)) / 2;
 }
 
+/** Returns the cost of running a task beside those on an endpoint when some of
+ * them may crash it.
+ */
+double ComputeSuspicionCost(const Scheduler& scheduler,
+                            const ManagedEndpoint& endpoint,
+                            const JobTask& task) {
+  if (scheduler.crash_records.empty())
+    return 0;
+  const bool has_suspect = HasSuspectRun(scheduler, endpoint);
+  if (!IsSuspect(scheduler, task))
+    return has_suspect ? kSuspectNeighbourWeight : 0;
+  if (has_suspect)
+    return kSharedSuspicionWeight;
+  return endpoint.runs.empty() ? 0 : kSuspectNeighbourWeight;
+}
+
 double ComputeCost(const Scheduler& scheduler,
                    const ManagedEndpoint& endpoint,
                    const JobStep& step,
@@ -197,9 +221,10 @@
 ManagedEndpoint* ChooseEndpoint(Scheduler& scheduler,
                                 const ScheduledJob& job,
                                 uint32_t step_index,
-                                const TaskProgress& task,
+                                uint32_t task_index,
                                 Millis expected_run_time,
                                 Millis now) {
+  const TaskProgress& task = job.tasks[step_index][task_index];
   ManagedEndpoint* best = nullptr;
   double best_cost = 0;
   const Millis target_end = ComputeTargetEnd(job, now);
@@ -216,8 +241,11 @@
         EstimateMissRisk(endpoint.slowness, job, slowest_run_time, now);
     if (risk > max_risk)
       continue;
-    const double cost = risk + ComputeCost(scheduler, endpoint,
-                                           job.job.steps[step_index], task);
+    const double cost =
+        risk +
+        ComputeCost(scheduler, endpoint, job.job.steps[step_index], task) +
+        ComputeSuspicionCost(scheduler, endpoint,
+                             {job.job.id, step_index, task_index});
     if (best == nullptr || cost < best_cost) {
       best = &endpoint;
       best_cost = cost;
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -46,14 +46,16 @@
  * elsewhere. Among similar endpoints the fullest one is chosen, so that
  * capacity for large tasks is not fragmented. A task that would miss its
  * objective on the slow endpoints that are free, but not on a fast one, waits
- * for a fast one while the objective can still be met.
+ * for a fast one while the objective can still be met. A task that may have
+ * crashed an endpoint runs apart from others like it, and from all other tasks
+ * where there is room.
  *
  * @param expected_run_time expected run time on an endpoint of slowness 1
  */
 ManagedEndpoint* ChooseEndpoint(Scheduler& scheduler,
                                 const ScheduledJob& job,
                                 uint32_t step_index,
-                                const TaskProgress& task,
+                                uint32_t task_index,
                                 Millis expected_run_time,
                                 Millis now);
 
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -14,6 +14,7 @@
  * - run_review.h stops overdue runs and ends infeasible jobs
  * - run_relocation.h moves runs that would end too late to faster endpoints
  * - speed_learning.h estimates run times and the speeds of endpoints
+ * - crash_tracking.h gives up tasks that crash their endpoints
  *
  * Endpoints:
  * - endpoint_flow.h takes ownership of endpoints and reviews them
@@ -35,6 +36,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "core/dispatch/run_times.h"
+#include "core/scheduling/crash_record.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/scheduled_job.h"
@@ -133,6 +135,12 @@
   std::unordered_map<SubmissionId, RetainedResult> retained_results;
   /** Progress of jobs that have not been received yet. */
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
+  /** Tasks that may have crashed endpoints. */
+  std::map<JobTask, CrashRecord> crash_records;
+  /** Jobs with a task that was given up here and that the other daemons have
+   * not been told about yet.
+   */
+  std::vector<SubmissionId> given_up_jobs;
   /** No run is started before this time. */
   Millis starts_blocked_until;
   /** Results and forwards that have not been sent to the receivers yet. */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -14,6 +14,7 @@
 #include "model/endpoint_entry.h"
 #include "model/endpoint_group.h"
 #include "model/fleet_member.h"
+#include "model/lost_endpoints_report.h"
 #include "model/route_table.h"
 #include "model/submission.h"
 #include "model/task_assignment.h"
@@ -238,7 +239,8 @@
                                  JobReleaseRequest,
                                  JobProgress,
                                  ViewNotice,
-                                 RoutesNotice>;
+                                 RoutesNotice,
+                                 LostEndpointsReport>;
 
 }  // namespace dogwoodfall
 
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -46,6 +46,19 @@
   EXPECT_EQ(EncodeHeartbeat(*decoded), bytes);
 }
 
+TEST(PeerCodecTest, LostEndpointsReportRoundTrips) {
+  PeerFrame frame = MakeSampleFrame();
+  frame.message = LostEndpointsReport{SubmissionId("job"),
+                                      {{1, 2, {{EndpointId("e1"), 5}}, true}}};
+  const std::string bytes = EncodeFrame(frame);
+  const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeFrame(*decoded), bytes);
+  const auto& report = std::get<LostEndpointsReport>(*decoded->message);
+  EXPECT_EQ(report.tasks[0].endpoints[0].started_at_ms, 5);
+  EXPECT_TRUE(report.tasks[0].is_given_up);
+}
+
 // Guards against a decoder that reads past the end of a frame, or that accepts
 // a part of one.
 TEST(PeerCodecTest, RejectsTruncatedFramesAndTrailingBytes) {
--- /dev/null
+++ b/tests/core/crashing_task_test.cc
@@ -0,0 +1,211 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "core/scheduling/crash_tracking.h"
+#include "fleet_world.h"
+#include "scheduler_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** A task that has crashed this many endpoints may be started fewer than
+ * kMaxStartsAfterCrashes times more.
+ */
+constexpr uint32_t kMaxCrashes = 3;
+constexpr uint32_t kMaxStartsAfterCrashes = 3;
+/** Crashes after which a task may be given up. */
+constexpr uint32_t kCrashesForFailure = 2;
+
+constexpr const char* kCrashingJob = "crashing";
+
+template <typename World>
+void MakeCrashable(World& world) {
+  for (auto& [id, endpoint] : world.endpoints)
+    endpoint.crashing_job_prefix = kCrashingJob;
+}
+
+template <typename World>
+uint32_t CountCrashes(const World& world) {
+  uint32_t crashes = 0;
+  for (const auto& [id, endpoint] : world.endpoints)
+    crashes += endpoint.crashes;
+  return crashes;
+}
+
+/** Makes a scheduler with eight endpoints of two places each. */
+void AddEndpoints(SchedulerWorld& world) {
+  for (int i = 0; i < 8; ++i)
+    world.AddEndpoint("e" + std::to_string(i), 16, 1);
+  MakeCrashable(world);
+  world.Run({20});
+}
+
+JobSubmission MakePatientSubmission(const std::string& id, uint32_t tasks) {
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission(id, tasks, 7, {60}, "route");
+  submission.job.time_left = {20'000};
+  submission.job.target_latency = {20'000};
+  return submission;
+}
+
+TEST(CrashingTaskTest, TaskIsGivenUpAfterTwoCrashes) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission(kCrashingJob, 4), {60});
+  world.Run({5'000});
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  const CallerResult& result = world.results[SubmissionId(kCrashingJob)];
+  EXPECT_EQ(result.outcome.result, JobResult::kFailed);
+  EXPECT_EQ(result.outcome.reason, "task_crashes_endpoints");
+}
+
+TEST(CrashingTaskTest, JobsBesideCrashingTaskComplete) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  for (int i = 0; i < 6; ++i)
+    world.SubmitJob(MakePatientSubmission("sound" + std::to_string(i), 2),
+                    {400});
+  world.SubmitJob(MakePatientSubmission(kCrashingJob, 4), {60});
+  world.Run({10'000});
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(
+        world.results[SubmissionId("sound" + std::to_string(i))].outcome.result,
+        JobResult::kCompleted)
+        << i;
+  }
+  EXPECT_LE(CountCrashes(world), kMaxCrashes);
+}
+
+TEST(CrashingTaskTest, JobSentAgainIsNotStartedAgain) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  for (int i = 0; i < 5; ++i) {
+    world.SubmitJob(MakePatientSubmission(kCrashingJob, 1), {60});
+    world.Run({6'000});
+  }
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(world.results[SubmissionId(kCrashingJob)].outcome.result,
+            JobResult::kFailed);
+}
+
+TEST(CrashingTaskTest, CrashesBeforeTheCallersTimeLimitCountForItsNextTry) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  for (int i = 0; i < 8; ++i) {
+    JobSubmission submission = MakePatientSubmission(kCrashingJob, 1);
+    submission.job.time_left = {700};
+    world.SubmitJob(submission, {60});
+    world.Run({2'000});
+  }
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+}
+
+TEST(CrashingTaskTest, SilentEndpointThatAnswersAgainCountsAsNoCrash) {
+  SchedulerWorld world;
+  world.AddEndpoint("e0", 16, 1);
+  world.Run({20});
+  world.SubmitJob(MakePatientSubmission("sound", 1), {2'500});
+  for (int i = 0; i < 4; ++i) {
+    world.Run({200});
+    world.is_command_lost = [](const EndpointCommand&) { return true; };
+    world.Run({1'000});
+    world.is_command_lost = [](const EndpointCommand&) { return false; };
+  }
+  world.Run({10'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
+TEST(CrashingTaskTest, DrainingEndpointThatLeavesCountsAsNoCrash) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission("sound", 1), {400});
+  for (int i = 0; i < 4; ++i) {
+    world.Run({100});
+    for (auto& [id, endpoint] : world.endpoints) {
+      if (endpoint.running.empty())
+        continue;
+      endpoint.entry.draining = true;
+      Actions actions;
+      UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+      CrashFakeEndpoint(endpoint, world.now);
+    }
+    world.Run({700});
+  }
+  world.Run({2'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
+TEST(CrashingTaskTest, RestartWithinTheLeaseCounts) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission("sound", 1), {400});
+  world.Run({100});
+  for (auto& [id, endpoint] : world.endpoints) {
+    if (endpoint.running.empty())
+      continue;
+    CrashFakeEndpoint(endpoint, world.now);
+    endpoint.down_until = Millis();
+  }
+  world.Run({400});
+  EXPECT_TRUE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
+}
+
+TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  MakeCrashable(world);
+  world.Submit("north0", kCrashingJob, 1, {60});
+  world.RunFor({6'000});
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  for (const char* daemon : {"south0", "south1", "north1"}) {
+    world.results.clear();
+    world.Submit(daemon, kCrashingJob, 1, {60});
+    world.RunFor({6'000});
+    EXPECT_EQ(world.results[kCrashingJob], JobResult::kFailed) << daemon;
+  }
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+}
+
+/** Plays a crashing job that its caller sends again every second, while its
+ * scheduler stops or is killed a given time after the first submission.
+ * @return the number of endpoints that it has crashed
+ */
+uint32_t PlaySchedulerChange(bool is_killed, Millis delay) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  MakeCrashable(world);
+  const std::string scheduler = world.OwnerOf("north");
+  const std::string receiver = OtherDaemonInZone(scheduler);
+  world.Submit(receiver, kCrashingJob, 1, {60});
+  world.RunFor(delay);
+  if (is_killed)
+    world.KillDaemon(scheduler);
+  else
+    world.StopDaemon(scheduler);
+  for (int i = 0; i < 8; ++i) {
+    world.RunFor({1'000});
+    world.Submit(i % 2 == 0 ? receiver : "south0", kCrashingJob, 1, {60});
+  }
+  world.RunFor({3'000});
+  return CountCrashes(world);
+}
+
+TEST(CrashingTaskTest, StopOfTheSchedulerKeepsTheCount) {
+  for (int64_t delay_ms = 0; delay_ms < 1'500; delay_ms += 50) {
+    EXPECT_LE(PlaySchedulerChange(false, {delay_ms}), kMaxCrashes) << delay_ms;
+  }
+}
+
+TEST(CrashingTaskTest, KilledSchedulerLetsNoTaskCrashMoreEndpointsThanAllowed) {
+  for (int64_t delay_ms = 0; delay_ms < 1'500; delay_ms += 50) {
+    EXPECT_LT(PlaySchedulerChange(true, {delay_ms}),
+              kMaxCrashes + kMaxStartsAfterCrashes)
+        << delay_ms;
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -22,6 +22,11 @@
   return used;
 }
 
+bool HasPrefix(const JobTask& task, const std::string& prefix) {
+  return !prefix.empty() &&
+         task.job.value.compare(0, prefix.size(), prefix) == 0;
+}
+
 CommandOutcome Start(FakeEndpoint& endpoint,
                      const StartRun& start,
                      Millis nominal_run_time,
@@ -43,13 +48,14 @@
       endpoint.slowness * static_cast<double>(nominal_run_time.count))};
   constexpr Millis kFailureDelay{25};
   endpoint.running[key] = {now, run_time, resources};
-  const std::string& failing_prefix = endpoint.failing_job_prefix;
-  const bool is_failing_job =
-      !failing_prefix.empty() &&
-      start.task.job.value.compare(0, failing_prefix.size(), failing_prefix) ==
-          0;
-  if (endpoint.fails_all || is_failing_job)
+  if (endpoint.fails_all || HasPrefix(start.task, endpoint.failing_job_prefix))
     endpoint.running[key] = {now, kFailureDelay, resources, RunResult::kFailed};
+  constexpr Millis kCrashDelay{12};
+  if (start.task.step == 0 && start.task.index == 0 &&
+      HasPrefix(start.task, endpoint.crashing_job_prefix)) {
+    endpoint.running[key] = {now, kCrashDelay, resources};
+    endpoint.running[key].crashes = true;
+  }
   return CommandOutcome::kDone;
 }
 
@@ -98,6 +104,10 @@
   const bool is_lease_expired = endpoint.lease_until <= now;
   std::vector<std::pair<RunKey, RunResult>> finished;
   for (const auto& [key, run] : endpoint.running) {
+    if (run.crashes && run.started_at + run.run_time <= now) {
+      CrashFakeEndpoint(endpoint, now);
+      return;
+    }
     if (run.started_at + run.run_time <= now)
       finished.emplace_back(key, run.result);
     else if (is_lease_expired)
@@ -107,6 +117,19 @@
     EndRun(endpoint, key, result);
 }
 
+void CrashFakeEndpoint(FakeEndpoint& endpoint, Millis now) {
+  constexpr Millis kRestartTime{3'000};
+  ++endpoint.crashes;
+  endpoint.down_until = now + kRestartTime;
+  endpoint.started_at_ms = endpoint.down_until.count;
+  endpoint.max_fencing_token = 0;
+  endpoint.last_end_number = 0;
+  endpoint.lease_until = Millis();
+  endpoint.running.clear();
+  endpoint.closed_attempts.clear();
+  endpoint.ended.clear();
+}
+
 EndpointReply ExecuteCommand(FakeEndpoint& endpoint,
                              const EndpointCommand& command,
                              Millis nominal_run_time,
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -20,6 +20,8 @@
     Millis run_time;
     TaskResources resources;
     RunResult result = RunResult::kDone;
+    /** True when the run crashes the endpoint at its end. */
+    bool crashes = false;
   };
 
   EndpointEntry entry;
@@ -33,6 +35,14 @@
    * none.
    */
   std::string failing_job_prefix;
+  /** The first task of jobs whose id has this prefix crashes the endpoint;
+   * empty for none.
+   */
+  std::string crashing_job_prefix;
+  /** Number of crashes so far. */
+  uint32_t crashes = 0;
+  /** The endpoint is down until then and answers nothing. */
+  Millis down_until;
   int64_t started_at_ms = 1;
   uint64_t max_fencing_token = 0;
   uint64_t last_end_number = 0;
@@ -48,10 +58,15 @@
 };
 
 /** Ends the runs that are finished at the given time or whose lease has
- * expired.
+ * expired, and crashes the endpoint when one of them does so.
  */
 void AdvanceFakeEndpoint(FakeEndpoint& endpoint, Millis now);
 
+/** Ends the process of an endpoint and everything that it runs. It is back, as
+ * another incarnation, after some seconds.
+ */
+void CrashFakeEndpoint(FakeEndpoint& endpoint, Millis now);
+
 /** Executes a command.
  *
  * @param nominal_run_time run time of a started run at slowness 1
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -265,16 +265,20 @@
   const auto incarnation = this->incarnations.find(daemon);
   if (incarnation == this->incarnations.end())
     return;
+  FakeEndpoint& endpoint = this->endpoints.at(command.endpoint);
+  const bool is_down = endpoint.down_until > this->now;
   Millis nominal_run_time;
   TaskResources resources;
   if (const auto* start = std::get_if<StartRun>(&command.command)) {
     nominal_run_time = this->nominal_run_times[start->task.job];
     resources = this->resources_by_job[start->task.job];
   }
-  const EndpointReply reply =
-      ExecuteCommand(this->endpoints.at(command.endpoint), command,
-                     nominal_run_time, resources, this->now);
-  if (this->is_answer_lost(command)) {
+  EndpointReply reply;
+  if (!is_down) {
+    reply = ExecuteCommand(endpoint, command, nominal_run_time, resources,
+                           this->now);
+  }
+  if (is_down || this->is_answer_lost(command)) {
     EndpointReply unanswered;
     unanswered.id = command.id;
     this->Schedule(
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -166,8 +166,9 @@
     return;
   }
   const auto endpoint = this->endpoints.find(command.endpoint);
-  const bool is_delivered =
-      endpoint != this->endpoints.end() && !this->is_command_lost(command);
+  const bool is_delivered = endpoint != this->endpoints.end() &&
+                            !this->is_command_lost(command) &&
+                            endpoint->second.down_until <= this->now;
   if (!is_delivered) {
     this->due_replies.push_back({this->now + timeout, unanswered});
     return;
