Count no crash when another daemon has taken an endpoint over

Callers could see: a sound job shown as failed after two changes of ownership.

Cause: a fenced endpoint is not polled any more, so its lease ends here and MarkAllRunsLost() recorded a loss, which no answer could retract.

An endpoint that rejects the token has answered, so nothing has crashed it.

--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -93,8 +93,11 @@
          {"endpoint", endpoint.entry.id.value},
          {"started_ms_ago", std::to_string((now - run.start_sent_at).count)}}});
   }
-  RecordEndpointLoss(scheduler, endpoint.entry, endpoint.started_at_ms, tasks,
-                     now, actions);
+  // A fenced endpoint has answered; its runs end with their lease only.
+  if (endpoint.status != EndpointStatus::kFenced) {
+    RecordEndpointLoss(scheduler, endpoint.entry, endpoint.started_at_ms, tasks,
+                       now, actions);
+  }
   for (const auto& [key, run] : lost) {
     if (run.may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -153,6 +153,20 @@
   EXPECT_TRUE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
 }
 
+TEST(CrashingTaskTest, EndpointOfANewOwnerCountsAsNoCrash) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission("sound", 1), {2'500});
+  world.Run({100});
+  for (auto& [id, endpoint] : world.endpoints) {
+    if (!endpoint.running.empty())
+      endpoint.max_fencing_token = 100;
+  }
+  while (world.scheduler.counters.lost_runs == 0)
+    world.Run({1});
+  EXPECT_FALSE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
+}
+
 TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
   FleetWorld world;
   SetUpTwoZones(world);
