Keep tasks given up while their jobs are sent again

Operators saw: a job that was sent again every 76 s crashed two more endpoints each second time, so a task was started three times more after three crashes (BUDGET).

Cause: the record expired a minute after the last loss, also while its caller kept sending the job.

A job that is sent again renews its records, and a task stays given up for ten minutes. Only given-up tasks are kept that long, so the number of records stays small.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -21,6 +21,11 @@
  */
 constexpr Millis kCrashRecordRetention{60'000};
 
+/** Time for which a task stays given up after its last loss, or after its job
+ * was last sent again. Callers may send a job again much later.
+ */
+constexpr Millis kGivenUpRetention{600'000};
+
 bool AddEndpoint(CrashRecord& record,
                  const EndpointIncarnation& endpoint,
                  Millis now) {
@@ -112,6 +117,15 @@
   return false;
 }
 
+void RenewCrashRecords(Scheduler& scheduler,
+                       const SubmissionId& job,
+                       Millis now) {
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record)
+    record->second.updated_at = now;
+}
+
 JobOutcome MakeGivenUpOutcome() {
   return {JobResult::kFailed, {}, "task_crashes_endpoints"};
 }
@@ -151,7 +165,8 @@
 
 void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now) {
   EraseIf(scheduler.crash_records, [now](const CrashRecord& record) {
-    return now - record.updated_at > kCrashRecordRetention;
+    return now - record.updated_at >
+           (record.is_given_up ? kGivenUpRetention : kCrashRecordRetention);
   });
 }
 
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -39,6 +39,11 @@
 /** Returns true when a task of the job has been given up. */
 bool HasGivenUpTask(const Scheduler& scheduler, const SubmissionId& job);
 
+/** Keeps the records of a job that was sent again. */
+void RenewCrashRecords(Scheduler& scheduler,
+                       const SubmissionId& job,
+                       Millis now);
+
 /** The result of a job with a task that was given up. */
 JobOutcome MakeGivenUpOutcome();
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -321,6 +321,7 @@
         FinishedJob::Ended(receiver, job.id, retained->second.outcome));
     return;
   }
+  RenewCrashRecords(scheduler, job.id, now);
   if (HasGivenUpTask(scheduler, job.id)) {
     actions.push_back(
         LogEvent{"job_given_up_before",
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -167,6 +167,17 @@
   EXPECT_FALSE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
 }
 
+TEST(CrashingTaskTest, JobSentAgainAfterMinutesIsNotStartedAgain) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  for (int i = 0; i < 12; ++i) {
+    world.SubmitJob(MakePatientSubmission(kCrashingJob, 1), {60});
+    world.Run({6'000});
+    world.now = world.now + Millis{70'000};
+  }
+  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+}
+
 TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
   FleetWorld world;
   SetUpTwoZones(world);
