Tell all daemons about losses with jobs that are not completed

Cause: only jobs that were given up were announced. A caller that gets 504 after one crash may go to any daemon, whose scheduler began to count anew.

A job that ends uncompleted with a suspect, or whose endpoint is found lost after its end or its hand-over, is announced once. Messages are bounded by the number of such jobs.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -368,7 +368,7 @@
   ReviewEndpoints(node.scheduler, now, actions);
   AssignJobs(node, now, actions);
   ReportFinishedJobs(node, now, actions);
-  AnnounceGivenUpJobs(node, now, actions);
+  AnnounceLosses(node, now, actions);
   FinishShutdown(node, now, actions);
 }
 
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -194,9 +194,9 @@
   Send(node.sessions, to, std::move(notice), SessionLimits(), now, actions);
 }
 
-void AnnounceGivenUpJobs(FleetNode& node, Millis now, Actions& actions) {
+void AnnounceLosses(FleetNode& node, Millis now, Actions& actions) {
   for (const SubmissionId& job :
-       std::exchange(node.scheduler.given_up_jobs, {})) {
+       std::exchange(node.scheduler.unannounced_losses, {})) {
     for (const auto* members :
          {&node.view.members, &node.unregistered_daemons}) {
       for (const auto& [id, member] : *members) {
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -40,11 +40,10 @@
               Millis now,
               Actions& actions);
 
-/** Tells all other daemons about jobs with tasks that were given up here
- * because they crash endpoints. Their callers may send them again to any
- * daemon.
+/** Tells all other daemons which endpoints were lost with tasks of jobs that
+ * are not completed. Their callers may send them again to any daemon.
  */
-void AnnounceGivenUpJobs(FleetNode& node, Millis now, Actions& actions);
+void AnnounceLosses(FleetNode& node, Millis now, Actions& actions);
 
 /** Handles the progress of a job from its previous scheduler. Forwards it when
  * the job has gone to a third daemon in the meantime.
--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -20,7 +20,6 @@
  * again after its failure.
  */
 constexpr Millis kCrashRecordRetention{60'000};
-
 /** Time for which a task stays given up after its last loss, or after its job
  * was last sent again. Callers may send a job again much later.
  */
@@ -50,7 +49,6 @@
                 {"task", FormatTaskPosition(task)},
                 {"endpoints_lost", std::to_string(record.endpoints.size())},
                 {"last", record.endpoints.back().id.value}}});
-  scheduler.given_up_jobs.push_back(task.job);
   EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
 }
 
@@ -81,6 +79,10 @@
         (losses >= kMaxLossesOfSoleSuspect && is_sole_suspect))
       GiveUpTask(scheduler, task, record, now, actions);
   }
+  for (const JobTask& task : tasks) {
+    if (scheduler.jobs.count(task.job) == 0)
+      scheduler.unannounced_losses.insert(task.job);
+  }
 }
 
 void RetractEndpointLoss(Scheduler& scheduler,
@@ -97,6 +99,16 @@
          !record->second.endpoints.empty();
 }
 
+bool HasSuspect(const Scheduler& scheduler, const SubmissionId& job) {
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record) {
+    if (!record->second.endpoints.empty())
+      return true;
+  }
+  return false;
+}
+
 bool HasSuspectRun(const Scheduler& scheduler,
                    const ManagedEndpoint& endpoint) {
   if (scheduler.crash_records.empty())
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -31,6 +31,9 @@
 /** Returns true when an endpoint was lost while it ran the task. */
 bool IsSuspect(const Scheduler& scheduler, const JobTask& task);
 
+/** Returns true when an endpoint was lost while it ran a task of the job. */
+bool HasSuspect(const Scheduler& scheduler, const SubmissionId& job);
+
 /** Returns true while an endpoint runs a task that is suspected of crashing
  * endpoints.
  */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -494,6 +494,8 @@
   if (outcome.result == JobResult::kCompleted ||
       outcome.result == JobResult::kFailed)
     scheduler.retained_results[id] = {outcome, now};
+  if (outcome.result != JobResult::kCompleted && HasSuspect(scheduler, id))
+    scheduler.unannounced_losses.insert(id);
   scheduler.finished.push_back(FinishedJob::Ended(job.receiver, id, outcome));
   for (const DaemonRef& receiver : job.other_receivers)
     scheduler.finished.push_back(FinishedJob::Ended(receiver, id, outcome));
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -137,10 +137,10 @@
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
   /** Tasks that may have crashed endpoints. */
   std::map<JobTask, CrashRecord> crash_records;
-  /** Jobs with a task that was given up here and that the other daemons have
-   * not been told about yet.
+  /** Jobs that are not completed, whose tasks may have crashed endpoints, and
+   * that the other daemons have not been told about yet.
    */
-  std::vector<SubmissionId> given_up_jobs;
+  std::set<SubmissionId> unannounced_losses;
   /** No run is started before this time. */
   Millis starts_blocked_until;
   /** Results and forwards that have not been sent to the receivers yet. */
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -178,6 +178,23 @@
   EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
 }
 
+TEST(CrashingTaskTest, JobAbandonedAfterOneCrashInEachZoneIsGivenUp) {
+  FleetWorld world;
+  const std::vector<std::string> zones{"a", "b", "c", "d", "e", "f"};
+  for (const std::string& zone : zones) {
+    world.StartDaemon(zone + "0", zone);
+    for (int i = 0; i < 2; ++i)
+      world.AddEndpoint(zone + "-e" + std::to_string(i), zone);
+  }
+  world.RunFor({3'000});
+  MakeCrashable(world);
+  for (const std::string& zone : zones) {
+    world.Submit(zone + "0", kCrashingJob, 1, {900});
+    world.RunFor({3'000});
+  }
+  EXPECT_LE(CountCrashes(world), kMaxCrashes);
+}
+
 TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
   FleetWorld world;
   SetUpTwoZones(world);
