Test endpoints that don't check their capacity

It now can start whatever it is told to, end stopped runs after a while, and change its capacity; it records each start that brings it over the capacity, apart from those within contactMs and one heartbeat of a reduction. FleetWorld and SchedulerWorld report such changes. Entries in FleetWorld carry the revision of the store that wrote them.

--- a/modules/model/endpoint_entry.h
+++ b/modules/model/endpoint_entry.h
@@ -28,6 +28,8 @@
   bool draining = false;
   /** Start of its present incarnation, in ms since 1970; 0 if not reported. */
   int64_t started_at_ms = 0;
+  /** Revision of the store that wrote it; 0 when a daemon has sent it. */
+  uint64_t revision = 0;
 };
 
 }  // namespace dogwoodfall
--- a/modules/ports/store_change.h
+++ b/modules/ports/store_change.h
@@ -19,6 +19,7 @@
 /** An endpoint's item was removed or can't be parsed. */
 struct EndpointRemoved {
   EndpointId id;
+  uint64_t revision = 0;
 };
 
 /** A version of the routes was written. */
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -27,6 +27,19 @@
          task.job.value.compare(0, prefix.size(), prefix) == 0;
 }
 
+void RecordCapacityViolation(FakeEndpoint& endpoint,
+                             const RunKey& key,
+                             const TaskResources& resources,
+                             Millis now) {
+  const TaskResources total = UsedBy(endpoint) + resources;
+  const bool is_in_grace =
+      endpoint.capacity_changed_at != Millis() &&
+      now - endpoint.capacity_changed_at < kCapacityReductionGrace &&
+      Fits(total, endpoint.previous_capacity);
+  if (!is_in_grace && !Fits(total, endpoint.entry.capacity))
+    endpoint.starts_over_capacity.push_back(key);
+}
+
 CommandOutcome Start(FakeEndpoint& endpoint,
                      const StartRun& start,
                      Millis nominal_run_time,
@@ -41,8 +54,10 @@
     return CommandOutcome::kStaleAttempt;
   if (start.lease_until <= now)
     return CommandOutcome::kLeaseExpired;
-  if (!Fits(resources, endpoint.entry.capacity - UsedBy(endpoint)))
+  if (endpoint.checks_admission &&
+      !Fits(resources, endpoint.entry.capacity - UsedBy(endpoint)))
     return CommandOutcome::kInsufficientResources;
+  RecordCapacityViolation(endpoint, key, resources, now);
   ++endpoint.starts;
   const Millis run_time{std::llround(
       endpoint.slowness * static_cast<double>(nominal_run_time.count))};
@@ -68,6 +83,7 @@
     if (stopped_after < run->second.run_time) {
       run->second.run_time = stopped_after;
       run->second.result = RunResult::kStopped;
+      run->second.crashes = false;
     }
     AdvanceFakeEndpoint(endpoint, now);
   }
@@ -100,6 +116,14 @@
 
 }  // namespace
 
+void ChangeCapacity(FakeEndpoint& endpoint,
+                    const TaskResources& capacity,
+                    Millis now) {
+  endpoint.previous_capacity = endpoint.entry.capacity;
+  endpoint.capacity_changed_at = now;
+  endpoint.entry.capacity = capacity;
+}
+
 void AdvanceFakeEndpoint(FakeEndpoint& endpoint, Millis now) {
   const bool is_lease_expired = endpoint.lease_until <= now;
   std::vector<std::pair<RunKey, RunResult>> finished;
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -12,6 +12,14 @@
 
 namespace dogwoodfall {
 
+/** Time within which a daemon has to act on a change in the store. */
+inline constexpr Millis kContactTime{3'000};
+/** Period in which an endpoint writes its entry. */
+inline constexpr Millis kEndpointHeartbeat{1'500};
+/** Time for which a start may rely on the capacity from before a reduction. */
+inline constexpr Millis kCapacityReductionGrace =
+    kContactTime + kEndpointHeartbeat;
+
 /** Fake endpoint that follows the published endpoint protocol on a fake clock.
  */
 struct FakeEndpoint {
@@ -27,7 +35,7 @@
   EndpointEntry entry;
   /** Factor of run times over the nominal ones. */
   double slowness = 1;
-  /** Time from a stop command to the end of the run. */
+  /** How long a run goes on, and occupies its resources, after a stop. */
   Millis stop_duration;
   /** True to make every started run fail after 25 ms. */
   bool fails_all = false;
@@ -55,8 +63,25 @@
   std::vector<EndedRun> ended;
   /** Number of runs started. */
   uint64_t starts = 0;
+
+  /** False for an endpoint without admission check, which starts whatever it is
+   * told to start.
+   */
+  bool checks_admission = true;
+  /** Capacity before the latest change, and the time of that change. */
+  TaskResources previous_capacity;
+  Millis capacity_changed_at;
+  /** Starts that brought the runs over the capacity, later than
+   * kCapacityReductionGrace after a reduction.
+   */
+  std::vector<RunKey> starts_over_capacity;
 };
 
+/** Changes the capacity of an endpoint; its runs go on. */
+void ChangeCapacity(FakeEndpoint& endpoint,
+                    const TaskResources& capacity,
+                    Millis now);
+
 /** Ends the runs that are finished at the given time or whose lease has
  * expired, and crashes the endpoint when one of them does so.
  */
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -68,8 +68,7 @@
   endpoint.entry.service = "service";
   endpoint.entry.zone = ZoneId(zone);
   endpoint.entry.capacity = {16'000, 64'000, 0};
-  this->endpoint_entries[endpoint.entry.id] = endpoint.entry;
-  this->history.emplace_back(++this->revision, EndpointChanged{endpoint.entry});
+  this->WriteEntry(endpoint.entry);
 }
 
 void FleetWorld::RemoveAllMembers() {
@@ -84,7 +83,22 @@
 
 void FleetWorld::DeregisterEndpoint(const std::string& id) {
   this->endpoint_entries.erase(EndpointId(id));
-  this->history.emplace_back(++this->revision, EndpointRemoved{EndpointId(id)});
+  ++this->revision;
+  this->history.emplace_back(this->revision,
+                             EndpointRemoved{EndpointId(id), this->revision});
+}
+
+void FleetWorld::ChangeEndpointCapacity(const std::string& id,
+                                        const TaskResources& capacity) {
+  FakeEndpoint& endpoint = this->endpoints.at(EndpointId(id));
+  ChangeCapacity(endpoint, capacity, this->now);
+  this->WriteEntry(endpoint.entry);
+}
+
+void FleetWorld::WriteEntry(EndpointEntry entry) {
+  entry.revision = ++this->revision;
+  this->endpoint_entries[entry.id] = entry;
+  this->history.emplace_back(this->revision, EndpointChanged{entry});
 }
 
 CallerToken FleetWorld::Submit(const std::string& daemon,
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -32,6 +32,10 @@
   /** Removes an endpoint's item from the store; the endpoint keeps running. */
   void DeregisterEndpoint(const std::string& id);
 
+  /** Changes the capacity of an endpoint and its item in the store. */
+  void ChangeEndpointCapacity(const std::string& id,
+                              const TaskResources& capacity);
+
   /** Sends a job of one step to a daemon.
    * @param nominal_run_time run time of each task on an endpoint of nominal
    * speed
@@ -122,6 +126,8 @@
   void ExecuteEndpointCommand(const std::string& daemon,
                               const EndpointCommand& command);
   void RemoveMember(const DaemonId& id);
+  /** Writes an endpoint's item to the store. */
+  void WriteEntry(EndpointEntry entry);
   void ExpireLeases();
   void RecordOverlaps();
 
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -37,6 +37,22 @@
   return endpoint;
 }
 
+void SchedulerWorld::ReportCapacity(const std::string& id,
+                                    const TaskResources& capacity) {
+  FakeEndpoint& endpoint = this->endpoints.at(EndpointId(id));
+  ChangeCapacity(endpoint, capacity, this->now);
+  Actions actions;
+  UpdateEndpoint(this->scheduler, endpoint.entry, this->now, actions);
+  this->Deliver(actions);
+}
+
+void SchedulerWorld::DeregisterEndpoint(const std::string& id) {
+  Actions actions;
+  dogwoodfall::DeregisterEndpoint(this->scheduler, EndpointId(id), this->now,
+                                  actions);
+  this->Deliver(actions);
+}
+
 JobSubmission SchedulerWorld::MakeSubmission(const std::string& id,
                                              uint32_t tasks,
                                              int64_t cores,
--- a/tests/support/scheduler_world.h
+++ b/tests/support/scheduler_world.h
@@ -33,6 +33,12 @@
                             int64_t cores,
                             double slowness);
 
+  /** Changes the capacity of an endpoint and reports its new entry. */
+  void ReportCapacity(const std::string& id, const TaskResources& capacity);
+
+  /** Removes an endpoint's entry; the endpoint keeps running. */
+  void DeregisterEndpoint(const std::string& id);
+
   /** Submits a job of one step.
    *
    * @param nominal_run_time run time of its tasks at slowness 1
