Renew the lease of runs that request no resources

Callers saw: a job whose tasks request no resources ended after its time limit, as its runs lapsed after 500 ms and were started again and again.

Cause: a run found on an endpoint that no job has claimed was recognized by its resources, all zero. So was a run of a task that requests nothing (fields of value 0 may be omitted): its lease wasn't renewed, and an endpoint with it was never reconciled.

Change: Run::is_claimed says whether a job has claimed the run.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -145,6 +145,7 @@
     Run unclaimed;
     unclaimed.state = RunState::kUnclaimed;
     unclaimed.endpoint_started_at_ms = endpoint.started_at_ms;
+    unclaimed.is_claimed = false;
     unclaimed.start_sent_at = now;
     unclaimed.confirmed_at = now;
     unclaimed.percent = percent;
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -10,16 +10,6 @@
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
-namespace {
-
-/** Returns true for a run of a previous owner that no job of this daemon has
- * claimed. Its resources are not known, so they are all zero.
- */
-bool IsUnclaimed(const Run& run) {
-  return run.resources == TaskResources();
-}
-
-}  // namespace
 
 void SetEndpointStatus(ManagedEndpoint& endpoint,
                        EndpointStatus status,
@@ -50,13 +40,12 @@
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint) {
   return std::any_of(
       endpoint.runs.begin(), endpoint.runs.end(),
-      [](const auto& entry) { return IsUnclaimed(entry.second); });
+      [](const auto& entry) { return !entry.second.is_claimed; });
 }
 
 bool HasClaimedRun(const ManagedEndpoint& endpoint) {
-  return std::any_of(
-      endpoint.runs.begin(), endpoint.runs.end(),
-      [](const auto& entry) { return !IsUnclaimed(entry.second); });
+  return std::any_of(endpoint.runs.begin(), endpoint.runs.end(),
+                     [](const auto& entry) { return entry.second.is_claimed; });
 }
 
 void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key) {
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -25,8 +25,8 @@
  */
 bool IsOutOfContact(const ManagedEndpoint& endpoint);
 
-/** Returns true while a run of a previous owner is active that no job of this
- * daemon has claimed, whatever its RunState.
+/** Returns true while a run that was found on the endpoint is active and no job
+ * of this daemon has claimed it, whatever its RunState.
  */
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -381,6 +381,7 @@
   run.may_requeue = true;
   if (run.state != RunState::kUnclaimed)
     return true;
+  run.is_claimed = true;
   run.state = RunState::kRunning;
   run.resources = job.job.steps[key.first.step].resources;
   run.expected_run_time =
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -31,7 +31,11 @@
   RunState state = RunState::kStarting;
   /** The command that started it; none for a run that was found. */
   CommandId start_command;
-  /** All zero for a run that no job of this daemon has claimed. */
+  /** False for a run that was found on the endpoint until a job of this daemon
+   * claims it.
+   */
+  bool is_claimed = true;
+  /** Not known, and all zero, for a run that no job has claimed. */
   TaskResources resources;
   /** Incarnation of the endpoint that runs it: its start in ms since 1970, or 0
    * when not known.
