Start nothing beside a run whose resources are not known

What would be seen: a start brings an endpoint without admission check over its capacity (LIMIT). An endpoint with the check would reject that start (room).

Cause: an unknown run that a usable endpoint lists is stopped, and counts as using nothing until its end is listed, up to 50 ms later. Meanwhile the whole capacity counted as free, for starts, for relocation and for other groups.

Evidence: NothingStartsBesideARunOfUnknownSize puts a run of 9 cores that the scheduler doesn't know on an endpoint of 16 beside one of 2; before this change a task of 7 was started over the capacity.

Change: an endpoint with an unclaimed run accepts no work. It ends within the time of a stop, so little capacity is lost; its size isn't known, so no smaller part of the capacity would be safe.

--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -5,6 +5,7 @@
 
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
+#include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/speed_learning.h"
 
@@ -187,9 +188,11 @@
 }
 
 bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now) {
+  // It is not known how much of the capacity an unclaimed run occupies.
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
          !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
-         endpoint.backoff_until <= now && endpoint.unanswered == 0;
+         endpoint.backoff_until <= now && endpoint.unanswered == 0 &&
+         !HasUnclaimedRun(endpoint);
 }
 
 bool CanEverRun(const EndpointEntry& endpoint,
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -12,8 +12,13 @@
 namespace dogwoodfall {
 namespace {
 
+const EndpointGroup kNorth{ZoneId("north"), 0};
 constexpr Millis kStopDuration{50};
 
+RunKey RunOf(const std::string& job) {
+  return {{SubmissionId(job), 0, 0}, 1};
+}
+
 FakeEndpoint& AddUnguardedEndpoint(SchedulerWorld& world,
                                    const std::string& id) {
   FakeEndpoint& endpoint = world.AddEndpoint(id, 16, 1);
@@ -32,12 +37,55 @@
   return submission;
 }
 
+/** Starts a run on a usable endpoint by an order that is carried out late, and
+ * advances the clock until the endpoint has listed it.
+ */
+void StartUnknownRun(SchedulerWorld& world,
+                     FakeEndpoint& endpoint,
+                     const std::string& job) {
+  const RunKey key = RunOf(job);
+  endpoint.running[key] = {world.now, {600}, {9'000, 64, 0}};
+  const ManagedEndpoint& managed =
+      world.scheduler.endpoints.at(endpoint.entry.id);
+  for (int i = 0; i < 500 && managed.runs.count(key) == 0; ++i)
+    world.Run({1});
+  ASSERT_EQ(managed.runs.count(key), 1U);
+  ASSERT_EQ(managed.status, EndpointStatus::kUsable);
+}
+
 JobOutcome OutcomeOf(const SchedulerWorld& world, const std::string& id) {
   const auto found = world.results.find(SubmissionId(id));
   EXPECT_NE(found, world.results.end()) << id << " was not answered";
   return found == world.results.end() ? JobOutcome() : found->second.outcome;
 }
 
+// A run that no job has claimed occupies resources until its end is listed.
+TEST(EndpointCapacityTest, NothingStartsBesideARunOfUnknownSize) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("first", 1, 2, {900});
+  world.Run({10});
+  ASSERT_NO_FATAL_FAILURE(StartUnknownRun(world, endpoint, "stranger"));
+  world.Submit("next", 1, 7, {200});
+  world.Run({1'000});
+  EXPECT_TRUE(endpoint.starts_over_capacity.empty());
+  EXPECT_EQ(OutcomeOf(world, "next").result, JobResult::kCompleted);
+}
+
+// Other groups must not send jobs to an endpoint that can't start them.
+TEST(EndpointCapacityTest, EndpointWithARunOfUnknownSizeHasNoFreeCapacity) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("first", 1, 2, {900});
+  world.Run({10});
+  ASSERT_NO_FATAL_FAILURE(StartUnknownRun(world, endpoint, "stranger"));
+  EXPECT_EQ(
+      ComputeGroupLoad(world.scheduler, kNorth, world.now).free_task_capacity,
+      0U);
+}
+
 // The lease of a run that requests no resources must be renewed as any other.
 TEST(EndpointCapacityTest, RunWithoutResourcesIsNotTakenForAnUnclaimedOne) {
   SchedulerWorld world;
