Count the resources of a run that is claimed while it is being stopped

What would be seen: starts that bring an endpoint without admission check over its capacity (LIMIT).

Cause: ClaimRun() took each run that wasn't kUnclaimed for one that is counted already. An unknown run that is being stopped is kStopping, so the job that claimed it got its run, but the run went on counting as using nothing.

Evidence: ClaimedRunThatIsBeingStoppedCounts loses the stops of an unknown run of 9 cores on an endpoint of 16 and then submits its job.

Change: Run::is_claimed decides; the run stays kStopping and is counted.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -379,10 +379,11 @@
   job.has_started = true;
   Run& run = endpoint.runs.at(key);
   run.may_requeue = true;
-  if (run.state != RunState::kUnclaimed)
+  if (run.is_claimed)
     return true;
   run.is_claimed = true;
-  run.state = RunState::kRunning;
+  if (run.state == RunState::kUnclaimed)
+    run.state = RunState::kRunning;
   run.resources = job.job.steps[key.first.step].resources;
   run.expected_run_time =
       EstimateStepRunTime(scheduler, job, key.first.step, &key);
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -86,6 +86,26 @@
       0U);
 }
 
+// A run that is claimed while it is being stopped occupies its resources.
+TEST(EndpointCapacityTest, ClaimedRunThatIsBeingStoppedCounts) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("first", 1, 2, {900});
+  world.Run({10});
+  world.is_command_lost = [](const EndpointCommand& command) {
+    return std::holds_alternative<StopRun>(command.command);
+  };
+  ASSERT_NO_FATAL_FAILURE(StartUnknownRun(world, endpoint, "late"));
+  world.SubmitJob(MakePatientSubmission("late", 9, {600}), {600});
+  EXPECT_EQ(world.scheduler.endpoints.at(EndpointId("e1")).used,
+            (TaskResources{11'000, 128, 0}));
+  world.Submit("next", 1, 7, {200});
+  world.Run({1'000});
+  EXPECT_TRUE(endpoint.starts_over_capacity.empty());
+  EXPECT_EQ(OutcomeOf(world, "late").result, JobResult::kCompleted);
+}
+
 // The lease of a run that requests no resources must be renewed as any other.
 TEST(EndpointCapacityTest, RunWithoutResourcesIsNotTakenForAnUnclaimedOne) {
   SchedulerWorld world;
