Test capacities that shrink below the resources in use

Suspected: starts, relocation and the free capacity of a group go wrong when the capacity minus what is in use is negative. None does: Fits() needs room in each dimension, CountTasks() takes negative capacity for none, and the load is clamped to 1.

--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -13,6 +13,8 @@
 namespace {
 
 const EndpointGroup kNorth{ZoneId("north"), 0};
+constexpr TaskResources kHalfCapacity{8'000, 64'000, 0};
+constexpr TaskResources kSmallCapacity{4'000, 64'000, 0};
 constexpr Millis kStopDuration{50};
 
 RunKey RunOf(const std::string& job) {
@@ -119,5 +121,61 @@
   EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kCompleted);
 }
 
+// Below the resources in use, a capacity has no room for even a small task.
+TEST(EndpointCapacityTest, NothingStartsWhileMoreIsInUseThanTheCapacity) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("first", 1, 7, {600});
+  world.Submit("second", 1, 7, {900});
+  world.Run({10});
+  ASSERT_EQ(endpoint.running.size(), 2U);
+  world.ReportCapacity("e1", kHalfCapacity);
+  world.Submit("small", 1, 1, {200});
+  ASSERT_EQ(endpoint.starts, 2U);
+  while (endpoint.running.size() == 2) {
+    world.Run({1});
+    ASSERT_EQ(endpoint.starts, 2U);
+  }
+  world.Run({100});
+  EXPECT_EQ(endpoint.starts, 3U);
+  world.Run({900});
+  EXPECT_EQ(OutcomeOf(world, "small").result, JobResult::kCompleted);
+}
+
+// What is over the capacity must not count as a large number of free tasks.
+TEST(EndpointCapacityTest, GroupOverItsCapacityHasNoFreeCapacity) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("job", 2, 7, {600});
+  world.Run({10});
+  world.ReportCapacity("e1", kHalfCapacity);
+  world.Run({40});
+  const GroupLoad load = ComputeGroupLoad(world.scheduler, kNorth, world.now);
+  EXPECT_EQ(load.task_capacity, 1U);
+  EXPECT_EQ(load.free_task_capacity, 0U);
+  EXPECT_FALSE(HasFreeCapacityFor(load, 1));
+  EXPECT_LE(world.scheduler.load, 1.0);
+}
+
+// Runs must not be stopped for a place that no longer has room for them.
+TEST(EndpointCapacityTest, RunsAreNotMovedToAnEndpointThatHasShrunk) {
+  SchedulerWorld world;
+  world.AddEndpoint("fast", 16, 0.55);
+  world.AddEndpoint("slow0", 16, 1.2);
+  world.AddEndpoint("slow1", 16, 1.2);
+  world.Run({20});
+  for (auto& [id, endpoint] : world.scheduler.endpoints)
+    endpoint.slowness = world.endpoints.at(id).slowness;
+  world.Submit("earlier", 2, 7, {350}, "short");
+  world.Run({5});
+  world.ReportCapacity("fast", kSmallCapacity);
+  world.SubmitJob(SchedulerWorld::MakeSubmission("large", 2, 7, {850}, "route"),
+                  {1'400});
+  world.Run({1'600});
+  EXPECT_EQ(world.scheduler.counters.relocated_runs, 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
