Refuse jobs that fit no endpoint only for now

Callers would see: a job is answered failed for good, and again for 3 s when it is sent again, because the endpoints with room for it have shrunk or their entries are missing for a moment. A moment later it could be done.

Cause: DecideAdmission() compared the job with the present entries of the endpoints that this daemon owns, and took what fits none of them for a job that can't be done.

Evidence: JobThatOnceFittedIsRefusedWhileTheCapacityIsShrunk and JobThatFitsAMissingEndpoint... got kFailed instead of kRefused before this change, and the repeat after the capacity had grown again got the kept result.

Change: the scheduler remembers the largest capacity that each endpoint in the store has reported, whoever owns it, until 10 s after its entry was removed. One that is larger than all of them is still failed.

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -245,6 +245,7 @@
   SetEndpointsNeeded(node.store, is_needed);
   if (!is_needed) {
     node.entries.clear();
+    node.scheduler.endpoint_history.clear();
     node.scheduler.are_endpoints_known = false;
   }
   AdvanceStoreSession(node.store, now, actions);
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -47,6 +47,20 @@
       });
 }
 
+/** Returns true when the endpoints that are or were known have had room for a
+ * job, so that it may fit again.
+ */
+bool HasOnceFitted(const Scheduler& scheduler, const ScheduledJob& job) {
+  return std::all_of(
+      job.job.steps.begin(), job.job.steps.end(), [&](const JobStep& step) {
+        return std::any_of(
+            scheduler.endpoint_history.begin(),
+            scheduler.endpoint_history.end(), [&](const auto& entry) {
+              return CanEverRun(entry.second.largest_entry, job.job, step);
+            });
+      });
+}
+
 bool HasEndpoints(const Scheduler& scheduler, const EndpointGroup& group) {
   return std::any_of(
       scheduler.endpoints.begin(), scheduler.endpoints.end(),
@@ -69,9 +83,12 @@
     return std::nullopt;
   if (!HasEndpoints(scheduler, job.group))
     return JobOutcome{JobResult::kRefused, kMinRetryAfter, "no_endpoints"};
-  if (!HasFittingEndpoint(scheduler, job, FitScope::kAllKnown))
-    return JobOutcome{JobResult::kFailed, {}, "fits_no_endpoint"};
-  return JobOutcome{JobResult::kRefused, kMinRetryAfter, "fits_other_group"};
+  if (HasFittingEndpoint(scheduler, job, FitScope::kAllKnown))
+    return JobOutcome{JobResult::kRefused, kMinRetryAfter, "fits_other_group"};
+  if (HasOnceFitted(scheduler, job))
+    return JobOutcome{JobResult::kRefused, kMinRetryAfter,
+                      "fits_no_endpoint_now"};
+  return JobOutcome{JobResult::kFailed, {}, "fits_no_endpoint"};
 }
 
 std::optional<JobOutcome> ReviewWaitingJob(const Scheduler& scheduler,
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -19,6 +19,27 @@
  */
 constexpr Millis kClaimTimeout{250};
 
+/** Keeps the largest capacity that an endpoint has reported. */
+void RecordCapacity(Scheduler& scheduler, const EndpointEntry& entry) {
+  const auto known = scheduler.endpoint_history.find(entry.id);
+  if (known == scheduler.endpoint_history.end()) {
+    scheduler.endpoint_history.emplace(entry.id,
+                                       EndpointHistory{entry, Millis()});
+    return;
+  }
+  EndpointHistory& history = known->second;
+  history.removed_at = Millis();
+  TaskResources largest = history.largest_entry.capacity;
+  largest.cpu_millicores =
+      std::max(largest.cpu_millicores, entry.capacity.cpu_millicores);
+  largest.memory_mb = std::max(largest.memory_mb, entry.capacity.memory_mb);
+  largest.accelerators =
+      std::max(largest.accelerators, entry.capacity.accelerators);
+  if (history.largest_entry.started_at_ms != entry.started_at_ms)
+    history.largest_entry = entry;
+  history.largest_entry.capacity = largest;
+}
+
 /** Marks the runs of an endpoint as lost once their lease has expired and the
  * endpoint can no longer report their results.
  */
@@ -73,6 +94,9 @@
                     Millis now,
                     Actions& actions) {
   const auto known = scheduler.endpoints.find(entry.id);
+  if (known != scheduler.endpoints.end())
+    RecordCapacity(scheduler, known->second.entry);
+  RecordCapacity(scheduler, entry);
   if (known == scheduler.endpoints.end())
     return;
   ManagedEndpoint& endpoint = known->second;
@@ -92,6 +116,9 @@
                         const EndpointId& id,
                         Millis now,
                         Actions& actions) {
+  const auto history = scheduler.endpoint_history.find(id);
+  if (history != scheduler.endpoint_history.end())
+    history->second.removed_at = now;
   const auto known = scheduler.endpoints.find(id);
   if (known == scheduler.endpoints.end())
     return;
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -24,6 +24,11 @@
  * after a loss.
  */
 constexpr Millis kResultRetention{3'000};
+/** How long jobs that only an endpoint fits whose entry was removed are refused
+ * rather than failed. Entries that the store has lost are back 2 s after its
+ * return.
+ */
+constexpr Millis kRemovedEndpointRetention{10'000};
 
 void InsertIntoQueue(Scheduler& scheduler, ScheduledJob& job, Millis now) {
   scheduler.queue.erase(job.order_key);
@@ -578,6 +583,10 @@
     return now - early.received_at > kEarlyProgressRetention;
   });
   RemoveExpiredCrashRecords(scheduler, now);
+  EraseIf(scheduler.endpoint_history, [now](const EndpointHistory& history) {
+    return history.removed_at != Millis() &&
+           now - history.removed_at > kRemovedEndpointRetention;
+  });
   EraseIf(scheduler.retained_results, [now](const RetainedResult& result) {
     return now - result.ended_at > kResultRetention;
   });
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -103,9 +103,21 @@
   Millis ended_at;
 };
 
+/** What an endpoint has had room for, whether or not this daemon owns it. */
+struct EndpointHistory {
+  /** Its latest entry, but with the largest capacity that it has reported in
+   * each dimension.
+   */
+  EndpointEntry largest_entry;
+  /** When its entry was removed from the store; zero while it is listed. */
+  Millis removed_at;
+};
+
 /** The scheduling state of a daemon. */
 struct Scheduler {
   std::map<EndpointId, ManagedEndpoint> endpoints;
+  /** Endpoints that are listed in the store, or were until recently. */
+  std::map<EndpointId, EndpointHistory> endpoint_history;
   /** False until the endpoints have been read from the store for the first time
    * since this daemon may own some. Jobs are not refused for a lack of
    * endpoints until then.
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 const EndpointGroup kNorth{ZoneId("north"), 0};
+constexpr TaskResources kFullCapacity{16'000, 64'000, 0};
 constexpr TaskResources kHalfCapacity{8'000, 64'000, 0};
 constexpr TaskResources kSmallCapacity{4'000, 64'000, 0};
 constexpr Millis kStopDuration{50};
@@ -177,5 +178,51 @@
   EXPECT_EQ(world.scheduler.counters.relocated_runs, 0U);
 }
 
+// The job can be done when the capacity grows again, so it must be sent again.
+TEST(EndpointCapacityTest, JobThatOnceFittedIsRefusedWhileTheCapacityIsShrunk) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.ReportCapacity("e1", kSmallCapacity);
+  world.Run({20});
+  world.SubmitJob(MakePatientSubmission("job", 7, {200}), {200});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kRefused);
+  EXPECT_GT(OutcomeOf(world, "job").retry_after, Millis());
+  world.ReportCapacity("e1", kFullCapacity);
+  world.Run({20});
+  world.SubmitJob(MakePatientSubmission("job", 7, {200}), {200});
+  world.Run({400});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kCompleted);
+}
+
+// A caller must not send a job again that can never be done.
+TEST(EndpointCapacityTest, JobLargerThanEveryReportedCapacityFails) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "e1");
+  AddUnguardedEndpoint(world, "e2");
+  world.Run({20});
+  world.ReportCapacity("e1", kSmallCapacity);
+  world.ReportCapacity("e2", kHalfCapacity);
+  world.Run({20});
+  world.SubmitJob(MakePatientSubmission("job", 17, {200}), {200});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kFailed);
+}
+
+// The entry of a large endpoint may be missing for some seconds after an outage
+// of the store.
+TEST(EndpointCapacityTest, JobThatFitsAMissingEndpointIsRefusedForAWhile) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "large");
+  world.AddEndpoint("small", 8, 1);
+  world.ReportCapacity("large", kFullCapacity);
+  world.Run({20});
+  world.DeregisterEndpoint("large");
+  world.SubmitJob(MakePatientSubmission("job", 9, {200}), {200});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kRefused);
+  world.Run({11'000});
+  world.SubmitJob(MakePatientSubmission("later", 9, {200}), {200});
+  EXPECT_EQ(OutcomeOf(world, "later").result, JobResult::kFailed);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
