Refuse waiting jobs at once that fit no endpoint of their group any more

Callers would see: a job waits in the queue while the capacities of its group shrink below its tasks, and is answered only at its caller's time limit or when it is too late to be completed.

Cause: whether a job fits was decided only when it was accepted.

A job that has started, or may have on another daemon, is kept: it can't be said that it did not run, and the capacity may grow again. So is one whose group has no endpoints at all, as before.

--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -96,6 +96,10 @@
                                            Millis now) {
   if (job.has_started)
     return std::nullopt;
+  if (!job.may_have_started && HasEndpoints(scheduler, job.group) &&
+      !HasFittingEndpoint(scheduler, job, FitScope::kGroup))
+    return JobOutcome{JobResult::kRefused, kMinRetryAfter,
+                      "fits_no_endpoint_now"};
   const Millis expected_run_time =
       EstimateJobRunTime(scheduler.run_times, job.job);
   const Millis best_case_run_time{
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -73,8 +73,8 @@
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions);
 
 /** Performs the periodic work on jobs: updates the queue order, ends jobs that
- * can no longer be completed in time or whose deadline has passed, and removes
- * early progress whose job has not arrived.
+ * can no longer be completed in time, which fit no endpoint any more or whose
+ * deadline has passed, and removes records that are no longer needed.
  */
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions);
 
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -224,5 +224,39 @@
   EXPECT_EQ(OutcomeOf(world, "later").result, JobResult::kFailed);
 }
 
+// A job that fits no endpoint of its group any more must not wait until its
+// caller's time limit.
+TEST(EndpointCapacityTest, WaitingJobIsRefusedWhenTheCapacityShrinks) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.Submit("first", 2, 7, {900});
+  world.Run({10});
+  world.SubmitJob(MakePatientSubmission("waiting", 7, {200}), {200});
+  world.Run({20});
+  ASSERT_EQ(world.results.count(SubmissionId("waiting")), 0U);
+  world.ReportCapacity("e1", kSmallCapacity);
+  world.Run({40});
+  EXPECT_EQ(OutcomeOf(world, "waiting").result, JobResult::kRefused);
+  EXPECT_GT(OutcomeOf(world, "waiting").retry_after, Millis());
+  EXPECT_EQ(endpoint.starts, 2U);
+}
+
+// Runs of a handed-over job may be active elsewhere, so it is not refused.
+TEST(EndpointCapacityTest, WaitingJobThatMayHaveStartedIsKept) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "e1");
+  world.Run({20});
+  world.ReportCapacity("e1", kSmallCapacity);
+  JobSubmission submission = MakePatientSubmission("job", 7, {200});
+  submission.may_have_started = true;
+  world.SubmitJob(submission, {200});
+  world.Run({200});
+  ASSERT_EQ(world.results.count(SubmissionId("job")), 0U);
+  world.ReportCapacity("e1", kFullCapacity);
+  world.Run({400});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kCompleted);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
