Don't apply entries of endpoints that are older than the known ones

What would be seen: a former capacity (or a former state ready) of an endpoint comes back into force after its list was read, and starts bring it over its capacity (LIMIT).

Cause: a list of several pages is of several revisions. Changes are then read from the revision of the first page on, so that entries from before those of the later pages come again. Entries carried no revision, and each replaced the known one. If one answer has all changes, none is in force in between, as tasks are placed after all of them are applied. If the store splits them over several answers, the older entry is in force until the next answer, which is asked for 400 ms later. Lists are read without staleOk and answers older than what was followed are rejected (IsOlderThanFollowed), so nothing else brings older entries.

Evidence: OlderEntryDoesNotReplaceANewerOne got 16 cores back over 8, and OlderRemovalDoesNotRemoveANewerEntry lost the endpoint, before this change.

Change: entries and removals carry the revision of the item. The event endpoint_capacity tells when which capacity came into force.

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -14,17 +14,48 @@
 namespace dogwoodfall {
 namespace {
 
+/** Returns true when a change of an endpoint's entry precedes the known entry.
+ * Changes are read twice when they were made while a list was read.
+ */
+bool IsOlderThanKnown(const FleetNode& node,
+                      const EndpointId& id,
+                      uint64_t revision) {
+  const auto known = node.entries.find(id);
+  return known != node.entries.end() && revision != 0 &&
+         revision < known->second.revision;
+}
+
 void ApplyEndpoint(FleetNode& node,
                    const EndpointEntry& entry,
                    Millis now,
                    Actions& actions) {
   const auto known = node.entries.find(entry.id);
+  if (IsOlderThanKnown(node, entry.id, entry.revision)) {
+    actions.push_back(
+        LogEvent{"endpoint_entry_older",
+                 {{"endpoint", entry.id.value},
+                  {"revision", std::to_string(entry.revision)},
+                  {"known_revision", std::to_string(known->second.revision)}}});
+    return;
+  }
   if (known != node.entries.end() && known->second.draining != entry.draining) {
     actions.push_back(
         LogEvent{"endpoint_draining",
                  {{"endpoint", entry.id.value},
                   {"draining", entry.draining ? "true" : "false"}}});
   }
+  if (known != node.entries.end() &&
+      !(known->second.capacity == entry.capacity)) {
+    actions.push_back(
+        LogEvent{"endpoint_capacity",
+                 {{"endpoint", entry.id.value},
+                  {"millicores", std::to_string(entry.capacity.cpu_millicores)},
+                  {"memory_mb", std::to_string(entry.capacity.memory_mb)},
+                  {"former_millicores",
+                   std::to_string(known->second.capacity.cpu_millicores)},
+                  {"former_memory_mb",
+                   std::to_string(known->second.capacity.memory_mb)}}});
+  }
   node.entries[entry.id] = entry;
   UpdateEndpoint(node.scheduler, entry, now, actions);
 }
@@ -60,6 +91,9 @@
     ApplyEndpoint(node, endpoint->entry, now, actions);
   } else if (const auto* removed_endpoint =
                  std::get_if<EndpointRemoved>(&change)) {
+    if (IsOlderThanKnown(node, removed_endpoint->id,
+                         removed_endpoint->revision))
+      return false;
     node.entries.erase(removed_endpoint->id);
     DeregisterEndpoint(node.scheduler, removed_endpoint->id, now, actions);
   } else if (const auto* routes = std::get_if<RoutesChanged>(&change)) {
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -161,6 +161,7 @@
   EXPECT_EQ(endpoint->entry.kind, "a");
   EXPECT_EQ(endpoint->entry.rack, RackId("r1-3"));
   EXPECT_EQ(endpoint->entry.capacity.cpu_millicores, 16'000);
+  EXPECT_EQ(endpoint->entry.revision, 9U);
 }
 
 // Guards against invalid entries that another writer put below servers/: each
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -258,5 +258,58 @@
   EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kCompleted);
 }
 
+EndpointEntry MakeEntry(uint64_t revision, const TaskResources& capacity) {
+  EndpointEntry entry;
+  entry.id = EndpointId("e1");
+  entry.service = "service";
+  entry.zone = ZoneId("north");
+  entry.capacity = capacity;
+  entry.revision = revision;
+  return entry;
+}
+
+FleetNode MakeNode() {
+  DaemonMember self;
+  self.id = DaemonId("d1");
+  self.zone = ZoneId("north");
+  return CreateFleetNode(self, Incarnation(1));
+}
+
+/** Applies one change of an endpoint as read from the store. */
+void ApplyEndpointChange(FleetNode& node,
+                         const StoreChange& change,
+                         bool is_snapshot) {
+  StoreUpdate update;
+  update.is_snapshot = is_snapshot;
+  update.changes.push_back(change);
+  Actions actions;
+  ApplyStoreUpdate(node, update, Millis{1'000}, actions);
+}
+
+// Changes made between two pages of a list are read again after the list, and
+// several answers may be needed for them.
+TEST(EndpointCapacityTest, OlderEntryDoesNotReplaceANewerOne) {
+  FleetNode node = MakeNode();
+  ApplyEndpointChange(node, EndpointChanged{MakeEntry(18, kHalfCapacity)},
+                      true);
+  ApplyEndpointChange(node, EndpointChanged{MakeEntry(12, kFullCapacity)},
+                      false);
+  EXPECT_EQ(node.entries.at(EndpointId("e1")).capacity, kHalfCapacity);
+  ApplyEndpointChange(node, EndpointChanged{MakeEntry(21, kFullCapacity)},
+                      false);
+  EXPECT_EQ(node.entries.at(EndpointId("e1")).capacity, kFullCapacity);
+}
+
+// The removal of an earlier entry must not remove the endpoint that is back.
+TEST(EndpointCapacityTest, OlderRemovalDoesNotRemoveANewerEntry) {
+  FleetNode node = MakeNode();
+  ApplyEndpointChange(node, EndpointChanged{MakeEntry(18, kHalfCapacity)},
+                      true);
+  ApplyEndpointChange(node, EndpointRemoved{EndpointId("e1"), 15}, false);
+  EXPECT_EQ(node.entries.count(EndpointId("e1")), 1U);
+  ApplyEndpointChange(node, EndpointRemoved{EndpointId("e1"), 19}, false);
+  EXPECT_EQ(node.entries.count(EndpointId("e1")), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
