Don't take the reply to an outdated watch for a list of all endpoints

What would be seen: endpoint_unlisted for most endpoints at once, no starts on them until their next heartbeat brings their entries back, and jobs refused for no_endpoints.

Cause: a daemon that stops and starts again to need the endpoints (owners change twice within 2 s) reads all items anew. The watch from before could still be pending; its changes were handled as the only page of the list.

Change: pending calls for endpoints are dropped when they are no longer needed, so that their replies are ignored and the list is read at once.

--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/erase_if.h"
 #include "base/hash.h"
 
 namespace dogwoodfall {
@@ -279,8 +280,14 @@
 }
 
 void SetEndpointsNeeded(StoreSession& session, bool is_needed) {
-  if (session.needs_endpoints && !is_needed)
+  if (session.needs_endpoints && !is_needed) {
     RestartReading(session.endpoints);
+    // The reply to a pending watch would be taken for a page of a list.
+    EraseIf(session.calls, [](StoreCallPurpose purpose) {
+      return purpose == StoreCallPurpose::kFollowEndpoints;
+    });
+    session.endpoints.is_call_pending = false;
+  }
   session.needs_endpoints = is_needed;
 }
 
--- a/tests/core/store_session_test.cc
+++ b/tests/core/store_session_test.cc
@@ -152,6 +152,43 @@
   }
 }
 
+/** Answers all calls of a new session, so that it follows the items. */
+StoreSession FollowItems(std::vector<CallKeyValue>& calls) {
+  StoreSession session = OpenSession(calls);
+  Actions actions;
+  for (const CallKeyValue& call : calls)
+    HandleKeyValueReply(session, call.token, MakeDoneReply(), kStart, actions);
+  calls = CollectStoreCalls(actions);
+  return session;
+}
+
+const CallKeyValue* FindEndpointWatch(const std::vector<CallKeyValue>& calls) {
+  for (const CallKeyValue& call : calls) {
+    const auto* watch = std::get_if<WatchItems>(&call.call);
+    if (watch != nullptr && watch->scope == ItemScope::kEndpoints)
+      return &call;
+  }
+  return nullptr;
+}
+
+// The changes that a watch returns must not be taken for a list of all items,
+// which would remove the endpoints that have not changed.
+TEST(StoreSessionTest, WatchFromBeforeARestartedReadIsNotAList) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = FollowItems(calls);
+  Actions actions;
+  const CallKeyValue* first = FindEndpointWatch(calls);
+  ASSERT_NE(first, nullptr);
+  const CallKeyValue pending = *first;
+  SetEndpointsNeeded(session, false);
+  SetEndpointsNeeded(session, true);
+  AdvanceStoreSession(session, kStart, actions);
+  const StoreUpdate update = HandleKeyValueReply(
+      session, pending.token, MakeDoneReply(), kStart, actions);
+  EXPECT_FALSE(update.is_snapshot);
+  EXPECT_NE(FindCall<ReadItems>(CollectStoreCalls(actions)), nullptr);
+}
+
 // A daemon's item must outlast two lost renewals. Its lease may otherwise end
 // while the daemon works, and another daemon takes over its endpoints.
 TEST(StoreSessionTest, ItemOutlastsTwoLostRenewals) {
