Test how late a reduced capacity is noticed

Suspected: starts over a capacity that has shrunk more than contactMs and one heartbeat (4,500 ms) ago, with a start in flight, a hand-over of the endpoint, or a store that its owner can't reach. The entry that travels with a job's progress is only for listing the endpoint's runs; nothing is started by it.

Open: while the store is down for all, nobody can know of a reduction.

--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -311,5 +311,98 @@
   EXPECT_EQ(node.entries.count(EndpointId("e1")), 0U);
 }
 
+// The entry that travels with a job's progress may be from before a reduction.
+TEST(EndpointCapacityTest, ReportedEntryIsNotUsedForStarts) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.endpoints[EndpointId("e1")];
+  endpoint.entry.id = EndpointId("e1");
+  endpoint.entry.service = "service";
+  endpoint.entry.zone = kNorth.zone;
+  endpoint.entry.capacity = kFullCapacity;
+  endpoint.lease_until = world.now + Millis{800};
+  endpoint.running[RunOf("job")] = {world.now, {400}, {7'000, 64, 0}};
+  JobSubmission submission = MakePatientSubmission("job", 7, {400});
+  submission.may_have_started = true;
+  submission.max_progress_wait = {600};
+  world.SubmitJob(submission, {400});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {{0, 0, Attempt(1), endpoint.entry}};
+  world.SubmitProgress(progress);
+  world.SubmitJob(MakePatientSubmission("next", 7, {200}), {200});
+  world.Run({100});
+  EXPECT_EQ(endpoint.starts, 0U);
+  EndpointEntry current = endpoint.entry;
+  current.capacity = kHalfCapacity;
+  Actions actions;
+  TakeOwnershipOfEndpoint(world.scheduler, current, kNorth, 5, world.now,
+                          actions);
+  world.Run({150});
+  EXPECT_EQ(endpoint.starts, 0U);
+  world.Run({600});
+  EXPECT_EQ(endpoint.starts, 1U);
+}
+
+/** Keeps submitting jobs to a daemon, and returns the number of starts on the
+ * endpoints in the last part of that time.
+ */
+uint64_t SubmitForEightSeconds(FleetWorld& world, const std::string& daemon) {
+  constexpr int kJobs = 80;
+  uint64_t starts_before = 0;
+  for (int i = 0; i < kJobs; ++i) {
+    if (i == kJobs * 3 / 4) {
+      for (const auto& [id, endpoint] : world.endpoints)
+        starts_before += endpoint.starts;
+    }
+    world.Submit(daemon, "job" + std::to_string(i), 8, {80});
+    world.RunFor({100});
+  }
+  uint64_t starts = 0;
+  for (const auto& [id, endpoint] : world.endpoints)
+    starts += endpoint.starts;
+  return starts - starts_before;
+}
+
+/** Makes all endpoints of a zone shrink to half of their capacity. */
+void ShrinkEndpoints(FleetWorld& world, const std::string& zone) {
+  for (auto& [id, endpoint] : world.endpoints) {
+    endpoint.checks_admission = false;
+    endpoint.stop_duration = kStopDuration;
+    if (endpoint.entry.zone == ZoneId(zone))
+      world.ChangeEndpointCapacity(id.value, kHalfCapacity);
+  }
+}
+
+void ExpectNoStartOverCapacity(const FleetWorld& world) {
+  for (const auto& [id, endpoint] : world.endpoints)
+    EXPECT_EQ(endpoint.starts_over_capacity.size(), 0U) << id.value;
+}
+
+// An owner that no longer hears of the endpoints must be replaced in time.
+TEST(EndpointCapacityTest, OwnerCutOffFromTheStoreDoesNotOverloadEndpoints) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  ASSERT_FALSE(owner.empty());
+  world.is_store_unreachable = [owner](const DaemonId& id) {
+    return id.value == owner;
+  };
+  ShrinkEndpoints(world, "north");
+  EXPECT_GT(SubmitForEightSeconds(world, OtherDaemonInZone(owner)), 0U);
+  ExpectNoStartOverCapacity(world);
+}
+
+// The next owner must not use a capacity from before a reduction.
+TEST(EndpointCapacityTest, NextOwnerUsesTheReducedCapacity) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  ASSERT_FALSE(owner.empty());
+  ShrinkEndpoints(world, "north");
+  world.KillDaemon(owner);
+  EXPECT_GT(SubmitForEightSeconds(world, OtherDaemonInZone(owner)), 0U);
+  ExpectNoStartOverCapacity(world);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/core/store_session_test.cc
+++ b/tests/core/store_session_test.cc
@@ -2,10 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
+#include "core/scheduling/endpoint_commands.h"
+#include "fake_endpoint.h"
+
 namespace dogwoodfall {
 namespace {
 
@@ -171,6 +175,70 @@
   return nullptr;
 }
 
+/** Loses all answers from `kStart` on.
+ * @return the times of the endpoint watches that are sent
+ */
+std::vector<Millis> CollectWatchesWithoutAnswers(StoreSession& session,
+                                                 Millis duration) {
+  std::vector<Millis> watches;
+  std::vector<std::pair<Millis, StoreToken>> lost;
+  for (int64_t ms = 0; ms < duration.count; ms += 10) {
+    const Millis now = kStart + Millis{ms};
+    Actions due;
+    for (const auto& [timeout, token] : std::exchange(lost, {})) {
+      if (timeout <= now)
+        HandleKeyValueReply(session, token, KeyValueReply(), now, due);
+      else
+        lost.emplace_back(timeout, token);
+    }
+    AdvanceStoreSession(session, now, due);
+    const std::vector<CallKeyValue> calls = CollectStoreCalls(due);
+    if (const CallKeyValue* watch = FindEndpointWatch(calls)) {
+      watches.push_back(now);
+      lost.emplace_back(now + watch->timeout, watch->token);
+    }
+  }
+  return watches;
+}
+
+// A reduced capacity must be known 3 s later, also when the answer that listed
+// it is lost.
+TEST(StoreSessionTest, EndpointsAreReadAgainInTimeAfterALostAnswer) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = FollowItems(calls);
+  const CallKeyValue* first = FindEndpointWatch(calls);
+  ASSERT_NE(first, nullptr);
+  Actions actions;
+  HandleKeyValueReply(session, first->token, MakeDoneReply(), kStart, actions);
+  const std::vector<Millis> watches =
+      CollectWatchesWithoutAnswers(session, Millis{4'000});
+  ASSERT_GE(watches.size(), 2U);
+  EXPECT_LE(watches[1], kStart + kContactTime);
+}
+
+// The delays between retries grow in a long outage. The first watch after it
+// must come before a capacity counts that was reduced at its end.
+TEST(StoreSessionTest, EndpointsAreReadAgainInTimeAfterALongOutage) {
+  for (int i = 0; i < 100; ++i) {
+    std::vector<CallKeyValue> calls;
+    StoreSession session = FollowItems(calls);
+    session.self.address.id = DaemonId("d" + std::to_string(i));
+    const CallKeyValue* first = FindEndpointWatch(calls);
+    ASSERT_NE(first, nullptr);
+    Actions actions;
+    HandleKeyValueReply(session, first->token, MakeDoneReply(), kStart,
+                        actions);
+    const std::vector<Millis> watches =
+        CollectWatchesWithoutAnswers(session, Millis{60'000});
+    ASSERT_GE(watches.size(), 10U);
+    for (size_t n = 1; n < watches.size(); ++n) {
+      EXPECT_LE(watches[n] - watches[n - 1],
+                kCapacityReductionGrace - kRunLease)
+          << i;
+    }
+  }
+}
+
 // The changes that a watch returns must not be taken for a list of all items,
 // which would remove the endpoints that have not changed.
 TEST(StoreSessionTest, WatchFromBeforeARestartedReadIsNotAList) {
