Count endpoints that restarted before their reported runs were listed

Operators would see: a crash is not counted for a task whose job changes hands between the crash and its discovery, when the endpoint is back before the next scheduler has listed it (BUDGET); at most one crash a hand-over.

Cause: the list of the new incarnation disproves the reported run, and the report was dropped as if the run had ended by itself.

RestartOfAnEndpointBeforeItsReportedRunIsListedCounts failed before.

Change: a reported run of an earlier incarnation counts as lost with it, and progress names the incarnation that runs a task, not that of the store's entry.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -179,7 +179,7 @@
       !HasUnclaimedRun(endpoint)) {
     if (endpoint.runs.empty())
       endpoint.lease_until = now;
-    RemoveListedReports(scheduler, endpoint.entry.id, command.sent_at);
+    RemoveListedReports(scheduler, endpoint, command.sent_at, now, actions);
     SetEndpointStatus(endpoint, EndpointStatus::kUsable, "reconciled", now,
                       actions);
   }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -451,8 +451,11 @@
       const auto endpoint = scheduler.endpoints.find(task.endpoint);
       if (task.phase == TaskPhase::kPlaced &&
           endpoint != scheduler.endpoints.end()) {
+        EndpointEntry entry = endpoint->second.entry;
+        if (endpoint->second.started_at_ms != 0)
+          entry.started_at_ms = endpoint->second.started_at_ms;
         progress.active_runs.push_back(
-            {step, index, Attempt(task.attempt), endpoint->second.entry});
+            {step, index, Attempt(task.attempt), std::move(entry)});
       }
     }
   }
@@ -665,16 +668,31 @@
 }
 
 void RemoveListedReports(Scheduler& scheduler,
-                         const EndpointId& endpoint,
-                         Millis listed_at) {
+                         const ManagedEndpoint& endpoint,
+                         Millis listed_at,
+                         Millis now,
+                         Actions& actions) {
+  // Runs of an earlier incarnation of the endpoint were lost with it.
+  std::vector<std::pair<JobTask, EndpointEntry>> lost;
   for (auto& [id, job] : scheduler.jobs) {
-    std::vector<ReportedRun>& runs = job.reported_runs;
-    runs.erase(std::remove_if(runs.begin(), runs.end(),
-                              [&](const ReportedRun& reported) {
-                                return reported.run.endpoint.id == endpoint &&
-                                       reported.reported_at <= listed_at;
-                              }),
-               runs.end());
+    std::vector<ReportedRun> remaining;
+    for (const ReportedRun& reported : job.reported_runs) {
+      const ActiveRun& run = reported.run;
+      if (run.endpoint.id != endpoint.entry.id ||
+          reported.reported_at > listed_at) {
+        remaining.push_back(reported);
+        continue;
+      }
+      if (IsTaskQueued(job, run) && run.endpoint.started_at_ms != 0 &&
+          endpoint.started_at_ms != 0 &&
+          run.endpoint.started_at_ms != endpoint.started_at_ms)
+        lost.push_back({{id, run.step, run.index}, run.endpoint});
+    }
+    job.reported_runs = std::move(remaining);
+  }
+  for (const auto& [task, entry] : lost) {
+    RecordEndpointLoss(scheduler, entry, entry.started_at_ms, {task}, now,
+                       actions);
   }
 }
 
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -124,11 +124,14 @@
                         Millis now);
 
 /** Removes the reports of runs on an endpoint that a list requested at the
- * given time has confirmed or disproved.
+ * given time has confirmed or disproved. Runs that an earlier incarnation of
+ * the endpoint had count as lost with it, which may end their jobs.
  */
 void RemoveListedReports(Scheduler& scheduler,
-                         const EndpointId& endpoint,
-                         Millis listed_at);
+                         const ManagedEndpoint& endpoint,
+                         Millis listed_at,
+                         Millis now,
+                         Actions& actions);
 
 /** Requeues a task whose run may still be active on an endpoint that is no
  * longer managed here. Its job starts nothing until the run's lease has
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -225,6 +225,24 @@
             JobResult::kCompleted);
 }
 
+TEST(CrashingTaskTest, RestartOfAnEndpointBeforeItsReportedRunIsListedCounts) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  endpoint.entry.started_at_ms = endpoint.started_at_ms;
+  world.Run({20});
+  JobSubmission submission = MakePatientSubmission("sound", 1);
+  submission.may_have_started = true;
+  submission.max_progress_wait = {500};
+  world.SubmitJob(submission, {60});
+  JobProgress progress;
+  progress.job = submission.job.id;
+  progress.active_runs.push_back({0, 0, Attempt(1), endpoint.entry});
+  endpoint.started_at_ms = 2'000;
+  world.SubmitProgress(progress);
+  world.Run({40});
+  EXPECT_TRUE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
+}
+
 TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
   FleetWorld world;
   SetUpTwoZones(world);
