--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -243,6 +243,42 @@
   EXPECT_TRUE(IsSuspect(world.scheduler, {SubmissionId("sound"), 0, 0}));
 }
 
+TEST(CrashingTaskTest, StartedJobIsKeptWhileCapacityIsShrunkForAMoment) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 8, 1);
+  world.Run({20});
+  const TaskResources capacity = endpoint.entry.capacity;
+  const auto set_capacity = [&](int64_t cpu_millicores) {
+    endpoint.entry.capacity.cpu_millicores = cpu_millicores;
+    Actions actions;
+    UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+  };
+  world.Submit("sound", 2, 7, {60});
+  world.Run({20});
+  set_capacity(4'000);
+  world.Run({300});
+  set_capacity(capacity.cpu_millicores);
+  world.Run({500});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
+TEST(CrashingTaskTest, StartedJobIsKeptWhileItsGroupHasNoEndpointsForAMoment) {
+  SchedulerWorld world;
+  world.AddEndpoint("e0", 8, 1);
+  world.Run({20});
+  Actions actions;
+  world.Submit("sound", 2, 7, {60});
+  world.Run({20});
+  DeregisterEndpoint(world.scheduler, EndpointId("e0"), world.now, actions);
+  world.Run({300});
+  EXPECT_EQ(world.scheduler.endpoints.count(EndpointId("e0")), 0U);
+  world.AddEndpoint("e0", 8, 1);
+  world.Run({500});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
 TEST(CrashingTaskTest, JobGivenUpInOneZoneIsNotStartedInAnother) {
   FleetWorld world;
   SetUpTwoZones(world);
