Count a repeat of a job that other daemons announce as started

Callers saw: a task ran twice at a time (TWICE) when a job was sent again while its scheduler was being replaced.

Cause: a receiver sends a repeat to the group that heartbeats list for the job, but as a job that can't have started. The group's next owner doesn't wait for its endpoints to be listed then, and starts the task on the first one that is.

Why it works: such a repeat counts as possibly started. It waits until all endpoints of its group are listed, and for the progress of the announced scheduler when that is no longer the owner. The same holds when a scheduler redirects it to the announced group.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -118,16 +118,6 @@
   return true;
 }
 
-/** Returns the group that a new job is sent to: the one that runs it already,
- * or the job's group in the own zone.
- */
-EndpointGroup ChooseGroup(const FleetNode& node,
-                          const SubmissionId& job,
-                          Millis now) {
-  return FindRunningGroup(node, job, now)
-      .value_or(GroupOfJob(node.view, node.zone, job));
-}
-
 /** Requests the handover of a job from a scheduler that no longer owns its
  * group.
  */
@@ -154,16 +144,16 @@
 
 }  // namespace
 
-std::optional<EndpointGroup> FindRunningGroup(const FleetNode& node,
-                                              const SubmissionId& job,
-                                              Millis now) {
+std::optional<RunningJob> FindRunningJob(const FleetNode& node,
+                                         const SubmissionId& job,
+                                         Millis now) {
   for (const auto& [id, peer_status] : node.peers) {
     if (now - peer_status.last_received_at >= kHeartbeatValidity)
       continue;
     for (const JobInProgress& running :
          peer_status.last_heartbeat.jobs_in_progress) {
       if (running.job == job)
-        return running.group;
+        return RunningJob{peer_status.last_heartbeat.from, running.group};
     }
   }
   return std::nullopt;
@@ -173,8 +163,17 @@
                   PendingJob& pending,
                   Millis now,
                   Actions& actions) {
-  AssignToGroup(node, pending, ChooseGroup(node, pending.job.id, now), now,
-                actions);
+  const SubmissionId& job = pending.job.id;
+  const std::optional<RunningJob> running = FindRunningJob(node, job, now);
+  if (running) {
+    pending.may_have_started = true;
+    if (!IsOwnerOf(node.view, running->scheduler, running->group))
+      pending.previous_scheduler = running->scheduler;
+  }
+  AssignToGroup(
+      node, pending,
+      running ? running->group : GroupOfJob(node.view, node.zone, job), now,
+      actions);
 }
 
 void RedirectJob(FleetNode& node,
--- a/modules/core/fleet/assignment_flow.h
+++ b/modules/core/fleet/assignment_flow.h
@@ -7,12 +7,18 @@
 
 namespace dogwoodfall {
 
-/** Returns the group whose scheduler lists a job as running in its heartbeat. A
- * caller may send a job again to any daemon.
+/** A daemon that runs a job, and the endpoints that it runs on. */
+struct RunningJob {
+  DaemonRef scheduler;
+  EndpointGroup group;
+};
+
+/** Returns the scheduler that lists a job as running in its heartbeat. A caller
+ * may send a job again to any daemon.
  */
-std::optional<EndpointGroup> FindRunningGroup(const FleetNode& node,
-                                              const SubmissionId& job,
-                                              Millis now);
+std::optional<RunningJob> FindRunningJob(const FleetNode& node,
+                                         const SubmissionId& job,
+                                         Millis now);
 
 /** Assigns a newly received job to the scheduler that already runs it, or to
  * the scheduler of its group in the own zone.
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -61,8 +61,11 @@
                             Millis now) {
   if (!submission.may_forward)
     return false;
-  std::optional<EndpointGroup> group =
-      FindRunningGroup(node, submission.job.id, now);
+  const std::optional<RunningJob> running =
+      FindRunningJob(node, submission.job.id, now);
+  std::optional<EndpointGroup> group;
+  if (running)
+    group = running->group;
   const auto record = node.forwarded_jobs.find(submission.job.id);
   if (!group && record != node.forwarded_jobs.end() &&
       !record->second.spillover_group.zone.value.empty())
@@ -72,8 +75,9 @@
   const FleetMember* owner = OwnerOfGroup(node.view, *group);
   if (owner == nullptr || RefOf(*owner) == node.self)
     return false;
-  JobRedirect redirect = MakeRedirect(node, submission.job.id, *owner, *group,
-                                      submission.may_have_started);
+  JobRedirect redirect =
+      MakeRedirect(node, submission.job.id, *owner, *group,
+                   submission.may_have_started || running.has_value());
   redirect.is_spillover = true;
   node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
   return true;
