Wait for the progress of a job that another receiver hands over

Callers saw: a task could run twice at a time (TWICE) when a job had been sent again and waited in the queue while its first submission was handed over to the same scheduler.

Cause: the scheduler joined the second submission to the known job, but ignored the wait for progress in it, and started the queued tasks beside the runs of the previous scheduler.

Evidence: JobThatAnotherReceiverHadStarted... failed before.

Why it works: the job waits for the longer of both waits, unless the complete progress has arrived already.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -310,8 +310,14 @@
     known->second.may_have_started |= submission.may_have_started;
     std::vector<DaemonRef>& others = known->second.other_receivers;
     if (receiver != known->second.receiver &&
-        std::find(others.begin(), others.end(), receiver) == others.end())
+        std::find(others.begin(), others.end(), receiver) == others.end()) {
       others.push_back(receiver);
+      // Another scheduler has the job by that receiver's submission.
+      if (!known->second.has_complete_progress)
+        known->second.start_blocked_until =
+            std::max(known->second.start_blocked_until,
+                     now + submission.max_progress_wait);
+    }
     known->second.caller_deadline =
         std::max(known->second.caller_deadline, now + job.time_left);
     actions.push_back(MakeJobEvent("job_joined", known->second, now));
@@ -407,7 +413,8 @@
     return;
   }
   ScheduledJob& job = found->second;
-  if (progress.remaining_wait == Millis())
+  job.has_complete_progress = progress.remaining_wait == Millis();
+  if (job.has_complete_progress)
     job.start_blocked_until = Millis();
   else
     job.start_blocked_until =
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -75,6 +75,8 @@
    * scheduler.
    */
   Millis start_blocked_until;
+  /** True once a previous scheduler has sent all that is known of it. */
+  bool has_complete_progress = false;
   /** Nothing is started while one of these may be active. They are reported
    * again when the job is handed over once more.
    */
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -68,5 +68,43 @@
   }
 }
 
+JobTask TaskOf(const std::string& job, uint32_t index) {
+  return {SubmissionId(job), 0, index};
+}
+
+TEST(JobEvidenceTest, JobThatAnotherReceiverHadStartedWaitsForItsProgress) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 7, 1);
+  world.Run({20});
+  world.Submit("other", 1, 7, {100});
+  FakeEndpoint& foreign = world.endpoints[EndpointId("foreign")];
+  foreign.entry = world.endpoints.at(EndpointId("e1")).entry;
+  foreign.entry.id = EndpointId("foreign");
+  foreign.lease_until = world.now + Millis{800};
+  foreign.running[{TaskOf("job", 0), 1}] = {
+      world.now, {600}, {7'000, 64, 0}, RunResult::kDone};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.job.time_left = {4'000};
+  submission.job.target_latency = {4'000};
+  world.SubmitJob(submission, {600});
+  world.Run({20});
+  submission.may_have_started = true;
+  submission.previous_scheduler = {DaemonId("d2"), Incarnation(1)};
+  submission.max_progress_wait = {600};
+  Actions joined;
+  AcceptJob(world.scheduler, {DaemonId("d9"), Incarnation(1)}, submission.group,
+            submission, world.now, joined);
+  world.Run({200});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {{0, 0, Attempt(1), foreign.entry}};
+  world.SubmitProgress(progress);
+  world.Run({3'000});
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kCompleted);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
