Don't take the progress of an earlier submission for that of a repeat

Callers saw: a task ran twice at a time (TWICE) when a job whose handover was interrupted was sent again and changed hands, too.

Cause: progress that arrives before its job is kept for 2 s, also when the job never comes, because its caller left or its receiver was lost. It was then taken for the complete progress of the repeat, or was sent as such to the next scheduler, which ended the wait for the repeat's own progress.

Evidence: ProgressOfACancelledJob... and ProgressOfAnEarlierSubmission... failed without this change.

Why it works: a cancellation removes the progress. Progress that is older than the job itself, counted from its reception by its receiver, doesn't shorten the wait; its runs are still looked for.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -350,7 +350,12 @@
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
-    const JobProgress progress = early->second.progress;
+    JobProgress progress = early->second.progress;
+    // Progress from before its receiver got the job is of an earlier
+    // submission of it.
+    if (now - early->second.received_at > job.age)
+      progress.remaining_wait =
+          std::max(progress.remaining_wait, submission.max_progress_wait);
     scheduler.early_progress.erase(early);
     ApplyJobProgress(scheduler, progress, submission.view_revision, now,
                      actions);
@@ -527,6 +532,7 @@
   const auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end()) {
     // After a handover, runs may be active here without their job.
+    scheduler.early_progress.erase(id);
     const size_t runs = StopRuns(scheduler, id, now, actions);
     actions.push_back(LogEvent{"job_cancel_unknown",
                                {{"job", id.value},
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -106,5 +106,91 @@
             JobResult::kCompleted);
 }
 
+Actions Deliver(FleetWorld& world,
+                const std::string& from,
+                const std::string& to,
+                PeerMessage message) {
+  Actions sent;
+  Send(world.Node(from).sessions, world.Node(to).self, std::move(message),
+       SessionLimits(), world.now, sent);
+  Actions actions;
+  for (const Action& action : sent) {
+    if (const auto* frame = std::get_if<SendFrame>(&action))
+      OnPeerFrame(world.Node(to), world.now, frame->frame, actions);
+  }
+  return actions;
+}
+
+size_t CountProgressMessages(const Actions& actions) {
+  size_t count = 0;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame != nullptr && frame->frame.message &&
+        std::holds_alternative<JobProgress>(*frame->frame.message))
+      ++count;
+  }
+  return count;
+}
+
+/** Two zones, and the daemons that exchange a job in them. */
+struct Handover {
+  FleetWorld world;
+  std::string receiver, owner, next;
+  Handover() {
+    SetUpTwoZones(this->world);
+    this->owner = this->world.OwnerOf("north");
+    this->receiver = OtherDaemonInZone(this->owner);
+    this->next = this->world.OwnerOf("south");
+  }
+  FleetNode& Owner() { return this->world.Node(this->owner); }
+  JobReleaseRequest Request(const std::string& to) {
+    return {SubmissionId("job"), this->world.Node(to).self,
+            this->Owner().view.revision};
+  }
+};
+
+TEST(JobEvidenceTest,
+     ProgressOfACancelledJobDoesNotProveThatItsRepeatIsUnstarted) {
+  Handover handover;
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  Deliver(handover.world, handover.receiver, handover.owner, progress);
+  Deliver(handover.world, handover.receiver, handover.owner,
+          JobCancellation{SubmissionId("job")});
+  const Actions actions =
+      Deliver(handover.world, handover.receiver, handover.owner,
+              handover.Request(handover.next));
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
+TEST(JobEvidenceTest, ProgressOfAnEarlierSubmissionDoesNotEndTheWait) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  JobProgress earlier;
+  earlier.job = SubmissionId("job");
+  world.SubmitProgress(earlier);
+  world.Run({1'000});
+  FakeEndpoint& foreign = world.endpoints[EndpointId("foreign")];
+  foreign.entry = world.endpoints.at(EndpointId("e1")).entry;
+  foreign.entry.id = EndpointId("foreign");
+  foreign.lease_until = world.now + Millis{800};
+  foreign.running[{TaskOf("job", 0), 1}] = {
+      world.now, {600}, {7'000, 64, 0}, RunResult::kDone};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.job.age = {200};
+  submission.may_have_started = true;
+  submission.max_progress_wait = {600};
+  world.SubmitJob(submission, {600});
+  world.Run({20});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {{0, 0, Attempt(1), foreign.entry}};
+  world.SubmitProgress(progress);
+  world.Run({600});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
