Stop the runs of a handed over job whose next scheduler is lost

Callers saw: a task ran twice at a time (TWICE) when a daemon ended just before or after a job was handed over to it, and the groups changed at the same time.

Cause: a daemon that hands a job over goes on renewing its runs on endpoints that it keeps. Their progress is lost with the next scheduler, and the one after it can't find them, as the endpoints are not in the job's group. It starts the tasks 650 ms after the last message of the lost scheduler.

Why it works: the daemon hears of the loss after 500 ms, as the receiver does, and stops the runs that it still manages.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -143,7 +143,12 @@
     if (is_lost(job.receiver))
       orphaned.emplace_back(job.submission.job.id, job.receiver);
   }
+  std::vector<SubmissionId> without_scheduler;
   for (auto& [id, job] : node.forwarded_jobs) {
+    if (!job.is_scheduler_lost && is_lost(job.to)) {
+      job.is_scheduler_lost = true;
+      without_scheduler.push_back(id);
+    }
     if (job.receivers.empty() ||
         !std::all_of(job.receivers.begin(), job.receivers.end(), is_lost))
       continue;
@@ -152,6 +157,8 @@
   }
   for (const auto& [id, receiver] : orphaned)
     CancelReceivedJob(node, id, receiver, "receiver_gone", now, actions);
+  for (const SubmissionId& id : without_scheduler)
+    StopLeftRuns(node.scheduler, id, "scheduler_gone", now, actions);
 }
 
 /** Returns true when a job received now can be answered before a graceful
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -79,6 +79,10 @@
    * them are lost, its runs that this daemon still manages are stopped.
    */
   std::vector<DaemonRef> receivers;
+  /** True once its next scheduler was lost and its runs that this daemon still
+   * manages were stopped.
+   */
+  bool is_scheduler_lost = false;
 };
 
 /** The whole state of a daemon on the platform. */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -556,6 +556,21 @@
   scheduler.finished.pop_back();
 }
 
+void StopLeftRuns(Scheduler& scheduler,
+                  const SubmissionId& id,
+                  const std::string& reason,
+                  Millis now,
+                  Actions& actions) {
+  if (scheduler.jobs.count(id) > 0)
+    return;
+  const size_t runs = StopRuns(scheduler, id, now, actions);
+  if (runs > 0)
+    actions.push_back(LogEvent{"left_runs_stopped",
+                               {{"job", id.value},
+                                {"reason", reason},
+                                {"runs", std::to_string(runs)}}});
+}
+
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
   if (now < scheduler.starts_blocked_until)
     return;
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -60,6 +60,13 @@
                Millis now,
                Actions& actions);
 
+/** Stops the runs of a job that is not known here, as after a handover. */
+void StopLeftRuns(Scheduler& scheduler,
+                  const SubmissionId& id,
+                  const std::string& reason,
+                  Millis now,
+                  Actions& actions);
+
 /** Ends a job: stops its runs and adds its result to Scheduler::finished for
  * each receiver.
  */
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -192,5 +192,18 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+TEST(JobEvidenceTest, RunsOfAJobWhoseNextSchedulerIsLostAreStopped) {
+  Handover handover;
+  FleetWorld& world = handover.world;
+  world.Submit(handover.receiver, "job", 1, {1'400});
+  world.RunFor({50});
+  Deliver(world, handover.receiver, handover.owner,
+          handover.Request(handover.next));
+  ASSERT_EQ(world.CountRuns("job"), 1U);
+  world.KillDaemon(handover.next);
+  world.RunFor({620});
+  EXPECT_EQ(world.CountRuns("job"), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
