Don't report a released job as unstarted because of its repeat

Callers saw: a task could run twice at a time (TWICE) when a job that had been handed over was sent again and its first receiver asked for it once more.

Cause: a daemon that had released a job got its repeat, which it forwarded to another group or kept for a newer view. It then answered the next release request that nothing of the job had started. Forwarding also dropped the receivers whose loss stops the runs.

Evidence: SpilloverOfARepeat... and EarlyRepeat... failed before: one progress message was sent.

Why it works: the record that the job was released stays in force.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -49,7 +49,10 @@
     node.scheduler.early_progress.erase(early_progress);
     return progress;
   }
-  if (!is_known_unstarted)
+  const auto forwarded = node.forwarded_jobs.find(id);
+  const bool was_released = forwarded != node.forwarded_jobs.end() &&
+                            !forwarded->second.is_known_unstarted;
+  if (!is_known_unstarted || was_released)
     return std::nullopt;
   JobProgress no_progress;
   no_progress.job = id;
@@ -244,7 +247,12 @@
                      const DaemonRef& owner,
                      const EndpointGroup& group,
                      Millis now) {
-  node.forwarded_jobs[job] = {owner, group, true, now, {}};
+  ForwardedJob& record =
+      node.forwarded_jobs.try_emplace(job, ForwardedJob{{}, {}, true, {}, {}})
+          .first->second;
+  record.to = owner;
+  record.spillover_group = group;
+  record.forwarded_at = now;
 }
 
 void RemoveExpiredForwardedJobs(FleetNode& node, Millis now) {
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -66,7 +66,9 @@
                         const DaemonRef& owner,
                         Millis now);
 
-/** Records that a job was forwarded to another group with free capacity. */
+/** Records that a job was forwarded to another group with free capacity. An
+ * earlier record that it may have started stays in force.
+ */
 void RecordSpillover(FleetNode& node,
                      const SubmissionId& job,
                      const DaemonRef& owner,
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -205,5 +205,43 @@
   EXPECT_EQ(world.CountRuns("job"), 0U);
 }
 
+TEST(JobEvidenceTest,
+     SpilloverOfARepeatDoesNotProveThatAReleasedJobIsUnstarted) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({50});
+  ASSERT_EQ(handover.world.CountRuns("job"), 1U);
+  Deliver(handover.world, handover.receiver, handover.owner,
+          handover.Request(handover.next));
+  RecordSpillover(handover.Owner(), SubmissionId("job"),
+                  handover.world.Node(handover.next).self, {ZoneId("south"), 0},
+                  handover.world.now);
+  const Actions actions =
+      Deliver(handover.world, handover.receiver, handover.owner,
+              handover.Request(OtherDaemonInZone(handover.next)));
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
+TEST(JobEvidenceTest, EarlyRepeatDoesNotProveThatAReleasedJobIsUnstarted) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({50});
+  ASSERT_EQ(handover.world.CountRuns("job"), 1U);
+  const TransientJob job =
+      handover.Owner().scheduler.jobs.at(SubmissionId("job")).job;
+  Deliver(handover.world, handover.receiver, handover.owner,
+          handover.Request(handover.next));
+  JobSubmission repeat;
+  repeat.job = job;
+  repeat.group = {ZoneId("north"), 0};
+  repeat.sent_at = handover.world.now;
+  repeat.view_revision = handover.Owner().view.revision + 1;
+  Deliver(handover.world, "south0", handover.owner, repeat);
+  const Actions actions =
+      Deliver(handover.world, handover.receiver, handover.owner,
+              handover.Request(OtherDaemonInZone(handover.next)));
+  EXPECT_EQ(CountProgressMessages(actions), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
