Release a job by an older view when its receiver has it in another group

Callers saw: a task ran twice at a time (TWICE) when a receiver caught up with several views at once.

Cause: a scheduler kept a job that it was asked for by an older view, expecting that the next scheduler would redirect the receiver to it. That one redirects to the owner of the group that the receiver has named. Receiver and scheduler had moved the job to different groups by views with fewer groups, so that two schedulers had it.

OutdatedRequestReleasesAJobWhoseGroupHasChanged and ReceiverWithAnotherGroupRequestsTheReleaseByAnyView fail without the comparisons.

Why it works: the scheduler keeps the job only while its group is the one that each receiver has named, and the receiver asks for an unconditional release when its own group differs from the one that it has named. Otherwise the job is released with its progress, which follows it. The format of the messages is unchanged, and daemons of an earlier landing release the job, too.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -59,6 +59,15 @@
     holders.push_back(holder);
 }
 
+/** Returns the view revision for a request to release a job. A daemon whose
+ * view is newer keeps a job of its own group, but another owner gets the job by
+ * that view if the job has another group here.
+ */
+uint64_t GetReleaseRevision(const FleetNode& node, const PendingJob& pending) {
+  return pending.group == pending.announced_group ? node.view.revision
+                                                  : JobReleaseRequest::kAnyView;
+}
+
 /** Requests the transfer of a job's progress to its next scheduler from the
  * daemon that holds the progress. Does nothing when no daemon holds it or the
  * next scheduler itself does.
@@ -75,7 +84,9 @@
     pending.previous_scheduler = holder;
     pending.previous_assumed_alive_at = now;
   }
-  RequestJobRelease(node, holder, pending.job.id, next, now, actions);
+  RequestJobRelease(node, holder,
+                    {pending.job.id, next, GetReleaseRevision(node, pending)},
+                    now, actions);
 }
 
 /** Assigns a pending job to the scheduler of a group of endpoints.
@@ -95,6 +106,7 @@
   const DaemonRef to = RefOf(*scheduler);
   AddHolder(pending, to);
   RequestProgressTransfer(node, pending, to, now, actions);
+  pending.announced_group = group;
   JobSubmission submission;
   submission.job = pending.job;
   submission.group = group;
@@ -132,8 +144,10 @@
   pending.may_have_started = true;
   if (next == nullptr || RefOf(*next) == pending.previous_scheduler)
     return;
-  RequestJobRelease(node, pending.previous_scheduler, pending.job.id,
-                    RefOf(*next), now, actions);
+  RequestJobRelease(
+      node, pending.previous_scheduler,
+      {pending.job.id, RefOf(*next), GetReleaseRevision(node, pending)}, now,
+      actions);
 }
 
 /** Returns true when a job's group has an owner other than its scheduler. */
@@ -206,6 +220,7 @@
     return;
   }
   pending.group = redirect.group;
+  pending.announced_group = redirect.group;
   pending.was_spilled_over |= redirect.is_spillover;
   pending.required_view_revision = redirect.view_revision;
   if (node.view.revision >= redirect.view_revision)
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -87,13 +87,14 @@
 
 /** Returns true when a release request is based on an older view, and in its
  * own view this daemon still owns the job's group and the next scheduler owns
- * none, so that it will send the job back.
+ * none, so that it will send the job back: it sends it to the owner of the
+ * group that the receiver has named.
  */
 bool IsOutdated(const FleetNode& node, const JobReleaseRequest& request) {
   const auto job = node.scheduler.jobs.find(request.job);
   if (job == node.scheduler.jobs.end() ||
       request.view_revision >= node.view.revision ||
-      IsOwner(node.view, request.to.id))
+      IsOwner(node.view, request.to.id) || job->second.has_changed_group)
     return false;
   return IsOwnerOf(node.view, node.self, job->second.group);
 }
@@ -161,11 +162,9 @@
 
 void RequestJobRelease(FleetNode& node,
                        const DaemonRef& holder,
-                       const SubmissionId& job,
-                       const DaemonRef& next,
+                       const JobReleaseRequest& request,
                        Millis now,
                        Actions& actions) {
-  const JobReleaseRequest request{job, next, node.view.revision};
   if (holder == node.self)
     ReleaseJob(node, request, now, actions);
   else
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -8,11 +8,12 @@
 /** Hands a job and its progress over to the next scheduler.
  *
  * When the request is based on an older view than the own one, this daemon
- * still owns the job's group and that scheduler owns none, it sends its view to
- * that scheduler instead. When the job has already been forwarded, the request
- * is forwarded to the daemon that schedules it now. A daemon without a record
- * of the job sends no progress, because runs of the job may be active. The next
- * scheduler then waits until the leases have expired.
+ * still owns the job's group, the one that the receiver has named, and that
+ * scheduler owns none, it sends its view to that scheduler instead. When the
+ * job has already been forwarded, the request is forwarded to the daemon that
+ * schedules it now. A daemon without a record of the job sends no progress,
+ * because runs of the job may be active. The next scheduler then waits until
+ * the leases have expired.
  */
 void ReleaseJob(FleetNode& node,
                 const JobReleaseRequest& request,
@@ -22,8 +23,7 @@
 /** Requests the handover of a job from a daemon, which may be this one. */
 void RequestJobRelease(FleetNode& node,
                        const DaemonRef& holder,
-                       const SubmissionId& job,
-                       const DaemonRef& next,
+                       const JobReleaseRequest& request,
                        Millis now,
                        Actions& actions);
 
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -232,8 +232,11 @@
 
 /** Takes and releases ownership of endpoints according to the view. */
 void UpdateOwnership(FleetNode& node, Millis now, Actions& actions) {
-  for (auto& [id, job] : node.scheduler.jobs)
-    job.group = CurrentGroupOfJob(node.view, job.group, id);
+  for (auto& [id, job] : node.scheduler.jobs) {
+    const EndpointGroup group = CurrentGroupOfJob(node.view, job.group, id);
+    job.has_changed_group |= !(job.group == group);
+    job.group = group;
+  }
   HandOverJobs(node, now, actions);
   std::vector<EndpointId> to_release;
   for (auto& [id, endpoint] : node.scheduler.endpoints) {
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -25,6 +25,8 @@
   DaemonRef scheduler;
   /** Endpoints that run it; without a zone before the first assignment. */
   EndpointGroup group;
+  /** The group that its scheduler was told, or that it has reported. */
+  EndpointGroup announced_group;
   bool may_have_started = false;
   /** True once it was forwarded to a less loaded group; at most once per job.
    */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -308,6 +308,8 @@
   const auto known = scheduler.jobs.find(job.id);
   if (known != scheduler.jobs.end()) {
     known->second.may_have_started |= submission.may_have_started;
+    known->second.has_changed_group |=
+        !(known->second.group == submission.group);
     std::vector<DaemonRef>& others = known->second.other_receivers;
     if (receiver != known->second.receiver &&
         std::find(others.begin(), others.end(), receiver) == others.end()) {
@@ -346,6 +348,7 @@
   ScheduledJob& accepted =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
+  accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
   const auto early = scheduler.early_progress.find(job.id);
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -75,6 +75,8 @@
    * scheduler.
    */
   Millis start_blocked_until;
+  /** True once its group differs from one that a receiver has named. */
+  bool has_changed_group = false;
   /** True once a previous scheduler has sent all that is known of it. */
   bool has_complete_progress = false;
   /** Nothing is started while one of these may be active. They are reported
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -151,6 +151,9 @@
 
 /** Requests that a job's previous scheduler hands it over to the next one. */
 struct JobReleaseRequest {
+  /** Value of view_revision that no view of the receiver is newer than. */
+  static constexpr uint64_t kAnyView = UINT64_MAX;
+
   SubmissionId job;
   DaemonRef to;
   /** Revision of the view by which that daemon is the next scheduler. */
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -243,5 +243,51 @@
   EXPECT_EQ(CountProgressMessages(actions), 0U);
 }
 
+// The next scheduler sends the job to the owner of the group that was named.
+TEST(JobEvidenceTest, OutdatedRequestReleasesAJobWhoseGroupHasChanged) {
+  Handover handover;
+  handover.world.Submit(handover.owner, "job", 1, {600});
+  handover.world.RunFor({50});
+  JobSubmission submission;
+  submission.job = handover.Owner().scheduler.jobs.at(SubmissionId("job")).job;
+  submission.group = {ZoneId("north"), 7};
+  submission.sent_at = handover.world.now;
+  Deliver(handover.world, "south0", handover.owner, submission);
+  JobReleaseRequest request =
+      handover.Request(OtherDaemonInZone(handover.next));
+  --request.view_revision;
+  const Actions actions =
+      Deliver(handover.world, handover.receiver, handover.owner, request);
+  EXPECT_EQ(CountProgressMessages(actions), 1U);
+}
+
+TEST(JobEvidenceTest, ReceiverWithAnotherGroupRequestsTheReleaseByAnyView) {
+  Handover handover;
+  FleetWorld& world = handover.world;
+  world.Submit(handover.receiver, "job", 1, {600});
+  world.RunFor({50});
+  FleetNode& receiver = world.Node(handover.receiver);
+  receiver.reception.pending.at(SubmissionId("job")).announced_group = {
+      ZoneId("north"), 7};
+  ViewNotice view;
+  view.revision = receiver.view.revision + 1;
+  for (const auto& [id, member] : receiver.view.members) {
+    view.members.push_back(member);
+    view.members.back().address.leaving = id == handover.Owner().self.id;
+  }
+  const Actions actions =
+      Deliver(world, handover.next, handover.receiver, view);
+  std::vector<uint64_t> revisions;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame == nullptr || !frame->frame.message)
+      continue;
+    if (const auto* request =
+            std::get_if<JobReleaseRequest>(&*frame->frame.message))
+      revisions.push_back(request->view_revision);
+  }
+  EXPECT_EQ(revisions, std::vector<uint64_t>{JobReleaseRequest::kAnyView});
+}
+
 }  // namespace
 }  // namespace dogwoodfall
