Redirect the receivers of jobs that wait for a view and are released

Callers saw: a caller could wait until its time limit for a job that no daemon had.

Evidence: ReceiverOfAnEarlyJob... failed before: only the receiver of the running job got a redirect.

Why it works: each of them is redirected. A receiver that has assigned the job again in the meantime ignores that.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -99,6 +99,24 @@
   return IsOwnerOf(node.view, node.self, job->second.group);
 }
 
+/** Redirects the early jobs with an id to the daemon that gets the job. */
+void RedirectEarlyJobs(FleetNode& node, const JobReleaseRequest& request) {
+  for (const EarlyJob& job : node.early_jobs) {
+    if (job.submission.job.id != request.job)
+      continue;
+    JobRedirect redirect;
+    redirect.job = request.job;
+    redirect.to = request.to.id;
+    redirect.group = job.submission.group;
+    redirect.may_have_started = true;
+    redirect.view_revision =
+        std::max(node.view.revision, job.submission.view_revision);
+    redirect.is_progress_sent = true;
+    node.scheduler.finished.push_back(
+        FinishedJob::Forwarded(job.receiver, redirect));
+  }
+}
+
 void DeliverProgress(FleetNode& node,
                      const DaemonRef& to,
                      const JobProgress& progress,
@@ -137,6 +155,7 @@
     return;
   }
   const std::vector<DaemonRef> receivers = FindReceivers(node, request.job);
+  RedirectEarlyJobs(node, request);
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
   const bool is_forwarded = known != node.forwarded_jobs.end();
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -289,5 +289,41 @@
   EXPECT_EQ(revisions, std::vector<uint64_t>{JobReleaseRequest::kAnyView});
 }
 
+size_t CountRedirects(const Actions& actions, const std::string& to) {
+  size_t count = 0;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame != nullptr && frame->frame.message &&
+        frame->frame.to.id.value == to &&
+        std::holds_alternative<JobRedirect>(*frame->frame.message))
+      ++count;
+  }
+  return count;
+}
+
+TEST(JobEvidenceTest, ReceiverOfAnEarlyJobIsToldThatItWasReleased) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({50});
+  const TransientJob job =
+      handover.Owner().scheduler.jobs.at(SubmissionId("job")).job;
+  JobSubmission repeat;
+  repeat.job = job;
+  repeat.group = {ZoneId("north"), 0};
+  repeat.sent_at = handover.world.now;
+  repeat.view_revision = handover.Owner().view.revision + 1;
+  Deliver(handover.world, "south0", handover.owner, repeat);
+  ViewNotice view;
+  view.revision = handover.Owner().view.revision + 1;
+  for (const auto& [id, member] : handover.Owner().view.members) {
+    view.members.push_back(member);
+    view.members.back().address.leaving = id == handover.Owner().self.id;
+  }
+  const Actions actions =
+      Deliver(handover.world, handover.receiver, handover.owner, view);
+  EXPECT_EQ(CountRedirects(actions, handover.receiver), 1U);
+  EXPECT_EQ(CountRedirects(actions, "south0"), 1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
