Keep progress that can't be forwarded

Callers saw: a job could be blocked for 650 ms, and a task could run twice at a time, when a daemon in the middle of a handover had ended.

Cause: progress of a job that was forwarded earlier is sent on. If that daemon had ended, the progress was dropped, although the job itself may be on its way here.

Evidence: ProgressIsKeptWhen... failed before.

Why it works: without a session with that daemon the progress is kept here.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -122,7 +122,7 @@
                      const JobProgress& progress,
                      Millis now,
                      Actions& actions) {
-  if (to == node.self) {
+  if (to == node.self || !HasSession(node.sessions, to)) {
     ApplyJobProgress(node.scheduler, progress, node.view.revision, now,
                      actions);
     return;
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -325,5 +325,21 @@
   EXPECT_EQ(CountRedirects(actions, "south0"), 1U);
 }
 
+TEST(JobEvidenceTest,
+     ProgressIsKeptWhenItsJobWasForwardedToADaemonThatHasEnded) {
+  Handover handover;
+  RecordSpillover(handover.Owner(), SubmissionId("job"),
+                  {DaemonId(handover.next), Incarnation(999)},
+                  {ZoneId("south"), 0}, handover.world.now);
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {
+      {0, 0, Attempt(1),
+       handover.world.endpoints.at(EndpointId("south-e0")).entry}};
+  Deliver(handover.world, handover.receiver, handover.owner, progress);
+  EXPECT_EQ(
+      handover.Owner().scheduler.early_progress.count(SubmissionId("job")), 1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
