Ignore a refusal that answers an earlier submission of a job

Callers saw: a job could be answered as refused (503) and run nevertheless, when it came back to a scheduler while that one's refusal was on its way.

The scheduler that has the later submission is not told either, as it has reported.

Evidence: RefusalOfAnEarlierSubmission... failed before.

Why it works: a scheduler abandons a job that may have started and never refuses it, so that a refusal of such a job is of an earlier submission.

--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -115,6 +115,11 @@
   const auto entry = node.reception.pending.find(report.job);
   if (entry == node.reception.pending.end())
     return;
+  // Such a job is abandoned, not refused, unless the report is of an earlier
+  // submission.
+  if (report.outcome.result == JobResult::kRefused &&
+      entry->second.may_have_started)
+    return;
   const bool is_final = report.outcome.result == JobResult::kCompleted ||
                         report.outcome.result == JobResult::kFailed;
   const bool is_from_previous_scheduler =
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -341,5 +341,17 @@
       handover.Owner().scheduler.early_progress.count(SubmissionId("job")), 1U);
 }
 
+TEST(JobEvidenceTest, RefusalOfAnEarlierSubmissionIsIgnored) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({5});
+  const SubmissionId job("job");
+  auto& pending_jobs = handover.world.Node(handover.receiver).reception.pending;
+  pending_jobs.at(job).may_have_started = true;
+  Deliver(handover.world, handover.owner, handover.receiver,
+          JobReport{job, {JobResult::kRefused, {}, "test"}});
+  EXPECT_EQ(pending_jobs.count(job), 1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
