Reconcile endpoints only by lists that were requested since

Callers saw: a handed over job could be blocked for up to 1,050 ms after a change of owner, and its run be stopped.

Cause: the reconciliation of an endpoint with a reported run asks for a list. The answer to a renewal that was already waiting ended it at once. The list itself then came to a usable endpoint: it removed no report, so that the task stayed blocked until the longest lease had expired, and stopped the reported run.

Evidence: ListRequestedBeforeAReport... and RunThatIsReportedDuringARenewal... failed before, each for 2 of 160 offsets to the renewal.

Why it works: only a list that was requested after the reconciliation began ends it.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -176,7 +176,7 @@
     SetEndpointStatus(endpoint, EndpointStatus::kUsable, "answers", now,
                       actions);
   if (endpoint.status == EndpointStatus::kReconciling &&
-      !HasUnclaimedRun(endpoint)) {
+      command.sent_at >= endpoint.status_since && !HasUnclaimedRun(endpoint)) {
     if (endpoint.runs.empty())
       endpoint.lease_until = now;
     RemoveListedReports(scheduler, endpoint, command.sent_at, now, actions);
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -353,5 +353,49 @@
   EXPECT_EQ(pending_jobs.count(job), 1U);
 }
 
+TEST(JobEvidenceTest, ListRequestedBeforeAReportDoesNotEndItsReconciliation) {
+  for (int offset = 0; offset < 160; ++offset) {
+    SchedulerWorld world;
+    FakeEndpoint& endpoint = world.AddEndpoint("e1", 16, 1);
+    world.Run({20});
+    world.Submit("other", 1, 7, {1'400});
+    world.Run({200 + offset});
+    JobSubmission submission =
+        SchedulerWorld::MakeSubmission("job", 1, 7, {300}, "route");
+    submission.may_have_started = true;
+    submission.max_progress_wait = {600};
+    world.SubmitJob(submission, {300});
+    JobProgress progress;
+    progress.job = SubmissionId("job");
+    progress.active_runs = {{0, 0, Attempt(1), endpoint.entry}};
+    world.SubmitProgress(progress);
+    world.Run({700});
+    EXPECT_EQ(world.results.count(SubmissionId("job")), 1U) << offset;
+  }
+}
+
+TEST(JobEvidenceTest, RunThatIsReportedDuringARenewalIsNotStopped) {
+  for (int offset = 0; offset < 160; ++offset) {
+    SchedulerWorld world;
+    FakeEndpoint& endpoint = world.AddEndpoint("e1", 16, 1);
+    world.Run({20});
+    world.Submit("other", 1, 7, {1'400});
+    world.Run({200 + offset});
+    JobSubmission submission =
+        SchedulerWorld::MakeSubmission("job", 1, 7, {300}, "route");
+    submission.may_have_started = true;
+    submission.max_progress_wait = {600};
+    world.SubmitJob(submission, {300});
+    endpoint.running[{TaskOf("job", 0), 1}] = {
+        world.now, {300}, {7'000, 64, 0}, RunResult::kDone};
+    JobProgress progress;
+    progress.job = SubmissionId("job");
+    progress.active_runs = {{0, 0, Attempt(1), endpoint.entry}};
+    world.SubmitProgress(progress);
+    world.Run({600});
+    EXPECT_EQ(world.results.count(SubmissionId("job")), 1U) << offset;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
