Leave the runs of its owner on an endpoint that is held for reported runs

Callers saw: tasks were stopped and started again after a change of groups, and handed over jobs were blocked for 250 ms and more.

Cause: a daemon that holds an endpoint of another owner, only to find the runs that were reported to it, took all other runs there for unclaimed ones. It stopped them after 250 ms, and until then kept the job blocked whose run had ended.

Evidence: RunsOfTheOwnerOfAHeldEndpoint... failed before.

Why it works: on such an endpoint only runs of own jobs count. When the daemon becomes its owner, it lists the runs again before it starts any there.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -67,7 +67,18 @@
                             known->second.status == EndpointStatus::kFenced &&
                             known->second.fencing_token < fencing_token;
   if (known != scheduler.endpoints.end() && !is_new_token) {
-    known->second.is_held_for_reported_runs = false;
+    ManagedEndpoint& owned = known->second;
+    const bool was_held = std::exchange(owned.is_held_for_reported_runs, false);
+    if (was_held) {
+      owned.group = group;
+      // Runs of other jobs were not listed.
+      if (owned.status != EndpointStatus::kFenced) {
+        SetEndpointStatus(owned, EndpointStatus::kReconciling, "taken_over",
+                          now, actions);
+        owned.status_since = now;
+        owned.lease_until = std::max(owned.lease_until, now + kMaxLease);
+      }
+    }
     UpdateEndpoint(scheduler, entry, now, actions);
     return;
   }
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -142,6 +142,10 @@
       known->second.percent_updated_at = now;
       continue;
     }
+    const bool is_of_owner = endpoint.is_held_for_reported_runs &&
+                             FindTask(scheduler, key.first) == nullptr;
+    if (is_of_owner)
+      continue;
     Run unclaimed;
     unclaimed.state = RunState::kUnclaimed;
     unclaimed.endpoint_started_at_ms = endpoint.started_at_ms;
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -397,5 +397,30 @@
   }
 }
 
+TEST(JobEvidenceTest, RunsOfTheOwnerOfAHeldEndpointAreNotStopped) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  FakeEndpoint& foreign = world.endpoints[EndpointId("foreign")];
+  foreign.entry = world.endpoints.at(EndpointId("e1")).entry;
+  foreign.entry.id = EndpointId("foreign");
+  foreign.lease_until = world.now + Millis{4'000};
+  foreign.running[{TaskOf("others-job", 0), 1}] = {
+      world.now, {2'000}, {7'000, 64, 0}, RunResult::kDone};
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {300}, "route");
+  submission.may_have_started = true;
+  submission.max_progress_wait = {600};
+  world.SubmitJob(submission, {300});
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.active_runs = {{0, 0, Attempt(1), foreign.entry}};
+  world.SubmitProgress(progress);
+  world.Run({20});
+  EXPECT_EQ(world.endpoints.at(EndpointId("e1")).starts, 1U);
+  world.Run({600});
+  EXPECT_EQ(foreign.running.size(), 1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
