Keep runs of handed over jobs when their endpoint is released

Callers saw: a task ran twice at a time (TWICE) when a job came back to a daemon that had kept an endpoint with one of its runs.

Cause: a daemon that hands a job over goes on renewing its runs on endpoints that it keeps. When it released such an endpoint later, it forgot the run, as it no longer had the job. If the job came back because its next scheduler was lost, the task was started again within the lease of the run.

Evidence: RunOnAnEndpointThatIsReleased... failed without this change.

Why it works: the run is kept as progress of the job, which is not complete. If the job returns, its task waits until the run is listed or its lease has ended.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -731,12 +731,19 @@
                            const EndpointEntry& endpoint,
                            const RunKey& run,
                            Millis now) {
+  const ActiveRun active{run.first.step, run.first.index, Attempt(run.second),
+                         endpoint};
   const auto job = scheduler.jobs.find(run.first.job);
-  if (job == scheduler.jobs.end())
+  if (job == scheduler.jobs.end()) {
+    // The job may come back while the run is active.
+    JobProgress incomplete;
+    incomplete.job = run.first.job;
+    incomplete.active_runs = {active};
+    incomplete.remaining_wait = {1};
+    AddEarlyProgress(scheduler, incomplete, now);
     return;
+  }
   job->second.may_have_started = true;
-  const ActiveRun active{run.first.step, run.first.index, Attempt(run.second),
-                         endpoint};
   job->second.reported_runs.push_back({active, now, now + kMaxLease});
   RequeueTask(scheduler, endpoint.id, run, now);
 }
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -142,7 +142,8 @@
 
 /** Requeues a task whose run may still be active on an endpoint that is no
  * longer managed here. Its job starts nothing until the run's lease has
- * expired.
+ * expired. When the job is not known, as after a handover, the run is kept as
+ * early progress for its return.
  */
 void RequeueTaskAfterLease(Scheduler& scheduler,
                            const EndpointEntry& endpoint,
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -422,5 +422,24 @@
   EXPECT_EQ(foreign.running.size(), 1U);
 }
 
+TEST(JobEvidenceTest, RunOnAnEndpointThatIsReleasedAfterItsJobIsNotRepeated) {
+  SchedulerWorld world;
+  world.AddEndpoint("e1", 7, 1);
+  world.Run({20});
+  world.Submit("job", 1, 7, {600});
+  world.Run({50});
+  world.AddEndpoint("e2", 7, 1);
+  world.Run({20});
+  RemoveJob(world.scheduler, SubmissionId("job"));
+  ReleaseEndpoint(world.scheduler, EndpointId("e1"), world.now);
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.job.age = {70};
+  submission.may_have_started = true;
+  world.SubmitJob(submission, {600});
+  world.Run({500});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
