Forget the progress of an unstarted job that is forwarded

Callers saw: a task ran twice at a time (TWICE) when a job that was handed over unstarted went to a group with more room, and came back after a change of owner.

Cause: the progress of the first handover, which says that nothing has started, came before the job and was kept when the job was forwarded. When the job came back started, it ended the wait for the progress of the scheduler that ran it.

Why it works: the empty progress goes when the unstarted job does.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -117,6 +117,17 @@
   }
 }
 
+/** Removes progress that says no more than that a job was unstarted before it
+ * was forwarded.
+ */
+void RemoveEmptyProgress(FleetNode& node, const SubmissionId& job) {
+  auto& early = node.scheduler.early_progress;
+  const auto found = early.find(job);
+  if (found != early.end() && found->second.progress.done.empty() &&
+      found->second.progress.active_runs.empty())
+    early.erase(found);
+}
+
 void DeliverProgress(FleetNode& node,
                      const DaemonRef& to,
                      const JobProgress& progress,
@@ -253,11 +264,13 @@
                         const JobSubmission& submission,
                         const DaemonRef& owner,
                         Millis now) {
-  if (submission.may_have_started)
+  if (submission.may_have_started) {
     RecordPossibleStart(node, submission.job.id);
-  else
-    node.forwarded_jobs.try_emplace(submission.job.id,
-                                    ForwardedJob{owner, {}, true, now, {}});
+    return;
+  }
+  RemoveEmptyProgress(node, submission.job.id);
+  node.forwarded_jobs.try_emplace(submission.job.id,
+                                  ForwardedJob{owner, {}, true, now, {}});
 }
 
 void RecordSpillover(FleetNode& node,
@@ -265,6 +278,7 @@
                      const DaemonRef& owner,
                      const EndpointGroup& group,
                      Millis now) {
+  RemoveEmptyProgress(node, job);
   ForwardedJob& record =
       node.forwarded_jobs.try_emplace(job, ForwardedJob{{}, {}, true, {}, {}})
           .first->second;
--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -441,5 +441,30 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+TEST(JobEvidenceTest, ProgressFromBeforeAJobWasForwardedDoesNotEndItsWait) {
+  Handover handover;
+  handover.world.Submit(handover.receiver, "job", 1, {600});
+  handover.world.RunFor({50});
+  JobSubmission submission;
+  submission.job = handover.Owner().scheduler.jobs.at(SubmissionId("job")).job;
+  submission.job.id = SubmissionId("forwarded");
+  submission.job.age = {100};
+  submission.group = {ZoneId("north"), 0};
+  submission.sent_at = handover.world.now;
+  submission.may_have_started = true;
+  submission.max_progress_wait = {600};
+  submission.view_revision = handover.Owner().view.revision;
+  JobProgress unstarted;
+  unstarted.job = submission.job.id;
+  Deliver(handover.world, handover.receiver, handover.owner, unstarted);
+  RecordSpillover(handover.Owner(), submission.job.id,
+                  handover.world.Node(handover.next).self, {ZoneId("south"), 0},
+                  handover.world.now);
+  Deliver(handover.world, handover.receiver, handover.owner, submission);
+  const auto& jobs = handover.Owner().scheduler.jobs;
+  ASSERT_EQ(jobs.count(submission.job.id), 1U);
+  EXPECT_GT(jobs.at(submission.job.id).start_blocked_until, handover.world.now);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
