Tell all daemons when an endpoint that was lost answers again

A sound job whose endpoints were cut off twice was answered `failed` by the daemons of other zones for ten minutes and longer, although no endpoint had crashed. Losses are announced, but their retraction was local. Another daemon also reported a retracted loss back, and then one real crash gave the task up.

Retractions are collected and sent with the announcements, in one message for each daemon. The report gets another field for them.

Before this change, OtherZonesLearnThatSilentEndpointsAnswerAgain got `failed` from south0, and RetractedLossIsNotReportedBack found the loss recorded again and the job failed after one crash.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -290,7 +290,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, LostEndpointsReport& message) {
-  archive(message.job, message.tasks);
+  archive(message.job, message.tasks, message.answered_again);
 }
 
 template <class Archive>
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -227,14 +228,20 @@
 }
 
 void AnnounceLosses(FleetNode& node, Millis now, Actions& actions) {
-  for (const SubmissionId& job :
-       std::exchange(node.scheduler.unannounced_losses, {})) {
-    for (const auto* members :
-         {&node.view.members, &node.unregistered_daemons}) {
-      for (const auto& [id, member] : *members) {
-        if (id != node.self.id)
-          SendLostEndpoints(node, RefOf(member), job, now, actions);
-      }
+  const std::set<SubmissionId> jobs =
+      std::exchange(node.scheduler.unannounced_losses, {});
+  LostEndpointsReport retractions;
+  retractions.answered_again =
+      std::exchange(node.scheduler.unannounced_retractions, {});
+  for (const auto* members : {&node.view.members, &node.unregistered_daemons}) {
+    for (const auto& [id, member] : *members) {
+      if (id == node.self.id)
+        continue;
+      for (const SubmissionId& job : jobs)
+        SendLostEndpoints(node, RefOf(member), job, now, actions);
+      if (!retractions.answered_again.empty())
+        Send(node.sessions, RefOf(member), retractions, SessionLimits(), now,
+             actions);
     }
   }
 }
--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -52,6 +52,24 @@
   EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
 }
 
+/** Removes an endpoint from all records.
+ * @return true when a record has changed
+ */
+bool RemoveLoss(Scheduler& scheduler, const EndpointIncarnation& endpoint) {
+  bool has_changed = false;
+  for (auto& [task, record] : scheduler.crash_records) {
+    std::vector<EndpointIncarnation>& known = record.endpoints;
+    const auto retracted = std::find(known.begin(), known.end(), endpoint);
+    if (retracted == known.end())
+      continue;
+    known.erase(retracted);
+    has_changed = true;
+    if (known.size() < kMaxLossesOfSoleSuspect)
+      record.is_given_up = false;
+  }
+  return has_changed;
+}
+
 }  // namespace
 
 void RecordEndpointLoss(Scheduler& scheduler,
@@ -87,15 +105,8 @@
 
 void RetractEndpointLoss(Scheduler& scheduler,
                          const EndpointIncarnation& endpoint) {
-  for (auto& [task, record] : scheduler.crash_records) {
-    std::vector<EndpointIncarnation>& known = record.endpoints;
-    const auto retracted = std::find(known.begin(), known.end(), endpoint);
-    if (retracted == known.end())
-      continue;
-    known.erase(retracted);
-    if (known.size() < kMaxLossesOfSoleSuspect)
-      record.is_given_up = false;
-  }
+  if (RemoveLoss(scheduler, endpoint))
+    scheduler.unannounced_retractions.push_back(endpoint);
 }
 
 bool IsSuspect(const Scheduler& scheduler, const JobTask& task) {
@@ -168,6 +179,8 @@
                               const LostEndpointsReport& report,
                               Millis now,
                               Actions& actions) {
+  for (const EndpointIncarnation& endpoint : report.answered_again)
+    RemoveLoss(scheduler, endpoint);
   for (const TaskEndpointLosses& reported : report.tasks) {
     CrashRecord& record =
         scheduler.crash_records[{report.job, reported.step, reported.index}];
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -24,7 +24,7 @@
 
 /** Removes an endpoint from all records because it has answered again without a
  * restart, so no task has crashed it. Tasks that were given up because of it
- * may be started again.
+ * may be started again, and the other daemons have to be told.
  */
 void RetractEndpointLoss(Scheduler& scheduler,
                          const EndpointIncarnation& endpoint);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -153,6 +153,10 @@
    * that the other daemons have not been told about yet.
    */
   std::set<SubmissionId> unannounced_losses;
+  /** Endpoints that were removed from records here because they have answered
+   * again, and that the other daemons have not been told about yet.
+   */
+  std::vector<EndpointIncarnation> unannounced_retractions;
   /** No run is started before this time. */
   Millis starts_blocked_until;
   /** Results and forwards that have not been sent to the receivers yet. */
--- a/modules/model/lost_endpoints_report.h
+++ b/modules/model/lost_endpoints_report.h
@@ -24,6 +24,8 @@
 struct LostEndpointsReport {
   SubmissionId job;
   std::vector<TaskEndpointLosses> tasks;
+  /** Endpoints, of any job, that have answered again without a restart. */
+  std::vector<EndpointIncarnation> answered_again;
 };
 
 }  // namespace dogwoodfall
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -49,12 +49,15 @@
 TEST(PeerCodecTest, LostEndpointsReportRoundTrips) {
   PeerFrame frame = MakeSampleFrame();
   frame.message = LostEndpointsReport{SubmissionId("job"),
-                                      {{1, 2, {{EndpointId("e1"), 5}}, true}}};
+                                      {{1, 2, {{EndpointId("e1"), 5}}, true}},
+                                      {{EndpointId("e2"), 6}}};
   const std::string bytes = EncodeFrame(frame);
   const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
   ASSERT_TRUE(decoded.has_value());
   EXPECT_EQ(EncodeFrame(*decoded), bytes);
   const auto& report = std::get<LostEndpointsReport>(*decoded->message);
+  EXPECT_EQ(report.answered_again,
+            (std::vector<EndpointIncarnation>{{EndpointId("e2"), 6}}));
   EXPECT_EQ(report.tasks[0].endpoints[0].started_at_ms, 5);
   EXPECT_TRUE(report.tasks[0].is_given_up);
 }
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -333,5 +333,79 @@
   }
 }
 
+const JobTask kSoundTask{SubmissionId("sound"), 0, 0};
+
+/** Returns the endpoint that runs a job; empty for none. */
+std::string EndpointOf(const FleetWorld& world, const std::string& job) {
+  for (const auto& [id, endpoint] : world.endpoints) {
+    for (const auto& [key, run] : endpoint.running) {
+      if (key.first.job == SubmissionId(job))
+        return id.value;
+    }
+  }
+  return "";
+}
+
+TEST(CrashingTaskTest, OtherZonesLearnThatSilentEndpointsAnswerAgain) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  std::set<std::string> silent;
+  world.is_answer_lost = [&silent](const EndpointCommand& command) {
+    return silent.count(command.endpoint.value) > 0;
+  };
+  for (int i = 0; i < 2; ++i) {
+    world.Submit("north0", "sound", 1, {900});
+    world.RunFor({30});
+    const std::string endpoint = EndpointOf(world, "sound");
+    ASSERT_NE(endpoint, "");
+    silent.insert(endpoint);
+    world.RunFor({3'000});
+  }
+  EXPECT_EQ(world.results["sound"], JobResult::kFailed);
+  silent.clear();
+  world.RunFor({8'000});
+  EXPECT_EQ(CountCrashes(world), 0U);
+  for (const char* daemon : {"north0", "south0"}) {
+    world.results.clear();
+    world.Submit(daemon, "sound", 1, {100});
+    world.RunFor({4'000});
+    EXPECT_EQ(world.results["sound"], JobResult::kCompleted) << daemon;
+  }
+}
+
+TEST(CrashingTaskTest, RetractedLossIsNotReportedBack) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  std::set<std::string> silent;
+  world.is_answer_lost = [&silent](const EndpointCommand& command) {
+    return silent.count(command.endpoint.value) > 0;
+  };
+  const std::string owner = world.OwnerOf("north");
+  world.Submit("north0", "sound", 1, {1'000});
+  world.RunFor({30});
+  silent.insert(EndpointOf(world, "sound"));
+  world.RunFor({2'000});
+  ASSERT_TRUE(IsSuspect(world.Node(owner).scheduler, kSoundTask));
+  silent.clear();
+  world.RunFor({4'000});
+  ASSERT_FALSE(IsSuspect(world.Node(owner).scheduler, kSoundTask));
+  const CallerToken caller = world.Submit("south0", "sound", 1, {1'000});
+  world.RunFor({100});
+  world.Disconnect("south0", caller);
+  world.RunFor({4'000});
+  EXPECT_FALSE(IsSuspect(world.Node(owner).scheduler, kSoundTask));
+  // One crash must not give the task up.
+  world.results.clear();
+  world.Submit("north0", "other", 2, {1'000});
+  world.RunFor({30});
+  world.Submit("north0", "sound", 1, {300});
+  world.RunFor({30});
+  const std::string crashed = EndpointOf(world, "sound");
+  ASSERT_NE(crashed, "");
+  CrashFakeEndpoint(world.endpoints.at(EndpointId(crashed)), world.now);
+  world.RunFor({4'000});
+  EXPECT_EQ(world.results["sound"], JobResult::kCompleted);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
