Check endpoints that another daemon reports as lost

A daemon that was cut off from the endpoints loses its runs and reports this to their next owner. When the report came after the next owner had reconciled the endpoints, it was never retracted, because only endpoints that are not usable were checked.

The owner now lists the runs of such an endpoint and retracts the loss when the same incarnation answers.

Before this change, LossReportedByAFormerOwnerIsRetracted found the task suspected 5 s after the change of ownership, without a crash.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/erase_if.h"
+#include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -52,6 +53,22 @@
   EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
 }
 
+/** Lists the runs of an endpoint that another daemon has lost, as it may answer
+ * this one.
+ */
+void CheckReportedLoss(Scheduler& scheduler,
+                       const EndpointIncarnation& lost,
+                       Millis now,
+                       Actions& actions) {
+  const auto known = scheduler.endpoints.find(lost.id);
+  if (known == scheduler.endpoints.end() ||
+      known->second.status != EndpointStatus::kUsable ||
+      known->second.started_at_ms != lost.started_at_ms)
+    return;
+  known->second.is_reported_lost = true;
+  PollEndpoint(scheduler, known->second, now, actions);
+}
+
 /** Removes an endpoint from all records.
  * @return true when a record has changed
  */
@@ -184,8 +201,10 @@
   for (const TaskEndpointLosses& reported : report.tasks) {
     CrashRecord& record =
         scheduler.crash_records[{report.job, reported.step, reported.index}];
-    for (const EndpointIncarnation& endpoint : reported.endpoints)
-      AddEndpoint(record, endpoint, now);
+    for (const EndpointIncarnation& endpoint : reported.endpoints) {
+      if (AddEndpoint(record, endpoint, now))
+        CheckReportedLoss(scheduler, endpoint, now, actions);
+    }
     record.is_given_up |= reported.is_given_up;
     record.updated_at = now;
   }
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -172,8 +172,9 @@
       endpoint.started_at_ms != reply.started_at_ms)
     HandleEndpointRestart(endpoint, reply.started_at_ms, actions);
   endpoint.started_at_ms = reply.started_at_ms;
-  if (endpoint.status != EndpointStatus::kUsable)
+  if (endpoint.status != EndpointStatus::kUsable || endpoint.is_reported_lost)
     RetractEndpointLoss(scheduler, {endpoint.entry.id, endpoint.started_at_ms});
+  endpoint.is_reported_lost = false;
   ApplyEndedRuns(scheduler, endpoint, reply, now, actions);
   ReconcileRuns(scheduler, endpoint, reply, command.sent_at, now, actions);
   if (endpoint.status == EndpointStatus::kUnresponsive)
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -113,6 +113,8 @@
   Millis renewal_sent_at;
   /** Number of commands in a row that were not answered. */
   uint32_t unanswered = 0;
+  /** True from a report of another daemon that it was lost until it answers. */
+  bool is_reported_lost = false;
   /** The endpoint gets no new runs before this time. */
   Millis backoff_until;
   /** Last backoff after the endpoint reported that it is unhealthy; zero after
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -407,5 +407,31 @@
   EXPECT_EQ(world.results["sound"], JobResult::kCompleted);
 }
 
+TEST(CrashingTaskTest, LossReportedByAFormerOwnerIsRetracted) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  const std::string next = OtherDaemonInZone(owner);
+  const uint64_t token =
+      world.Node(owner).scheduler.endpoints.begin()->second.fencing_token;
+  world.Submit(next, "sound", 1, {1'000});
+  world.RunFor({30});
+  world.is_answer_lost = [token](const EndpointCommand& command) {
+    return command.fencing_token == token;
+  };
+  for (int i = 0;
+       i < 1'200 && !IsSuspect(world.Node(owner).scheduler, kSoundTask); ++i)
+    world.RunFor({1});
+  ASSERT_TRUE(IsSuspect(world.Node(owner).scheduler, kSoundTask));
+  world.message_delay = [owner](const DaemonId& from, const DaemonId&) {
+    return Millis{from.value == owner ? 60 : 0};
+  };
+  world.StopDaemon(owner);
+  world.RunFor({5'000});
+  EXPECT_EQ(world.OwnerOf("north"), next);
+  EXPECT_EQ(CountCrashes(world), 0U);
+  EXPECT_FALSE(IsSuspect(world.Node(next).scheduler, kSoundTask));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
