Send the records of lost endpoints to daemons that start

A task that had been given up crashed two more endpoints after each restart of the daemons, because a new daemon has no records and the others announce a loss only once.

A daemon sends its records to each daemon of its zone that starts, and to all in a small fleet.

Before this change, RollingRestartsForgetNoTaskGivenUp counted 8 crashes and RestartOfTheSchedulerForgetsNoTaskGivenUp 6; fewer than 6 are allowed.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -246,6 +246,17 @@
   }
 }
 
+void SendAllLosses(FleetNode& node,
+                   const DaemonRef& to,
+                   Millis now,
+                   Actions& actions) {
+  std::set<SubmissionId> jobs;
+  for (const auto& [task, record] : node.scheduler.crash_records)
+    jobs.insert(task.job);
+  for (const SubmissionId& job : jobs)
+    SendLostEndpoints(node, to, job, now, actions);
+}
+
 void HandleJobProgress(FleetNode& node,
                        const DaemonRef& from,
                        const JobProgress& progress,
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -54,6 +54,14 @@
                        Millis now,
                        Actions& actions);
 
+/** Sends a daemon that has just started all endpoints that were lost with
+ * tasks.
+ */
+void SendAllLosses(FleetNode& node,
+                   const DaemonRef& to,
+                   Millis now,
+                   Actions& actions);
+
 /** Records that tasks of a job may have started since it was forwarded. */
 void RecordPossibleStart(FleetNode& node, const SubmissionId& job);
 
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -178,6 +178,8 @@
     if (id == node.self.id || HasSession(node.sessions, RefOf(member)))
       continue;
     StartSession(node.sessions, RefOf(member));
+    if (member.address.zone == node.zone || IsSmallFleet(node.view))
+      SendAllLosses(node, RefOf(member), now, actions);
     PeerStatus peer_status;
     const auto previous = node.peers.find(id);
     const bool was_expected = previous != node.peers.end() &&
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -433,5 +433,38 @@
   EXPECT_FALSE(IsSuspect(world.Node(next).scheduler, kSoundTask));
 }
 
+TEST(CrashingTaskTest, RollingRestartsForgetNoTaskGivenUp) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  MakeCrashable(world);
+  for (int round = 0; round < 4; ++round) {
+    world.Submit("north0", kCrashingJob, 1, {60});
+    world.RunFor({6'000});
+    for (const char* daemon : {"north0", "north1", "south0", "south1"}) {
+      world.StopDaemon(daemon);
+      world.RunFor({6'000});
+      world.StartDaemon(daemon, std::string(daemon).substr(0, 5));
+      world.RunFor({4'000});
+    }
+  }
+  EXPECT_LT(CountCrashes(world), kMaxCrashes + kMaxStartsAfterCrashes);
+}
+
+TEST(CrashingTaskTest, RestartOfTheSchedulerForgetsNoTaskGivenUp) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  MakeCrashable(world);
+  for (int round = 0; round < 6; ++round) {
+    const std::string owner = world.OwnerOf("north");
+    world.Submit("north0", kCrashingJob, 1, {60});
+    world.RunFor({6'000});
+    world.KillDaemon(owner);
+    world.RunFor({3'000});
+    world.StartDaemon(owner, "north");
+    world.RunFor({4'000});
+  }
+  EXPECT_LT(CountCrashes(world), kMaxCrashes + kMaxStartsAfterCrashes);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
