Count no loss for starts that find no listener

A sound task was given up after two starts whose connections were refused by endpoints that had gone down before, although it had run nowhere. Its job was answered `failed` at once, also when it was sent again.

A start whose connection was refused, or that another endpoint rejected, has not been executed, so its task is queued again before the other runs of the endpoint count as lost.

TaskWhoseStartsFindNoListenerIsNotGivenUp failed before this change.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -265,6 +265,27 @@
   run.has_failed_stop = true;
 }
 
+/** Requeues the task of a start that has not reached its endpoint, so that it
+ * does not count as lost there.
+ */
+void RemoveUndeliveredStart(Scheduler& scheduler,
+                            ManagedEndpoint& endpoint,
+                            const EndpointReply& reply,
+                            const PendingCommand& command,
+                            Millis now) {
+  const bool is_undelivered =
+      reply.outcome == CommandOutcome::kNoListener ||
+      reply.outcome == CommandOutcome::kOtherIncarnation;
+  const auto run = endpoint.runs.find(command.run);
+  if (command.kind != PendingCommand::Kind::kStart || !is_undelivered ||
+      run == endpoint.runs.end() || run->second.start_command != reply.id)
+    return;
+  const bool may_requeue = run->second.may_requeue;
+  RemoveRun(endpoint, command.run);
+  if (may_requeue)
+    RequeueTask(scheduler, endpoint.entry.id, command.run, now);
+}
+
 /** Handles the outcomes that are common to all kinds of commands.
  * @return true when the command needs no further handling
  */
@@ -330,6 +351,7 @@
   ManagedEndpoint& endpoint = owned->second;
   if (endpoint.pending_renewal == reply.id)
     endpoint.pending_renewal = CommandId();
+  RemoveUndeliveredStart(scheduler, endpoint, reply, command, now);
   if (!HandleCommonOutcome(scheduler, endpoint, reply, now, actions)) {
     if (command.kind == PendingCommand::Kind::kStart)
       HandleStartReply(scheduler, endpoint, reply, command, now, actions);
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -466,5 +466,30 @@
   EXPECT_LT(CountCrashes(world), kMaxCrashes + kMaxStartsAfterCrashes);
 }
 
+/** Refuses the connection of the pending start. */
+void RefuseStart(SchedulerWorld& world) {
+  EndpointReply refused;
+  refused.outcome = CommandOutcome::kNoListener;
+  for (const auto& [id, command] : world.scheduler.pending_commands) {
+    if (command.kind == PendingCommand::Kind::kStart)
+      refused.id = id;
+  }
+  Actions actions;
+  HandleEndpointReply(world.scheduler, refused, world.now, actions);
+}
+
+TEST(CrashingTaskTest, TaskWhoseStartsFindNoListenerIsNotGivenUp) {
+  SchedulerWorld world;
+  for (int i = 0; i < 3; ++i)
+    world.AddEndpoint("e" + std::to_string(i), 16, 1);
+  world.Run({20});
+  world.is_command_lost = [](const EndpointCommand&) { return true; };
+  world.Submit("sound", 1, 7, {60});
+  RefuseStart(world);
+  RefuseStart(world);
+  EXPECT_EQ(world.scheduler.jobs.count(SubmissionId("sound")), 1U);
+  EXPECT_FALSE(HasGivenUpTask(world.scheduler, SubmissionId("sound")));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
