Count silent endpoints of reported runs when their job ends

A crash under a run that was handed over was not counted when the job ended before the lease of the run, as at the caller's time limit: the reported run was forgotten together with its job.

When a job ends without completing, the endpoints of its unlisted reported runs count as lost if they are silent. One that answers later is taken back as before.

CrashUnderAReportedRunCountsWhenItsJobEndsBeforeTheLease failed before this change.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -131,15 +131,16 @@
 }
 
 /** Records the loss of silent endpoints whose reported runs have not been
- * listed and can't be active any more. May end the job.
+ * listed and can't be active at the given time any more. May end the job.
  */
 void RecordUnlistedReportedRuns(Scheduler& scheduler,
                                 const ScheduledJob& job,
+                                Millis active_at,
                                 Millis now,
                                 Actions& actions) {
   std::vector<ActiveRun> unlisted;
   for (const ReportedRun& reported : job.reported_runs) {
-    if (reported.active_until <= now && IsTaskQueued(job, reported.run) &&
+    if (reported.active_until <= active_at && IsTaskQueued(job, reported.run) &&
         IsSilent(scheduler, reported.run.endpoint.id))
       unlisted.push_back(reported.run);
   }
@@ -519,6 +520,9 @@
   if (outcome.result == JobResult::kCompleted ||
       outcome.result == JobResult::kFailed)
     scheduler.retained_results[id] = {outcome, now};
+  // Nobody waits for the end of these leases any more.
+  if (outcome.result != JobResult::kCompleted)
+    RecordUnlistedReportedRuns(scheduler, job, now + kMaxLease, now, actions);
   if (outcome.result != JobResult::kCompleted && HasSuspect(scheduler, id))
     scheduler.unannounced_losses.insert(id);
   scheduler.finished.push_back(FinishedJob::Ended(job.receiver, id, outcome));
@@ -590,7 +594,7 @@
     ScheduledJob& job = scheduler.jobs.at(id);
     if (MayHaveUnknownRuns(scheduler, job, now))
       continue;
-    RecordUnlistedReportedRuns(scheduler, job, now, actions);
+    RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
     if (scheduler.jobs.count(id) == 0)
       continue;
     PlaceJobTasks(scheduler, job, now, actions);
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -491,5 +491,32 @@
   EXPECT_FALSE(HasGivenUpTask(world.scheduler, SubmissionId("sound")));
 }
 
+TEST(CrashingTaskTest,
+     CrashUnderAReportedRunCountsWhenItsJobEndsBeforeTheLease) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  endpoint.entry.started_at_ms = endpoint.started_at_ms;
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  CrashFakeEndpoint(endpoint, world.now);
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("sound", 1, 7, {60}, "route");
+  submission.may_have_started = true;
+  submission.max_progress_wait = {500};
+  submission.job.time_left = {900};
+  world.SubmitJob(submission, {60});
+  JobProgress progress;
+  progress.job = submission.job.id;
+  EndpointEntry entry = endpoint.entry;
+  entry.started_at_ms = 1;
+  progress.active_runs.push_back({0, 0, Attempt(1), entry});
+  world.SubmitProgress(progress);
+  world.Run({1'500});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kAbandoned);
+  world.Run({4'000});
+  EXPECT_TRUE(IsSuspect(world.scheduler, kSoundTask));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
