Start nothing on a restarted endpoint before its new entry is known

An endpoint that came back smaller, as another incarnation, was used by the entry of the former one until the next poll, and unguarded endpoints were started over their capacity. The capacity has not shrunk while the endpoint ran, so no grace applies.

An endpoint accepts no work while the start time in its entry precedes the one that it reports.

RestartedEndpointOfAnotherKindWaitsForItsEntry failed before this change.

--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -70,6 +70,14 @@
   return count;
 }
 
+/** Returns false while the entry is from before a restart. The endpoint may
+ * have come back with another capacity.
+ */
+bool HasCurrentEntry(const ManagedEndpoint& endpoint) {
+  return endpoint.entry.started_at_ms == 0 ||
+         endpoint.entry.started_at_ms >= endpoint.started_at_ms;
+}
+
 Millis ScaleRunTime(double slowness, Millis expected_run_time) {
   return Millis{
       std::llround(slowness * static_cast<double>(expected_run_time.count))};
@@ -192,7 +200,7 @@
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
          !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
          endpoint.backoff_until <= now && endpoint.unanswered == 0 &&
-         !HasUnclaimedRun(endpoint);
+         HasCurrentEntry(endpoint) && !HasUnclaimedRun(endpoint);
 }
 
 bool CanEverRun(const EndpointEntry& endpoint,
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -404,5 +404,29 @@
   ExpectNoStartOverCapacity(world);
 }
 
+TEST(EndpointCapacityTest, RestartedEndpointOfAnotherKindWaitsForItsEntry) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  endpoint.checks_admission = false;
+  endpoint.entry.started_at_ms = endpoint.started_at_ms;
+  Actions actions;
+  UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+  world.Run({20});
+  world.Submit("first", 1, 7, {900});
+  world.Run({10});
+  CrashFakeEndpoint(endpoint, world.now);
+  endpoint.entry.started_at_ms = endpoint.started_at_ms;
+  endpoint.entry.capacity = {8'000, 64'000, 0};
+  world.Run({3'200});
+  world.Submit("next", 2, 7, {200});
+  world.Run({200});
+  EXPECT_TRUE(endpoint.starts_over_capacity.empty());
+  UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+  world.Run({1'000});
+  EXPECT_TRUE(endpoint.starts_over_capacity.empty());
+  EXPECT_EQ(world.results[SubmissionId("next")].outcome.result,
+            JobResult::kCompleted);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
