Read the endpoints before starts after a pause

A daemon that had been paused longer than the time for which a former capacity may be used started tasks by it when no other daemon of its zone could replace it. Starts waited for the membership only, and the endpoints were read later.

After a pause the changes of the endpoints are read too, by a call of its own that is answered at once, and starts wait for both answers.

ResumedDaemonStartsNothingBeforeConfirmation expected a start after the first answer; it now expects none after it and one after both.

--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -214,7 +214,23 @@
   update.scope = ItemScope::kDaemons;
   update.revision = reply.store_revision;
   update.changes = reply.changes;
-  update.is_membership_confirmed = true;
+  update.is_membership_confirmed =
+      session.endpoints_confirmation == StoreToken();
+  return update;
+}
+
+StoreUpdate HandleEndpointsConfirmationReply(StoreSession& session,
+                                             StoreToken token,
+                                             const KeyValueReply& reply) {
+  StoreUpdate update;
+  if (token != session.endpoints_confirmation ||
+      reply.outcome != KeyValueOutcome::kDone)
+    return update;
+  session.endpoints_confirmation = StoreToken();
+  update.revision = reply.store_revision;
+  if (session.needs_endpoints)
+    update.changes = reply.changes;
+  update.is_membership_confirmed = session.confirmation == StoreToken();
   return update;
 }
 
@@ -275,6 +291,8 @@
     HandleRegisterReply(session, reply, now);
   else if (purpose == StoreCallPurpose::kConfirmMembership)
     update = HandleConfirmationReply(session, token, reply);
+  else if (purpose == StoreCallPurpose::kConfirmEndpoints)
+    update = HandleEndpointsConfirmationReply(session, token, reply);
   AdvanceStoreSession(session, now, actions);
   return update;
 }
@@ -311,6 +329,14 @@
                   kConfirmationWait},
        kCallTimeout, actions);
   session.confirmation = StoreToken(session.last_token);
+  session.endpoints_confirmation = StoreToken();
+  if (!session.needs_endpoints || !session.endpoints.is_following)
+    return;
+  Call(session, StoreCallPurpose::kConfirmEndpoints,
+       WatchItems{ItemScope::kEndpoints, session.endpoints.followed_to,
+                  kConfirmationWait},
+       kCallTimeout, actions);
+  session.endpoints_confirmation = StoreToken(session.last_token);
 }
 
 void DeregisterFromStore(StoreSession& session, Actions& actions) {
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -27,6 +27,8 @@
   kConfirmMembership = 4,
   /** Reads the operators' items, then watches them for changes. */
   kFollowRoutes = 5,
+  /** Reads the changes of the endpoints' items since the last ones received. */
+  kConfirmEndpoints = 6,
 };
 
 /** Follows the changes of a part of the store's items. */
@@ -68,6 +70,8 @@
   uint64_t last_token = 0;
   /** The latest call to confirm the membership; none while none is pending. */
   StoreToken confirmation;
+  /** The latest call to confirm the endpoints; none while none is pending. */
+  StoreToken endpoints_confirmation;
 
   StoreFollower daemons = StoreFollower::Of(ItemScope::kDaemons);
   StoreFollower endpoints = StoreFollower::Of(ItemScope::kEndpoints);
@@ -101,8 +105,8 @@
   /** Revision of the snapshot, or up to which changes are listed. */
   uint64_t revision = 0;
   std::vector<StoreChange> changes;
-  /** True when the membership, with these changes, is that of a time after the
-   * latest call of ConfirmMembership().
+  /** True when the membership and the endpoints, with these changes, are those
+   * of a time after the latest call of ConfirmMembership().
    */
   bool is_membership_confirmed = false;
 };
--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -20,6 +20,18 @@
   return false;
 }
 
+/** Returns the call that reads what has changed in a scope by now. */
+const CallKeyValue* FindConfirmation(const Actions& actions, ItemScope scope) {
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallKeyValue>(&action);
+    const auto* watch =
+        call == nullptr ? nullptr : std::get_if<WatchItems>(&call->call);
+    if (watch != nullptr && watch->scope == scope && watch->wait < Millis{10})
+      return call;
+  }
+  return nullptr;
+}
+
 template <typename Call>
 const CallKeyValue* FindStoreCall(const Actions& actions) {
   for (const Action& action : actions) {
@@ -47,7 +59,7 @@
 
 // A daemon that was paused may have lost its endpoints to another daemon. It
 // must not start a waiting task before the store has confirmed that they are
-// still its own.
+// still its own and has shown their present capacity.
 TEST(PauseTest, ResumedDaemonStartsNothingBeforeConfirmation) {
   FleetWorld world;
   SetUpTwoZones(world);
@@ -70,8 +82,12 @@
   Actions actions;
   OnJob(node, resumed_at, CallerToken(1), job, actions);
   EXPECT_FALSE(HasEndpointCommand<StartRun>(actions));
-  const CallKeyValue* confirmation = FindStoreCall<WatchItems>(actions);
+  const CallKeyValue* confirmation =
+      FindConfirmation(actions, ItemScope::kDaemons);
+  const CallKeyValue* endpoints =
+      FindConfirmation(actions, ItemScope::kEndpoints);
   ASSERT_NE(confirmation, nullptr);
+  ASSERT_NE(endpoints, nullptr);
   Actions tick;
   OnTick(node, resumed_at + Millis{20}, tick);
   EXPECT_FALSE(HasEndpointCommand<StartRun>(tick));
@@ -82,6 +98,9 @@
   Actions confirmed;
   OnKeyValueReply(node, resumed_at + Millis{30}, confirmation->token, reply,
                   confirmed);
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(confirmed));
+  OnKeyValueReply(node, resumed_at + Millis{30}, endpoints->token, reply,
+                  confirmed);
   EXPECT_TRUE(HasEndpointCommand<StartRun>(confirmed));
 }
 
@@ -94,14 +113,8 @@
   FleetNode& node = world.Node(owner);
   Actions actions;
   OnTick(node, world.now + Millis{900}, actions);
-  const CallKeyValue* confirmation = nullptr;
-  for (const Action& action : actions) {
-    const auto* call = std::get_if<CallKeyValue>(&action);
-    const auto* watch =
-        call == nullptr ? nullptr : std::get_if<WatchItems>(&call->call);
-    if (watch != nullptr && watch->wait < Millis{10})
-      confirmation = call;
-  }
+  const CallKeyValue* confirmation =
+      FindConfirmation(actions, ItemScope::kDaemons);
   ASSERT_NE(confirmation, nullptr);
   KeyValueReply reply;
   reply.outcome = KeyValueOutcome::kDone;
@@ -142,5 +155,63 @@
   }
 }
 
+TEST(PauseTest, PausedDaemonStartsNothingByAnOldCapacity) {
+  for (int64_t delay_ms = 0; delay_ms < 2'500; delay_ms += 50) {
+    FleetWorld world;
+    world.StartDaemon("north0", "north");
+    for (int i = 0; i < 4; ++i)
+      world.AddEndpoint("north-e" + std::to_string(i), "north");
+    for (auto& [id, endpoint] : world.endpoints)
+      endpoint.checks_admission = false;
+    world.RunFor({3'000 + delay_ms});
+    world.paused_daemons.insert("north0");
+    world.RunFor({10});
+    for (auto& [id, endpoint] : world.endpoints)
+      world.ChangeEndpointCapacity(id.value, {8'000, 64'000, 0});
+    world.RunFor({5'000});
+    for (int i = 0; i < 8; ++i)
+      world.Submit("north0", "job" + std::to_string(i), 1, {200});
+    world.paused_daemons.clear();
+    for (int i = 8; i < 80; ++i) {
+      world.Submit("north0", "job" + std::to_string(i), 1, {200});
+      world.RunFor({10});
+    }
+    for (const auto& [id, endpoint] : world.endpoints)
+      EXPECT_TRUE(endpoint.starts_over_capacity.empty())
+          << id.value << " " << delay_ms;
+  }
+}
+
+// The call of its watch has ended without an answer when it goes on.
+TEST(PauseTest, PausedDaemonWhoseWatchIsLostStartsNothingByAnOldCapacity) {
+  for (int64_t delay_ms = 0; delay_ms < 2'500; delay_ms += 100) {
+    FleetWorld world;
+    world.StartDaemon("north0", "north");
+    for (int i = 0; i < 4; ++i)
+      world.AddEndpoint("north-e" + std::to_string(i), "north");
+    for (auto& [id, endpoint] : world.endpoints)
+      endpoint.checks_admission = false;
+    world.RunFor({3'000 + delay_ms});
+    world.paused_daemons.insert("north0");
+    bool is_cut = true;
+    world.is_store_unreachable = [&is_cut](const DaemonId&) { return is_cut; };
+    world.RunFor({10});
+    for (auto& [id, endpoint] : world.endpoints)
+      world.ChangeEndpointCapacity(id.value, {8'000, 64'000, 0});
+    world.RunFor({5'000});
+    is_cut = false;
+    for (int i = 0; i < 8; ++i)
+      world.Submit("north0", "job" + std::to_string(i), 1, {200});
+    world.paused_daemons.clear();
+    for (int i = 8; i < 200; ++i) {
+      world.Submit("north0", "job" + std::to_string(i), 1, {200});
+      world.RunFor({10});
+    }
+    for (const auto& [id, endpoint] : world.endpoints)
+      EXPECT_TRUE(endpoint.starts_over_capacity.empty())
+          << id.value << " " << delay_ms;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
