Test rules of crashes and capacities that no test failed without

No test failed when a task was never given up at its third loss, when silent endpoints of reported runs did not count, when sound tasks were not kept away from suspected ones, when a report that a task was given up did not end its job, when records never expired, or when removed endpoints were forgotten at once. Each of these changes now makes one of the added tests fail.

--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -518,5 +518,90 @@
   EXPECT_TRUE(IsSuspect(world.scheduler, kSoundTask));
 }
 
+// No endpoint is left on which either of them could be tried alone.
+TEST(CrashingTaskTest, TasksThatCrashTogetherAreGivenUpAfterThreeCrashes) {
+  SchedulerWorld world;
+  world.AddEndpoint("e0", 16, 1);
+  MakeCrashable(world);
+  world.Run({20});
+  for (const char* job : {"crashing-a", "crashing-b"})
+    world.SubmitJob(MakePatientSubmission(job, 1), {60});
+  world.Run({18'000});
+  EXPECT_EQ(CountCrashes(world), kMaxCrashes);
+  for (const char* job : {"crashing-a", "crashing-b"}) {
+    EXPECT_EQ(world.results[SubmissionId(job)].outcome.reason,
+              "task_crashes_endpoints")
+        << job;
+  }
+}
+
+TEST(CrashingTaskTest, SilentEndpointOfAReportedRunCounts) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  world.AddEndpoint("e1", 16, 1);
+  world.Run({20});
+  JobSubmission submission = MakePatientSubmission("sound", 1);
+  submission.may_have_started = true;
+  submission.max_progress_wait = {500};
+  world.SubmitJob(submission, {60});
+  JobProgress progress;
+  progress.job = submission.job.id;
+  progress.active_runs.push_back({0, 0, Attempt(1), endpoint.entry});
+  progress.active_runs.back().endpoint.started_at_ms = endpoint.started_at_ms;
+  CrashFakeEndpoint(endpoint, world.now);
+  world.SubmitProgress(progress);
+  world.Run({1'500});
+  EXPECT_TRUE(IsSuspect(world.scheduler, kSoundTask));
+}
+
+TEST(CrashingTaskTest, SoundTaskIsNotStartedBesideASuspectedOne) {
+  SchedulerWorld world;
+  FakeEndpoint& first = world.AddEndpoint("e0", 16, 1);
+  FakeEndpoint& second = world.AddEndpoint("e1", 32, 1);
+  world.Run({20});
+  world.Submit("suspected", 1, 7, {400});
+  world.Run({10});
+  ASSERT_EQ(first.running.size() + second.running.size(), 1U);
+  FakeEndpoint& other = first.running.empty() ? first : second;
+  world.scheduler.crash_records[{SubmissionId("suspected"), 0, 0}]
+      .endpoints.push_back({EndpointId("lost"), 1});
+  world.Submit("sound", 1, 7, {100});
+  world.Run({10});
+  EXPECT_EQ(other.running.size(), 1U);
+}
+
+TEST(CrashingTaskTest, JobGivenUpElsewhereEndsHere) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission("job", 1), {3'000});
+  world.Run({50});
+  LostEndpointsReport report;
+  report.job = SubmissionId("job");
+  report.tasks.push_back(
+      {0, 0, {{EndpointId("a"), 1}, {EndpointId("b"), 1}}, true});
+  Actions actions;
+  ApplyLostEndpointsReport(world.scheduler, report, world.now, actions);
+  world.Run({100});
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.reason,
+            "task_crashes_endpoints");
+}
+
+TEST(CrashingTaskTest, RecordsAreKeptForABoundedTime) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  LostEndpointsReport report;
+  report.job = SubmissionId("job");
+  report.tasks.push_back({0, 0, {{EndpointId("a"), 1}}, false});
+  report.tasks.push_back({0, 1, {{EndpointId("a"), 1}}, true});
+  Actions actions;
+  ApplyLostEndpointsReport(world.scheduler, report, world.now, actions);
+  world.now = world.now + Millis{65'000};
+  world.Run({40});
+  EXPECT_EQ(world.scheduler.crash_records.size(), 1U);
+  world.now = world.now + Millis{600'000};
+  world.Run({40});
+  EXPECT_TRUE(world.scheduler.crash_records.empty());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/core/endpoint_capacity_test.cc
+++ b/tests/core/endpoint_capacity_test.cc
@@ -224,6 +224,18 @@
   EXPECT_EQ(OutcomeOf(world, "later").result, JobResult::kFailed);
 }
 
+TEST(EndpointCapacityTest, JobThatFitsAMissingEndpointIsRefusedSecondsLater) {
+  SchedulerWorld world;
+  AddUnguardedEndpoint(world, "large");
+  world.AddEndpoint("small", 8, 1);
+  world.ReportCapacity("large", kFullCapacity);
+  world.Run({20});
+  world.DeregisterEndpoint("large");
+  world.Run({3'000});
+  world.SubmitJob(MakePatientSubmission("job", 9, {200}), {200});
+  EXPECT_EQ(OutcomeOf(world, "job").result, JobResult::kRefused);
+}
+
 // A job that fits no endpoint of its group any more must not wait until its
 // caller's time limit.
 TEST(EndpointCapacityTest, WaitingJobIsRefusedWhenTheCapacityShrinks) {
