Report runs on released endpoints with the incarnation that runs them

Operators could see: a task given up after one crash, as the crash was recorded under two incarnations of its endpoint and counted twice.

Cause: a run on an endpoint that is released was reported with the start time of the endpoint's entry in the store. While the restart of the endpoint had not been read from the store, that was the start of a former incarnation. Progress of a job names the incarnation that has answered.

Evidence: found by the reviewer of the fix, by reading. RunOnAReleasedEndpointIsReportedWithItsIncarnation failed before (start 0 instead of 1).

Why it works: both reports take the start from the same function.

--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -152,7 +152,8 @@
     ExtendReportedRuns(scheduler, released.entry.id, now);
   for (const auto& [key, run] : released.runs) {
     if (run.may_requeue)
-      RequeueTaskAfterLease(scheduler, released.entry, key, now);
+      RequeueTaskAfterLease(scheduler, MakeIncarnationEntry(released), key,
+                            now);
   }
 }
 
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -37,6 +37,13 @@
           endpoint.unanswered >= kUnresponsiveThreshold);
 }
 
+EndpointEntry MakeIncarnationEntry(const ManagedEndpoint& endpoint) {
+  EndpointEntry entry = endpoint.entry;
+  if (endpoint.started_at_ms != 0)
+    entry.started_at_ms = endpoint.started_at_ms;
+  return entry;
+}
+
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint) {
   return std::any_of(
       endpoint.runs.begin(), endpoint.runs.end(),
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -25,6 +25,11 @@
  */
 bool IsOutOfContact(const ManagedEndpoint& endpoint);
 
+/** Returns the endpoint's entry with the start of the incarnation that answers
+ * here. The entry in the store may be of another one.
+ */
+EndpointEntry MakeIncarnationEntry(const ManagedEndpoint& endpoint);
+
 /** Returns true while a run that was found on the endpoint is active and no job
  * of this daemon has claimed it, whatever its RunState.
  */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -467,11 +467,9 @@
       const auto endpoint = scheduler.endpoints.find(task.endpoint);
       if (task.phase == TaskPhase::kPlaced &&
           endpoint != scheduler.endpoints.end()) {
-        EndpointEntry entry = endpoint->second.entry;
-        if (endpoint->second.started_at_ms != 0)
-          entry.started_at_ms = endpoint->second.started_at_ms;
         progress.active_runs.push_back(
-            {step, index, Attempt(task.attempt), std::move(entry)});
+            {step, index, Attempt(task.attempt),
+             MakeIncarnationEntry(endpoint->second)});
       }
     }
   }
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -466,6 +466,22 @@
   EXPECT_LT(CountCrashes(world), kMaxCrashes + kMaxStartsAfterCrashes);
 }
 
+// A crash that is recorded under two incarnations counts twice.
+TEST(CrashingTaskTest, RunOnAReleasedEndpointIsReportedWithItsIncarnation) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  world.Run({20});
+  world.SubmitJob(MakePatientSubmission("sound", 1), {500});
+  world.Run({20});
+  ManagedEndpoint& managed = world.scheduler.endpoints.at(endpoint.entry.id);
+  ASSERT_EQ(managed.started_at_ms, endpoint.started_at_ms);
+  managed.entry.started_at_ms = endpoint.started_at_ms - 1;
+  ReleaseEndpoint(world.scheduler, endpoint.entry.id, world.now);
+  const auto& reported = world.scheduler.jobs.at(kSoundTask.job).reported_runs;
+  ASSERT_EQ(reported.size(), 1U);
+  EXPECT_EQ(reported[0].run.endpoint.started_at_ms, endpoint.started_at_ms);
+}
+
 /** Refuses the connection of the pending start. */
 void RefuseStart(SchedulerWorld& world) {
   EndpointReply refused;
