Announce lost endpoints only to daemons that may schedule jobs

Cause: losses were announced to all daemons, as callers may send a job again to any of them. Only schedulers use the records.

Change: in a fleet of more than twelve daemons, announcements go to owners and their standbys, and only these send their records to daemons that start.

A daemon that becomes a standby without a restart knows only the losses announced since.

--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -100,6 +100,11 @@
   return IsOwnerOf(node.view, node.self, job->second.group);
 }
 
+/** Returns true for daemons that schedule jobs, or are next to. */
+bool MaySchedule(const FleetView& view, const DaemonId& daemon) {
+  return IsSmallFleet(view) || IsOwnerCandidate(view, daemon);
+}
+
 /** Redirects the early jobs with an id to the daemon that gets the job. */
 void RedirectEarlyJobs(FleetNode& node, const JobReleaseRequest& request) {
   for (const EarlyJob& job : node.early_jobs) {
@@ -235,7 +240,7 @@
       std::exchange(node.scheduler.unannounced_retractions, {});
   for (const auto* members : {&node.view.members, &node.unregistered_daemons}) {
     for (const auto& [id, member] : *members) {
-      if (id == node.self.id)
+      if (id == node.self.id || !MaySchedule(node.view, id))
         continue;
       for (const SubmissionId& job : jobs)
         SendLostEndpoints(node, RefOf(member), job, now, actions);
@@ -250,6 +255,8 @@
                    const DaemonRef& to,
                    Millis now,
                    Actions& actions) {
+  if (!MaySchedule(node.view, node.self.id))
+    return;
   std::set<SubmissionId> jobs;
   for (const auto& [task, record] : node.scheduler.crash_records)
     jobs.insert(task.job);
--- a/modules/core/fleet/handover_flow.h
+++ b/modules/core/fleet/handover_flow.h
@@ -40,8 +40,9 @@
               Millis now,
               Actions& actions);
 
-/** Tells all other daemons which endpoints were lost with tasks of jobs that
- * are not completed. Their callers may send them again to any daemon.
+/** Tells the daemons that may schedule them which endpoints were lost with
+ * tasks of jobs that are not completed. Their callers may send them again to
+ * any daemon.
  */
 void AnnounceLosses(FleetNode& node, Millis now, Actions& actions);
 
@@ -55,7 +56,7 @@
                        Actions& actions);
 
 /** Sends a daemon that has just started all endpoints that were lost with
- * tasks.
+ * tasks, if this daemon is one that was told.
  */
 void SendAllLosses(FleetNode& node,
                    const DaemonRef& to,
--- a/tests/core/large_fleet_test.cc
+++ b/tests/core/large_fleet_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/fleet/fleet_view.h"
+#include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "fleet_world.h"
 
@@ -61,6 +62,31 @@
   EXPECT_GE(sent, kExpected * 9 / 10);
 }
 
+// After a power failure, each of hundreds of jobs would cost a message to every
+// daemon of the fleet.
+TEST(LargeFleetTest, LossesAreAnnouncedToOwnersAndNotToAllDaemons) {
+  constexpr int kDaemons = 24;
+  FleetWorld world;
+  SetUpZones(world, kDaemons, 12);
+  FleetNode& node = world.Node(world.OwnerOf("north"));
+  const SubmissionId job("job");
+  node.scheduler.crash_records[{job, 0, 0}].endpoints.push_back(
+      {EndpointId("lost"), 1});
+  node.scheduler.unannounced_losses.insert(job);
+  Actions actions;
+  AnnounceLosses(node, world.now, actions);
+  std::set<DaemonId> told;
+  for (const Action& action : actions) {
+    const auto* frame = std::get_if<SendFrame>(&action);
+    if (frame != nullptr && frame->frame.message)
+      told.insert(frame->frame.to.id);
+  }
+  // Six owners and two replacements in each of three zones, but for itself.
+  EXPECT_EQ(told.size(), 23U);
+  for (const DaemonId& daemon : node.view.all_owners)
+    EXPECT_EQ(told.count(daemon), daemon == node.self.id ? 0U : 1U);
+}
+
 // Both sides of a pair must agree on whether heartbeats are sent. Otherwise a
 // healthy daemon is evicted, or a dead one is never noticed.
 TEST(LargeFleetTest, NobodyIsEvictedWhileAllAreHealthy) {
