Test that a receiver's pause doesn't keep its callers waiting

Callers wait until their time limits when their receiver was paused for more than 500 ms: the scheduler has taken it for lost and has ended their jobs, and sends no report. CallerOfAPausedReceiverIsNotKeptUntilItsTimeLimit shows it and fails.

Not mended here: a report to a receiver that is really lost would stay in its session, which keeps and repeats messages without a bound.

--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -213,5 +213,20 @@
   }
 }
 
+// Its scheduler takes it for lost and ends the job.
+TEST(PauseTest, CallerOfAPausedReceiverIsNotKeptUntilItsTimeLimit) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  const std::string receiver = OtherDaemonInZone(owner);
+  world.Submit(receiver, "job", 1, {700});
+  world.RunFor({50});
+  world.paused_daemons.insert(receiver);
+  world.RunFor({600});
+  world.paused_daemons.clear();
+  world.RunFor({100});
+  EXPECT_TRUE(world.results.count("job") == 1 || world.CountRuns("job") == 1);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
