Test that tasks sent to endpoints that were down are not given up

Callers can see: a sound job is answered failed, and again when it is sent again, after its starts got no answer from endpoints that had gone down while they were idle and were still listed. Each such start counts as the loss of an endpoint that ran the task. TaskSentToEndpointsThatWereDownIsNotGivenUp shows it and fails.

Not mended here: an endpoint that a task crashes before it has answered the start looks the same, and such crashes have to count.

--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -619,5 +619,27 @@
   EXPECT_TRUE(world.scheduler.crash_records.empty());
 }
 
+// The endpoints have lost power while they were idle; their entries last a
+// little longer.
+TEST(CrashingTaskTest, TaskSentToEndpointsThatWereDownIsNotGivenUp) {
+  SchedulerWorld world;
+  for (int i = 0; i < 6; ++i)
+    world.AddEndpoint("e" + std::to_string(i), 16, 1);
+  world.Run({20});
+  for (auto& [id, endpoint] : world.endpoints)
+    CrashFakeEndpoint(endpoint, world.now);
+  for (int i = 0; i < 3; ++i) {
+    world.results.clear();
+    world.Submit("sound", 1, 7, {60});
+    world.Run({1'600});
+  }
+  world.Run({4'000});
+  world.results.clear();
+  world.Submit("sound", 1, 7, {60});
+  world.Run({1'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
