Don't show jobs as failed because of endpoints that may only be silent

Cause: a task is given up with the second or third endpoint that is lost with it, and its job was answered as failed at once. An endpoint counts as lost when its lease has ended without an answer. One that is cut off looks like one that has crashed, and its run may have gone on.

Two tests asked for the answer failed in this very case: TaskWhoseSilentEndpointsAnswerAgainMayStartAgain and OtherZonesLearnThatSilentEndpointsAnswerAgain now ask for abandoned, which is what is known: its tasks may have run. TaskIsGivenUpAfterTwoCrashes asks for abandoned before the endpoints are back, and for failed when the job is sent again after that.

Why it works: a job is shown as failed only if two endpoints that were lost with its task are known to have restarted since. The task is given up as before.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -50,7 +50,21 @@
                 {"task", FormatTaskPosition(task)},
                 {"endpoints_lost", std::to_string(record.endpoints.size())},
                 {"last", record.endpoints.back().id.value}}});
-  EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
+  EndJob(scheduler, task.job, MakeGivenUpOutcome(scheduler, task.job), now,
+         actions);
+}
+
+/** Returns true when a later incarnation of a lost endpoint is known. */
+bool HasRestarted(const Scheduler& scheduler, const EndpointIncarnation& lost) {
+  if (lost.started_at_ms == 0)
+    return false;
+  const auto managed = scheduler.endpoints.find(lost.id);
+  if (managed != scheduler.endpoints.end() &&
+      managed->second.started_at_ms > lost.started_at_ms)
+    return true;
+  const auto listed = scheduler.endpoint_history.find(lost.id);
+  return listed != scheduler.endpoint_history.end() &&
+         listed->second.largest_entry.started_at_ms > lost.started_at_ms;
 }
 
 /** Lists the runs of an endpoint that another daemon has lost, as it may answer
@@ -171,8 +185,22 @@
     record->second.updated_at = now;
 }
 
-JobOutcome MakeGivenUpOutcome() {
-  return {JobResult::kFailed, {}, "task_crashes_endpoints"};
+JobOutcome MakeGivenUpOutcome(const Scheduler& scheduler,
+                              const SubmissionId& job) {
+  JobOutcome outcome{JobResult::kAbandoned, {}, "task_crashes_endpoints"};
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record) {
+    const std::vector<EndpointIncarnation>& lost = record->second.endpoints;
+    const auto crashes =
+        std::count_if(lost.begin(), lost.end(),
+                      [&scheduler](const EndpointIncarnation& endpoint) {
+                        return HasRestarted(scheduler, endpoint);
+                      });
+    if (static_cast<size_t>(crashes) >= kMaxLossesOfSoleSuspect)
+      outcome.result = JobResult::kFailed;
+  }
+  return outcome;
 }
 
 std::optional<LostEndpointsReport> MakeLostEndpointsReport(
@@ -209,7 +237,8 @@
     record.updated_at = now;
   }
   if (HasGivenUpTask(scheduler, report.job))
-    EndJob(scheduler, report.job, MakeGivenUpOutcome(), now, actions);
+    EndJob(scheduler, report.job, MakeGivenUpOutcome(scheduler, report.job),
+           now, actions);
 }
 
 void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now) {
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -10,7 +10,7 @@
 namespace dogwoodfall {
 
 /** Records that an endpoint was lost while it ran the given tasks. Gives up a
- * task that has crashed its endpoints, and fails its job: one that three
+ * task that has crashed its endpoints, and ends its job: one that three
  * endpoints were lost with, or two when no other task lost with the second one
  * was suspected before. Endpoints that are draining may leave with their runs,
  * so they do not count.
@@ -48,8 +48,12 @@
                        const SubmissionId& job,
                        Millis now);
 
-/** The result of a job with a task that was given up. */
-JobOutcome MakeGivenUpOutcome();
+/** Returns the result of a job with a task that was given up. It has failed if
+ * two of the lost endpoints are known to have restarted. Others may only have
+ * been cut off, and its run may be active there, so that it is abandoned.
+ */
+JobOutcome MakeGivenUpOutcome(const Scheduler& scheduler,
+                              const SubmissionId& job);
 
 /** Returns what is recorded of a job; none when nothing is. */
 std::optional<LostEndpointsReport> MakeLostEndpointsReport(
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -340,8 +340,8 @@
     actions.push_back(
         LogEvent{"job_given_up_before",
                  {{"job", job.id.value}, {"receiver", receiver.id.value}}});
-    scheduler.finished.push_back(
-        FinishedJob::Ended(receiver, job.id, MakeGivenUpOutcome()));
+    scheduler.finished.push_back(FinishedJob::Ended(
+        receiver, job.id, MakeGivenUpOutcome(scheduler, job.id)));
     return;
   }
   ++scheduler.counters.jobs;
