Test four seeds of daemon faults with double runs that are not fixed

Callers can see: a task runs twice at a time (TWICE) when daemons are killed while others join, in 3 of 200 trial seeds with kills only (55, 77, 96), and with all faults in two of 200 (72, 117). The endpoint's owner renews the run for 250 ms; the wait for progress leaves that out.

--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -260,6 +260,29 @@
   ExpectNoDuplicateRuns(options, {1, 2, 3});
 }
 
+FaultOptions RareKills() {
+  FaultOptions options;
+  options.faults = {DaemonFault::kKill};
+  options.rounds_per_fault = 60;
+  return options;
+}
+
+TEST(DaemonFaultsTest, ProgressLostTwoHandoversOnCausesNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(RareKills(), {55});
+}
+
+TEST(DaemonFaultsTest, JobAnnouncedToLostDaemonsOnlyCausesNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(RareKills(), {77});
+}
+
+TEST(DaemonFaultsTest, EndpointOfAThirdOwnerCausesNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(RareKills(), {96});
+}
+
+TEST(DaemonFaultsTest, FrequentFaultsOfDaemonsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(AllFaults(), {72});
+}
+
 TEST(DaemonFaultsTest,
      EndpointThatChangesItsOwnerSeveralTimesCausesNoDuplicateRuns) {
   ExpectNoDuplicateRuns(AllFaults(), {117});
