--- a/tests/core/job_evidence_test.cc
+++ b/tests/core/job_evidence_test.cc
@@ -106,21 +106,6 @@
             JobResult::kCompleted);
 }
 
-Actions Deliver(FleetWorld& world,
-                const std::string& from,
-                const std::string& to,
-                PeerMessage message) {
-  Actions sent;
-  Send(world.Node(from).sessions, world.Node(to).self, std::move(message),
-       SessionLimits(), world.now, sent);
-  Actions actions;
-  for (const Action& action : sent) {
-    if (const auto* frame = std::get_if<SendFrame>(&action))
-      OnPeerFrame(world.Node(to), world.now, frame->frame, actions);
-  }
-  return actions;
-}
-
 size_t CountProgressMessages(const Actions& actions) {
   size_t count = 0;
   for (const Action& action : actions) {
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -38,16 +38,7 @@
   Actions Deliver(const std::string& from,
                   const std::string& to,
                   PeerMessage message) {
-    FleetNode& node = this->world.Node(to);
-    Actions sent;
-    Send(this->world.Node(from).sessions, node.self, std::move(message),
-         SessionLimits(), this->world.now, sent);
-    Actions actions;
-    for (const Action& action : sent) {
-      if (const auto* frame = std::get_if<SendFrame>(&action))
-        OnPeerFrame(node, this->world.now, frame->frame, actions);
-    }
-    return actions;
+    return dogwoodfall::Deliver(this->world, from, to, std::move(message));
   }
 
   /** Makes a submission of a job that another scheduler had before. */
--- a/tests/core/withdrawn_job_test.cc
+++ b/tests/core/withdrawn_job_test.cc
@@ -10,22 +10,6 @@
 namespace dogwoodfall {
 namespace {
 
-/** Sends a message from one daemon to another; it arrives at once. */
-Actions Deliver(FleetWorld& world,
-                const std::string& from,
-                const std::string& to,
-                PeerMessage message) {
-  Actions sent;
-  Send(world.Node(from).sessions, world.Node(to).self, std::move(message),
-       SessionLimits(), world.now, sent);
-  Actions actions;
-  for (const Action& action : sent) {
-    if (const auto* frame = std::get_if<SendFrame>(&action))
-      OnPeerFrame(world.Node(to), world.now, frame->frame, actions);
-  }
-  return actions;
-}
-
 /** Makes the submission of a job to the endpoints of a zone under a view that
  * the scheduler has not received yet.
  */
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -492,4 +492,19 @@
   return other;
 }
 
+Actions Deliver(FleetWorld& world,
+                const std::string& from,
+                const std::string& to,
+                PeerMessage message) {
+  Actions sent;
+  Send(world.Node(from).sessions, world.Node(to).self, std::move(message),
+       SessionLimits(), world.now, sent);
+  Actions actions;
+  for (const Action& action : sent) {
+    if (const auto* frame = std::get_if<SendFrame>(&action))
+      OnPeerFrame(world.Node(to), world.now, frame->frame, actions);
+  }
+  return actions;
+}
+
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -162,6 +162,14 @@
 /** Returns the other daemon of a zone that SetUpTwoZones() has started. */
 std::string OtherDaemonInZone(const std::string& daemon);
 
+/** Sends a message from one daemon to another; it arrives at once.
+ * @return what the receiver does then
+ */
+Actions Deliver(FleetWorld& world,
+                const std::string& from,
+                const std::string& to,
+                PeerMessage message);
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_TESTS_SUPPORT_FLEET_WORLD_H_
