--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -127,6 +127,28 @@
   return zone == node.zone || !IsZoneReachable(node, zone, now);
 }
 
+/** Logs the daemons that wait for jobs here and have been silent for a while,
+ * whether or not heartbeats are expected from them.
+ */
+void LogSilentReceivers(FleetNode& node, Millis now, Actions& actions) {
+  for (const auto& [id, job] : node.scheduler.jobs) {
+    const auto found = node.peers.find(job.receiver.id);
+    if (found == node.peers.end() || found->second.is_silence_logged)
+      continue;
+    PeerStatus& peer_status = found->second;
+    const Millis silence = now - peer_status.last_received_at;
+    if (silence < GetPeerTimeout(kHeartbeatPeriod))
+      continue;
+    peer_status.is_silence_logged = true;
+    actions.push_back(LogEvent{
+        "receiver_silent",
+        {{"daemon", job.receiver.id.value},
+         {"silent_ms", std::to_string(silence.count)},
+         {"heartbeat_ms", std::to_string(peer_status.heartbeat_period.count)},
+         {"job", id.value}}});
+  }
+}
+
 /** Cancels the jobs of lost receivers, because their results can't be
  * delivered. After a handover, runs of such jobs may be active here.
  */
@@ -332,8 +354,11 @@
   HandlePause(node, now, actions);
   const std::optional<PeerMessage> message = Receive(node.sessions, frame, now);
   const auto peer_status = node.peers.find(frame.from.id);
-  if (peer_status != node.peers.end() && HasSession(node.sessions, frame.from))
+  if (peer_status != node.peers.end() &&
+      HasSession(node.sessions, frame.from)) {
     peer_status->second.last_received_at = now;
+    peer_status->second.is_silence_logged = false;
+  }
   if (message)
     HandlePeerMessage(node, frame.from, *message, now, actions);
 }
@@ -353,6 +378,7 @@
         LogEvent{"peer_heard_again", {{"daemon", heartbeat.from.id.value}}});
   }
   peer_status.last_received_at = now;
+  peer_status.is_silence_logged = false;
   RecordDelay(peer_status.delay, heartbeat.sent_at, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
@@ -370,6 +396,7 @@
   EvictUnreachablePeers(node, now, actions);
   RemoveUnreachableUnregisteredDaemons(node, now, actions);
   RemoveExpiredForwardedJobs(node, now);
+  LogSilentReceivers(node, now, actions);
   CancelOrphanedJobs(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -48,6 +48,8 @@
   Millis heartbeat_period;
   /** True once the removal of its store item was requested. */
   bool is_eviction_requested = false;
+  /** True from the log line about its silence until its next message. */
+  bool is_silence_logged = false;
   /** Time since which its view or routes are known to be outdated; zero while
    * they are current.
    */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -29,6 +29,8 @@
  * return.
  */
 constexpr Millis kRemovedEndpointRetention{10'000};
+/** Age from which the first start of a job is logged. */
+constexpr Millis kLateStart{700};
 
 void InsertIntoQueue(Scheduler& scheduler, ScheduledJob& job, Millis now) {
   scheduler.queue.erase(job.order_key);
@@ -268,6 +270,15 @@
   SendStop(scheduler, endpoint->second, key, now, actions);
 }
 
+void LogLateStart(const ScheduledJob& job, Millis now, Actions& actions) {
+  if (job.has_started || now - job.received_at < kLateStart)
+    return;
+  LogEvent event = MakeJobEvent("job_started_late", job, now);
+  event.fields.emplace_back("may_have_started",
+                            job.may_have_started ? "true" : "false");
+  actions.push_back(std::move(event));
+}
+
 void PlaceJobTasks(Scheduler& scheduler,
                    ScheduledJob& job,
                    Millis now,
@@ -289,6 +300,7 @@
       task.endpoint = endpoint->entry.id;
       ++task.attempt;
       --job.tasks_queued;
+      LogLateStart(job, now, actions);
       job.has_started = true;
       RecordRouteActivity(scheduler, job.job.route, now);
       SendStart(scheduler, *endpoint, job, {job.job.id, step, index},
