--- /dev/null
+++ b/tests/core/lost_receiver_test.cc
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "core/fleet/fleet_view.h"
+#include "core/scheduling/job_flow.h"
+#include "fleet_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr Millis kRetransmitAfter{1'300};
+constexpr Millis kRunTime{300};
+
+bool IsInNorth(const DaemonId& daemon) {
+  return daemon.value.rfind("north", 0) == 0;
+}
+
+/** Two zones of a fleet so large that receivers send no heartbeats to the
+ * schedulers of the other zone. A job of the north has been forwarded to the
+ * south before it started, and its scheduler there may start nothing for a
+ * while.
+ */
+struct ForwardedJobFixture {
+  ForwardedJobFixture() {
+    for (const char* zone : {"north", "south"}) {
+      for (int i = 0; i < 7; ++i)
+        this->world.StartDaemon(zone + std::to_string(i), zone);
+      for (int i = 0; i < 8; ++i)
+        this->world.AddEndpoint(zone + ("-e" + std::to_string(i)), zone);
+    }
+    this->world.RunFor({3'000});
+    const FleetView& view = this->world.Node("north0").view;
+    const EndpointGroup home =
+        GroupOfJob(view, ZoneId("north"), SubmissionId("job"));
+    this->first_scheduler = OwnerOfGroup(view, home)->address.id.value;
+    this->scheduler = OwnerOfGroup(view, this->group)->address.id.value;
+    for (int i = 0; i < 7; ++i) {
+      const std::string id = "north" + std::to_string(i);
+      if (!IsOwnerCandidate(view, DaemonId(id)))
+        (this->receiver.empty() ? this->receiver : this->next_receiver) = id;
+    }
+  }
+
+  /** Sends the job to its receiver, which is told to forward it. */
+  void ForwardJob() {
+    this->BlockStarts(this->first_scheduler, {5'000});
+    this->caller = this->world.Submit(this->receiver, "job", 1, kRunTime);
+    this->world.RunFor({10});
+    FleetNode& node = this->world.Node(this->first_scheduler);
+    ASSERT_TRUE(RemoveJob(node.scheduler, SubmissionId("job")));
+    this->BlockStarts(this->first_scheduler, {});
+    JobRedirect redirect;
+    redirect.job = SubmissionId("job");
+    redirect.to = DaemonId(this->scheduler);
+    redirect.group = this->group;
+    redirect.view_revision = node.view.revision;
+    redirect.is_spillover = true;
+    this->world.SendMessage(this->first_scheduler, this->receiver, redirect);
+    this->world.RunFor({10});
+  }
+
+  void BlockStarts(const std::string& daemon, Millis duration) {
+    this->world.Node(daemon).scheduler.starts_blocked_until =
+        this->world.now + duration;
+  }
+
+  void RepeatJob() {
+    this->world.Submit(this->next_receiver, "job", 1, kRunTime);
+    this->world.RunFor({1'000});
+  }
+
+  size_t CountStartsInSouth() const {
+    size_t starts = 0;
+    for (const auto& [id, endpoint] : this->world.endpoints)
+      starts += endpoint.entry.zone == ZoneId("south") ? endpoint.starts : 0;
+    return starts;
+  }
+
+  FleetWorld world;
+  const EndpointGroup group{ZoneId("south"), 0};
+  std::string receiver;
+  std::string next_receiver;
+  std::string first_scheduler;
+  std::string scheduler;
+  CallerToken caller;
+};
+
+TEST(LostReceiverTest, ForwardedJobOfAKilledReceiverRunsBesideNoRepeat) {
+  ForwardedJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  fixture.BlockStarts(fixture.scheduler, {1'150});
+  fixture.ForwardJob();
+  // The south does not learn of the loss from the store, nor the north of the
+  // job from heartbeats.
+  world.is_store_unreachable = [](const DaemonId&) { return true; };
+  world.is_partitioned = [](const DaemonId& from, const DaemonId& to) {
+    return !IsInNorth(from) && IsInNorth(to);
+  };
+  world.KillDaemon(fixture.receiver);
+  world.RunFor(kRetransmitAfter);
+  fixture.RepeatJob();
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results.at("job"), JobResult::kCompleted);
+}
+
+TEST(LostReceiverTest, ForwardedJobWhoseWithdrawalIsStuckRunsBesideNoRepeat) {
+  ForwardedJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  fixture.BlockStarts(fixture.scheduler, {1'150});
+  fixture.ForwardJob();
+  world.is_partitioned = [&fixture](const DaemonId& from, const DaemonId& to) {
+    return (!IsInNorth(from) && IsInNorth(to)) ||
+           from.value == fixture.receiver;
+  };
+  world.Disconnect(fixture.receiver, fixture.caller);
+  world.RunFor(kRetransmitAfter);
+  fixture.RepeatJob();
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(world.results.at("job"), JobResult::kCompleted);
+}
+
+// No earlier message of its receiver tells the usual latency.
+TEST(LostReceiverTest, FirstSubmissionOfAReceiverIsNotStartedWhenItIsLate) {
+  ForwardedJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  bool is_cut = true;
+  world.is_partitioned = [&](const DaemonId& from, const DaemonId& to) {
+    return is_cut && from.value == fixture.receiver && !IsInNorth(to);
+  };
+  fixture.ForwardJob();
+  world.Disconnect(fixture.receiver, fixture.caller);
+  world.RunFor(kRetransmitAfter);
+  is_cut = false;
+  fixture.RepeatJob();
+  EXPECT_EQ(fixture.CountStartsInSouth(), 0U);
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -129,6 +129,16 @@
   return caller;
 }
 
+void FleetWorld::SendMessage(const std::string& from,
+                             const std::string& to,
+                             const PeerMessage& message) {
+  this->DeliverEvent(from, this->incarnations.at(from),
+                     [&](FleetNode& node, Actions& actions) {
+                       Send(node.sessions, this->Node(to).self, message,
+                            SessionLimits(), this->now, actions);
+                     });
+}
+
 void FleetWorld::Disconnect(const std::string& daemon, CallerToken caller) {
   if (!this->IsRunning(daemon))
     return;
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -45,6 +45,10 @@
                      const std::string& job,
                      uint32_t tasks,
                      Millis nominal_run_time);
+  /** Lets a daemon send a message to another one. */
+  void SendMessage(const std::string& from,
+                   const std::string& to,
+                   const PeerMessage& message);
   /** Closes a caller's connection. */
   void Disconnect(const std::string& daemon, CallerToken caller);
   /** Returns the number of runs of a job that are active on endpoints. */
