--- /dev/null
+++ b/tests/support/faulty_fleet.cc
@@ -0,0 +1,183 @@
+#include "faulty_fleet.h"
+
+#include <algorithm>
+
+namespace dogwoodfall {
+namespace {
+
+ChurnOptions ChurnOptionsOf(const FaultOptions& options) {
+  ChurnOptions churn;
+  churn.daemons_per_zone = options.daemons_per_zone;
+  churn.first_daemons_per_zone = 3;
+  churn.stop_duration = options.stop_duration;
+  return churn;
+}
+
+}  // namespace
+
+FaultOptions AllFaults() {
+  FaultOptions options;
+  options.faults = {DaemonFault::kKill,           DaemonFault::kPause,
+                    DaemonFault::kCutFromDaemons, DaemonFault::kCutFromStore,
+                    DaemonFault::kDeregister,     DaemonFault::kStop};
+  options.loses_answers = true;
+  return options;
+}
+
+FaultyFleet::FaultyFleet(uint32_t seed, const FaultOptions& options)
+    : options(options),
+      scenario(seed, ChurnOptionsOf(options)),
+      world(scenario.world),
+      start(world.now) {
+  this->world.is_partitioned = [this](const DaemonId& a, const DaemonId& b) {
+    const bool is_between_zones = a.value.front() != b.value.front();
+    if (is_between_zones && this->world.now < this->zones_cut_until)
+      return true;
+    return this->world.now < this->cut_from_daemons_until[a] ||
+           this->world.now < this->cut_from_daemons_until[b];
+  };
+  this->world.is_store_unreachable = [this](const DaemonId& daemon) {
+    return this->world.now < this->cut_from_store_until[daemon];
+  };
+  if (!options.loses_answers)
+    return;
+  this->world.is_answer_lost = [this](const EndpointCommand&) {
+    return this->scenario.Draw(0, 99) == 0;
+  };
+}
+
+std::set<JobTask> FaultyFleet::Play() {
+  const Millis end = this->start + Millis{8'000};
+  while (this->world.now < end) {
+    this->scenario.StartDaemons();
+    this->EndPauses();
+    this->InjectFaults();
+    this->RepeatJobs();
+    this->SendNewJob();
+    this->world.RunFor({5});
+  }
+  return this->world.overlaps;
+}
+
+size_t FaultyFleet::CountJobs() const {
+  return this->shapes.size();
+}
+
+size_t FaultyFleet::CountCompletedJobs() const {
+  return static_cast<size_t>(
+      std::count_if(this->world.results.begin(), this->world.results.end(),
+                    [](const auto& result) {
+                      return result.second == JobResult::kCompleted;
+                    }));
+}
+
+void FaultyFleet::EndPauses() {
+  for (auto it = this->paused_until.begin(); it != this->paused_until.end();) {
+    const auto& [daemon, until] = *it;
+    if (until > this->world.now) {
+      ++it;
+      continue;
+    }
+    this->world.paused_daemons.erase(daemon);
+    it = this->paused_until.erase(it);
+  }
+}
+
+void FaultyFleet::InjectFaults() {
+  constexpr Millis kTimeWithoutFaults{3'000};
+  if (this->world.now <= this->start + kTimeWithoutFaults ||
+      this->scenario.ready_daemons.empty() ||
+      this->scenario.Draw(0, this->options.rounds_per_fault - 1) != 0)
+    return;
+  const std::string daemon = this->scenario.DrawReadyDaemon();
+  if (this->options.faults.empty())
+    return;
+  const auto count = static_cast<int64_t>(this->options.faults.size());
+  const auto index = static_cast<size_t>(this->scenario.Draw(0, count - 1));
+  this->InjectFault(this->options.faults[index], daemon);
+}
+
+void FaultyFleet::InjectFault(DaemonFault fault, const std::string& daemon) {
+  const DaemonId id(daemon);
+  switch (fault) {
+    case DaemonFault::kKill:
+      this->Kill(daemon);
+      break;
+    case DaemonFault::kPause:
+      this->Pause(daemon);
+      break;
+    case DaemonFault::kCutFromDaemons:
+      this->cut_from_daemons_until[id] = this->DrawTime(100, 1'500);
+      break;
+    case DaemonFault::kCutFromStore:
+      this->cut_from_store_until[id] = this->DrawTime(100, 2'500);
+      break;
+    case DaemonFault::kDeregister:
+      this->world.DeregisterDaemon(daemon);
+      break;
+    case DaemonFault::kStop:
+      this->Stop(daemon);
+      break;
+    case DaemonFault::kCutZone:
+      this->zones_cut_until = this->DrawTime(300, 2'500);
+      break;
+  }
+}
+
+void FaultyFleet::Kill(const std::string& daemon) {
+  this->world.paused_daemons.erase(daemon);
+  this->paused_until.erase(daemon);
+  this->scenario.KillDaemon(daemon);
+  this->scenario.SetNextStart(daemon, this->DrawTime(100, 2'500));
+}
+
+void FaultyFleet::Pause(const std::string& daemon) {
+  this->world.paused_daemons.insert(daemon);
+  this->paused_until[daemon] = this->DrawTime(50, 1'200);
+}
+
+void FaultyFleet::Stop(const std::string& daemon) {
+  this->world.StopDaemon(daemon);
+  this->scenario.SetNextStart(daemon, this->DrawTime(2'600, 3'500));
+}
+
+void FaultyFleet::RepeatJobs() {
+  for (const std::string& job : this->scenario.UpdateCallers()) {
+    if (this->world.results.count(job) > 0 ||
+        this->scenario.ready_daemons.empty())
+      continue;
+    this->scenario.Submit(this->scenario.DrawReadyDaemon(), job,
+                          this->shapes[job]);
+  }
+}
+
+void FaultyFleet::SendNewJob() {
+  if (this->scenario.ready_daemons.empty() || this->scenario.Draw(0, 4) != 0)
+    return;
+  const std::string job = "job" + std::to_string(++this->job_count);
+  const JobShape shape = this->DrawShape();
+  this->shapes[job] = shape;
+  ChurnCaller& caller =
+      this->scenario.Submit(this->scenario.DrawReadyDaemon(), job, shape);
+  const int64_t conduct = this->scenario.Draw(0, 7);
+  if (conduct <= 1)
+    this->scenario.LetCallerLeave(caller);
+  else if (conduct == 2 && this->options.has_silent_repeats)
+    this->scenario.LetCallerRepeat(caller);
+}
+
+JobShape FaultyFleet::DrawShape() {
+  JobShape shape;
+  shape.task_count = static_cast<uint32_t>(this->scenario.Draw(1, 4));
+  const bool is_long = this->scenario.Draw(0, 3) == 0;
+  shape.run_time = {is_long ? this->scenario.Draw(700, 1'300)
+                            : this->scenario.Draw(60, 700)};
+  return shape;
+}
+
+/** Returns a time after now. */
+Millis FaultyFleet::DrawTime(int64_t shortest, int64_t longest) {
+  return this->world.now + Millis{this->scenario.Draw(shortest, longest)};
+}
+
+}  // namespace dogwoodfall
--- /dev/null
+++ b/tests/support/faulty_fleet.h
@@ -0,0 +1,84 @@
+#ifndef DOGWOODFALL_TESTS_SUPPORT_FAULTY_FLEET_H_
+#define DOGWOODFALL_TESTS_SUPPORT_FAULTY_FLEET_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "churn_scenario.h"
+
+namespace dogwoodfall {
+
+enum class DaemonFault {
+  kKill,
+  kPause,
+  kCutFromDaemons,
+  kCutFromStore,
+  kDeregister,
+  kStop,
+  /** Cuts the daemon's zone off from the other one. */
+  kCutZone,
+};
+
+struct FaultOptions {
+  int daemons_per_zone = 10;
+  /** Time from a stop command to the end of the run. */
+  Millis stop_duration;
+  std::vector<DaemonFault> faults;
+  /** Mean number of rounds of 5 ms from one fault to the next. */
+  int64_t rounds_per_fault = 31;
+  /** Whether answers of endpoints are lost now and then. */
+  bool loses_answers = false;
+  /** Whether some callers send their jobs again to another daemon while the
+   * first one still has their connection.
+   */
+  bool has_silent_repeats = false;
+};
+
+/** Returns options with all faults and lost answers of endpoints. */
+FaultOptions AllFaults();
+
+/** Plays joining daemons with faults, and callers that send their jobs. A seed
+ * determines all draws.
+ */
+class FaultyFleet {
+ public:
+  FaultyFleet(uint32_t seed, const FaultOptions& options);
+  FaultyFleet(const FaultyFleet&) = delete;
+  FaultyFleet& operator=(const FaultyFleet&) = delete;
+  /** Returns the tasks that had two runs at the same time. */
+  std::set<JobTask> Play();
+  /** Returns the number of jobs sent so far. */
+  size_t CountJobs() const;
+  /** Returns the number of jobs that have completed so far. */
+  size_t CountCompletedJobs() const;
+
+ private:
+  void EndPauses();
+  void InjectFaults();
+  void InjectFault(DaemonFault fault, const std::string& daemon);
+  void Kill(const std::string& daemon);
+  void Pause(const std::string& daemon);
+  void Stop(const std::string& daemon);
+  void RepeatJobs();
+  void SendNewJob();
+  JobShape DrawShape();
+  Millis DrawTime(int64_t shortest, int64_t longest);
+
+  const FaultOptions options;
+  ChurnScenario scenario;
+  FleetWorld& world;
+  const Millis start;
+  std::map<std::string, Millis> paused_until;
+  std::map<DaemonId, Millis> cut_from_daemons_until;
+  std::map<DaemonId, Millis> cut_from_store_until;
+  Millis zones_cut_until;
+  std::map<std::string, JobShape> shapes;
+  int job_count = 0;
+};
+
+}  // namespace dogwoodfall
+
+#endif  // DOGWOODFALL_TESTS_SUPPORT_FAULTY_FLEET_H_
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -477,11 +477,18 @@
 }
 
 void FleetWorld::RecordOverlaps() {
-  std::set<JobTask> seen;
+  std::map<JobTask, EndpointId> seen;
   for (const auto& [id, endpoint] : this->endpoints) {
     for (const auto& [key, run] : endpoint.running) {
-      if (!seen.insert(key.first).second)
-        this->overlaps.insert(key.first);
+      const auto [first, is_only_run] = seen.emplace(key.first, id);
+      if (is_only_run || !this->overlaps.insert(key.first).second)
+        continue;
+      if (this->prints_log)
+        std::printf("%ld two runs of %s %s on %s and %s\n",
+                    static_cast<long>(this->now.count),
+                    key.first.job.value.c_str(),
+                    FormatTaskPosition(key.first).c_str(),
+                    first->second.value.c_str(), id.value.c_str());
     }
   }
 }
