--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -311,7 +311,8 @@
           heartbeat.store_cluster_id, heartbeat.can_claim, heartbeat.free_slots,
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
           heartbeat.leaving_endpoints, heartbeat.demands,
-          heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at);
+          heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at,
+          heartbeat.confirmed_jobs, heartbeat.answered_sent_at);
 }
 
 namespace {
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -7,17 +7,13 @@
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
-#include "core/scheduling/endpoint_commands.h"
+#include "core/scheduling/job_lease.h"
 
 namespace dogwoodfall {
 namespace {
 
 /** Number of times a job may be redirected to another scheduler. */
 constexpr uint32_t kMaxRedirects = 3;
-/** Time beyond the lease of runs in which the previous scheduler's progress, or
- * the last lease renewals that it has sent, may still arrive.
- */
-constexpr Millis kPreviousSchedulerMargin{150};
 /** Time for which the jobs listed in a peer's heartbeat count as running there:
  * the heartbeat period (100 ms) and the lease of runs (500 ms).
  */
@@ -25,10 +21,10 @@
 
 /** Computes the maximum wait for the progress of a job from its previous
  * scheduler: the time for which runs that it has started may go on. It is
- * counted from the last message from that scheduler or, if that is later, from
- * the assignment of the job to it, because a partitioned scheduler keeps
- * running while its messages don't arrive. It also applies when this daemon is
- * the previous scheduler, because other daemons may forward the progress.
+ * counted from the last confirmation of the job to any scheduler, and from the
+ * last message of the previous one, which may have the job from another
+ * receiver. It also applies when this daemon is the previous scheduler, because
+ * other daemons may forward the progress.
  */
 Millis ComputeMaxProgressWait(const FleetNode& node,
                               const PendingJob& pending,
@@ -36,9 +32,10 @@
   const DaemonRef& previous = pending.previous_scheduler;
   if (previous == DaemonRef())
     return {};
-  const Millis remaining = std::max(GetLastKnownAlive(node, previous, now),
-                                    pending.previous_assumed_alive_at) +
-                           kRunLease + kPreviousSchedulerMargin - now;
+  const Millis remaining =
+      std::max({GetLastKnownAlive(node, previous, now),
+                pending.previous_assumed_alive_at, pending.confirmed_at}) +
+      kRunsEndedAfter - now;
   return std::max(remaining, Millis());
 }
 
@@ -119,6 +116,7 @@
   submission.previous_scheduler = pending.previous_scheduler;
   submission.max_progress_wait = ComputeMaxProgressWait(node, pending, now);
   pending.assigned_at = now;
+  pending.confirmed_at = now;
   if (to == node.self) {
     pending.scheduler = to;
     ScheduleLocally(node, now, node.self, submission, actions);
--- /dev/null
+++ b/modules/core/fleet/confirmation_flow.cc
@@ -0,0 +1,143 @@
+#include "core/fleet/confirmation_flow.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/fleet/heartbeat_flow.h"
+#include "core/scheduling/job_lease.h"
+
+namespace dogwoodfall {
+namespace {
+
+/** Time without a confirmation after which one is requested. */
+constexpr Millis kRequestAfter{200};
+/** Minimum time between two heartbeats to a receiver that request it. */
+constexpr Millis kRequestPeriod{100};
+/** Time after the end of its lease for which an early job is kept. */
+constexpr Millis kUnconfirmedRetention{500};
+
+/** Returns true when a daemon runs a job of a receiver, as far as the receiver
+ * knows, and no other daemon may start it.
+ */
+bool IsSchedulerOf(const PendingJob& pending, const DaemonRef& daemon) {
+  const bool has_scheduler = pending.scheduler != DaemonRef();
+  return daemon ==
+         (has_scheduler ? pending.scheduler : pending.previous_scheduler);
+}
+
+/** Returns the pending jobs that a daemon runs, and records that their leases
+ * are extended.
+ */
+std::vector<SubmissionId> RecordConfirmations(FleetNode& node,
+                                              const DaemonRef& scheduler,
+                                              Millis now) {
+  std::vector<SubmissionId> confirmed;
+  for (auto& [id, pending] : node.reception.pending) {
+    if (!IsSchedulerOf(pending, scheduler) || pending.caller_deadline <= now)
+      continue;
+    pending.confirmed_at = now;
+    confirmed.push_back(id);
+  }
+  return confirmed;
+}
+
+/** Adds the daemons that wait for a job that is or was scheduled here. */
+void AddReceivers(const FleetNode& node,
+                  const SubmissionId& id,
+                  std::set<DaemonId>& receivers) {
+  const auto job = node.scheduler.jobs.find(id);
+  if (job != node.scheduler.jobs.end()) {
+    receivers.insert(job->second.receiver.id);
+    for (const DaemonRef& receiver : job->second.other_receivers)
+      receivers.insert(receiver.id);
+    return;
+  }
+  const auto forwarded = node.forwarded_jobs.find(id);
+  if (forwarded == node.forwarded_jobs.end())
+    return;
+  for (const DaemonRef& receiver : forwarded->second.receivers)
+    receivers.insert(receiver.id);
+}
+
+}  // namespace
+
+void ConfirmJobs(FleetNode& node,
+                 const Heartbeat& heartbeat,
+                 Millis now,
+                 Actions& actions) {
+  std::vector<SubmissionId> confirmed =
+      RecordConfirmations(node, heartbeat.from, now);
+  if (confirmed.empty())
+    return;
+  Heartbeat confirmation;
+  confirmation.from = node.self;
+  confirmation.zone = node.zone;
+  confirmation.sent_at = now;
+  confirmation.confirmed_jobs = std::move(confirmed);
+  confirmation.answered_sent_at = heartbeat.sent_at;
+  actions.push_back(SendHeartbeat{{heartbeat.from.id}, confirmation});
+}
+
+void ApplyConfirmations(FleetNode& node,
+                        const Heartbeat& confirmation,
+                        Millis now) {
+  const Millis confirmed_at = confirmation.answered_sent_at;
+  if (confirmed_at > now)
+    return;
+  for (const SubmissionId& id : confirmation.confirmed_jobs) {
+    RenewJobLease(node.scheduler, id, confirmed_at);
+    for (EarlyJob& early : node.early_jobs) {
+      if (early.submission.job.id == id)
+        early.submission.sent_at =
+            std::max(early.submission.sent_at, confirmed_at);
+    }
+  }
+}
+
+void ConfirmOwnJobs(FleetNode& node, Millis now) {
+  for (const SubmissionId& id : RecordConfirmations(node, node.self, now))
+    RenewJobLease(node.scheduler, id, now);
+}
+
+void RequestConfirmations(FleetNode& node, Millis now, Actions& actions) {
+  std::set<DaemonId> receivers;
+  for (const auto& [id, lease_end] : node.scheduler.job_lease_ends) {
+    const bool is_due = lease_end - kJobLease + kRequestAfter <= now;
+    const bool has_ended = lease_end + kUnconfirmedRetention <= now;
+    if (is_due && !has_ended)
+      AddReceivers(node, id, receivers);
+  }
+  for (const EarlyJob& early : node.early_jobs) {
+    if (early.submission.sent_at + kRequestAfter <= now)
+      receivers.insert(early.receiver.id);
+  }
+  receivers.erase(node.self.id);
+  for (const DaemonId& id : receivers) {
+    const auto peer_status = node.peers.find(id);
+    if (peer_status == node.peers.end() ||
+        now - peer_status->second.heartbeat_sent_at < kRequestPeriod)
+      continue;
+    SendHeartbeatTo(node, {id}, now, actions);
+  }
+}
+
+void RemoveUnconfirmedEarlyJobs(FleetNode& node, Millis now, Actions& actions) {
+  std::vector<EarlyJob> kept;
+  for (EarlyJob& early : std::exchange(node.early_jobs, {})) {
+    const Millis lease_end = early.submission.sent_at + kJobLease;
+    if (early.receiver == node.self ||
+        now < lease_end + kUnconfirmedRetention) {
+      kept.push_back(std::move(early));
+      continue;
+    }
+    actions.push_back(LogEvent{"early_job_cancelled",
+                               {{"job", early.submission.job.id.value},
+                                {"receiver", early.receiver.id.value},
+                                {"reason", "receiver_gone"}}});
+  }
+  node.early_jobs = std::move(kept);
+}
+
+}  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/confirmation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -149,22 +150,14 @@
   }
 }
 
-/** Cancels the jobs of lost receivers, because their results can't be
- * delivered. After a handover, runs of such jobs may be active here.
+/** Stops the runs here of jobs that were handed over and whose receivers, or
+ * whose next scheduler, are lost.
  */
-void CancelOrphanedJobs(FleetNode& node, Millis now, Actions& actions) {
+void StopOrphanedRuns(FleetNode& node, Millis now, Actions& actions) {
   const auto is_lost = [&node, now](const DaemonRef& receiver) {
     return receiver != node.self && IsReceiverLost(node, receiver, now);
   };
-  std::vector<std::pair<SubmissionId, DaemonRef>> orphaned;
-  for (const auto& [id, job] : node.scheduler.jobs) {
-    if (is_lost(job.receiver))
-      orphaned.emplace_back(id, job.receiver);
-  }
-  for (const EarlyJob& job : node.early_jobs) {
-    if (is_lost(job.receiver))
-      orphaned.emplace_back(job.submission.job.id, job.receiver);
-  }
+  std::vector<SubmissionId> without_receiver;
   std::vector<SubmissionId> without_scheduler;
   for (auto& [id, job] : node.forwarded_jobs) {
     if (!job.is_scheduler_lost && is_lost(job.to)) {
@@ -174,11 +167,11 @@
     if (job.receivers.empty() ||
         !std::all_of(job.receivers.begin(), job.receivers.end(), is_lost))
       continue;
-    orphaned.emplace_back(id, job.receivers.back());
+    without_receiver.push_back(id);
     job.receivers.clear();
   }
-  for (const auto& [id, receiver] : orphaned)
-    CancelReceivedJob(node, id, receiver, "receiver_gone", now, actions);
+  for (const SubmissionId& id : without_receiver)
+    StopLeftRuns(node.scheduler, id, "receiver_gone", now, actions);
   for (const SubmissionId& id : without_scheduler)
     StopLeftRuns(node.scheduler, id, "scheduler_gone", now, actions);
 }
@@ -371,6 +364,12 @@
   if (!HasSession(node.sessions, heartbeat.from))
     return;
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
+  if (!heartbeat.confirmed_jobs.empty()) {
+    ApplyConfirmations(node, heartbeat, now);
+    peer_status.last_received_at = now;
+    peer_status.is_silence_logged = false;
+    return;
+  }
   if (heartbeat.number <= peer_status.last_heartbeat.number)
     return;
   if (peer_status.is_eviction_requested) {
@@ -382,6 +381,7 @@
   RecordDelay(peer_status.delay, heartbeat.sent_at, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
+  ConfirmJobs(node, heartbeat, now, actions);
   SendMissingUpdates(node, peer_status, now, actions);
 }
 
@@ -397,7 +397,10 @@
   RemoveUnreachableUnregisteredDaemons(node, now, actions);
   RemoveExpiredForwardedJobs(node, now);
   LogSilentReceivers(node, now, actions);
-  CancelOrphanedJobs(node, now, actions);
+  ConfirmOwnJobs(node, now);
+  RequestConfirmations(node, now, actions);
+  RemoveUnconfirmedEarlyJobs(node, now, actions);
+  StopOrphanedRuns(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
   AssignJobs(node, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -10,6 +10,7 @@
  * - reception.h: callers' jobs until they are answered
  * - assignment_flow.h: assigns these jobs to schedulers
  * - heartbeat_flow.h: which daemons exchange heartbeats
+ * - confirmation_flow.h: receivers confirm the jobs that they wait for
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_delay.h: detects delayed messages
@@ -46,6 +47,8 @@
    * after the peer's removal from the view.
    */
   Millis heartbeat_period;
+  /** When the last heartbeat was sent to it. */
+  Millis heartbeat_sent_at;
   /** True once the removal of its store item was requested. */
   bool is_eviction_requested = false;
   /** True from the log line about its silence until its next message. */
@@ -111,6 +114,8 @@
    */
   std::unordered_map<SubmissionId, ForwardedJob> forwarded_jobs;
   uint64_t heartbeat_number = 0;
+  /** Number of heartbeat periods so far. */
+  uint64_t heartbeat_round = 0;
   /** When the latest event was handled; zero before the first one. */
   Millis last_event_at;
   Millis next_heartbeat_at;
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -73,8 +73,8 @@
   if (now < node.next_heartbeat_at)
     return;
   node.next_heartbeat_at = now + kHeartbeatPeriod;
-  ++node.heartbeat_number;
-  SendHeartbeat sent;
+  ++node.heartbeat_round;
+  std::vector<DaemonId> to;
   for (const auto* members : {&node.view.members, &node.unregistered_daemons}) {
     for (const auto& [id, member] : *members) {
       const Millis period = GetOwnPeriod(node, member);
@@ -82,14 +82,25 @@
         continue;
       const auto periods_per_beat =
           static_cast<uint64_t>(period.count / kHeartbeatPeriod.count);
-      if (node.heartbeat_number % periods_per_beat == 0)
-        sent.to.push_back(id);
+      if (node.heartbeat_round % periods_per_beat == 0)
+        to.push_back(id);
     }
   }
-  if (sent.to.empty())
-    return;
-  sent.heartbeat = MakeHeartbeat(node, now);
-  actions.push_back(std::move(sent));
+  if (!to.empty())
+    SendHeartbeatTo(node, to, now, actions);
+}
+
+void SendHeartbeatTo(FleetNode& node,
+                     const std::vector<DaemonId>& to,
+                     Millis now,
+                     Actions& actions) {
+  ++node.heartbeat_number;
+  for (const DaemonId& id : to) {
+    const auto peer_status = node.peers.find(id);
+    if (peer_status != node.peers.end())
+      peer_status->second.heartbeat_sent_at = now;
+  }
+  actions.push_back(SendHeartbeat{to, MakeHeartbeat(node, now)});
 }
 
 void UpdateExpectedHeartbeats(FleetNode& node, Millis now) {
--- a/modules/core/fleet/heartbeat_flow.h
+++ b/modules/core/fleet/heartbeat_flow.h
@@ -1,6 +1,8 @@
 #ifndef DOGWOODFALL_MODULES_CORE_FLEET_HEARTBEAT_FLOW_H_
 #define DOGWOODFALL_MODULES_CORE_FLEET_HEARTBEAT_FLOW_H_
 
+#include <vector>
+
 #include "base/millis.h"
 #include "core/fleet/fleet_node.h"
 #include "ports/action.h"
@@ -37,6 +39,12 @@
 /** Sends the heartbeats that are due. */
 void SendHeartbeats(FleetNode& node, Millis now, Actions& actions);
 
+/** Sends a heartbeat to the given daemons at once. */
+void SendHeartbeatTo(FleetNode& node,
+                     const std::vector<DaemonId>& to,
+                     Millis now,
+                     Actions& actions);
+
 /** Updates from which peers heartbeats are expected. A peer from which they
  * were not expected before counts as heard now.
  */
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -34,6 +34,8 @@
   uint32_t redirects = 0;
   /** When it was last sent to a scheduler. */
   Millis assigned_at;
+  /** When it was last confirmed to a scheduler. */
+  Millis confirmed_at;
   /** The previous scheduler, which was requested to hand it over. */
   DaemonRef previous_scheduler;
   /** Time at which that daemon counts as last seen running if its last message
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -8,6 +8,7 @@
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/spillover_flow.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/job_lease.h"
 
 namespace dogwoodfall {
 namespace {
@@ -178,10 +179,14 @@
                          const DaemonRef& from,
                          const JobSubmission& submission,
                          Actions& actions) {
-  const Millis delay =
-      RecordDelay(node.peers[from.id].delay, submission.sent_at, now);
+  PeerDelay& peer_delay = node.peers[from.id].delay;
+  const bool is_latency_known = peer_delay.is_known;
+  const Millis delay = RecordDelay(peer_delay, submission.sent_at, now);
   if (delay < kMaxSubmissionDelay) {
-    ScheduleLocally(node, now, from, submission, actions);
+    JobSubmission received = submission;
+    // Without a known latency the job waits for a confirmation by its receiver.
+    received.sent_at = is_latency_known ? now - delay : now - kJobLease;
+    ScheduleLocally(node, now, from, received, actions);
     return;
   }
   actions.push_back(LogEvent{"job_came_late",
--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/job_lease.h"
 
 namespace dogwoodfall {
 namespace {
@@ -57,9 +58,9 @@
   renewal.wait = wait;
   // Runs of a previous owner must not be kept alive by reconciliation, and runs
   // on an unresponsive endpoint must end before they can be started elsewhere.
-  if (endpoint.clock_offset && HasClaimedRun(endpoint) &&
-      !IsOutOfContact(endpoint)) {
-    const Millis lease_until = now + kRunLease;
+  const Millis lease_until = ComputeRunLeaseEnd(scheduler, endpoint, now);
+  if (endpoint.clock_offset && !endpoint.runs.empty() &&
+      !IsOutOfContact(endpoint) && lease_until > now) {
     renewal.lease_until = lease_until + *endpoint.clock_offset;
     endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
   }
@@ -121,7 +122,9 @@
   run.confirmed_at = kUnconfirmed;
   run.expected_run_time = expected_run_time;
   endpoint.used = endpoint.used + run.resources;
-  const Millis lease_until = now + kRunLease;
+  const Millis lease_until =
+      std::min(ComputeRunLeaseEnd(scheduler, endpoint, now),
+               GetJobLeaseEnd(scheduler, task.job) + kRunEndMargin);
   endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
   ++scheduler.counters.starts;
   PendingCommand pending;
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -6,6 +6,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/job_lease.h"
 #include "core/scheduling/run_relocation.h"
 #include "core/scheduling/run_review.h"
 #include "core/scheduling/speed_learning.h"
@@ -84,6 +85,7 @@
   }
   ManagedEndpoint& endpoint = scheduler.endpoints[entry.id];
   endpoint.is_held_for_reported_runs = false;
+  endpoint.has_foreign_runs = false;
   endpoint.entry = entry;
   endpoint.group = group;
   endpoint.is_registered = true;
@@ -187,6 +189,7 @@
 }
 
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
+  ReviewJobLeases(scheduler, now, actions);
   UpdateSpeeds(scheduler, now);
   RelocateRuns(scheduler, now, actions);
   EndInfeasibleJobs(scheduler, now, actions);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -131,6 +131,7 @@
   }
   for (const RunKey& key : unconfirmed)
     SendStop(scheduler, endpoint, key, now, actions);
+  endpoint.has_foreign_runs = false;
   for (const auto& [key, percent] : listed) {
     const auto known = endpoint.runs.find(key);
     if (known != endpoint.runs.end()) {
@@ -144,8 +145,10 @@
     }
     const bool is_of_owner = endpoint.is_held_for_reported_runs &&
                              FindTask(scheduler, key.first) == nullptr;
-    if (is_of_owner)
+    if (is_of_owner) {
+      endpoint.has_foreign_runs = true;
       continue;
+    }
     Run unclaimed;
     unclaimed.state = RunState::kUnclaimed;
     unclaimed.endpoint_started_at_ms = endpoint.started_at_ms;
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -50,11 +50,6 @@
       [](const auto& entry) { return !entry.second.is_claimed; });
 }
 
-bool HasClaimedRun(const ManagedEndpoint& endpoint) {
-  return std::any_of(endpoint.runs.begin(), endpoint.runs.end(),
-                     [](const auto& entry) { return entry.second.is_claimed; });
-}
-
 void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key) {
   const auto run = endpoint.runs.find(key);
   if (run == endpoint.runs.end())
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -35,9 +35,6 @@
  */
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint);
 
-/** Returns true while a run is active that belongs to a job of this daemon. */
-bool HasClaimedRun(const ManagedEndpoint& endpoint);
-
 /** Removes a run that has ended and frees its resources. */
 void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -9,6 +9,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
 #include "core/scheduling/speed_learning.h"
@@ -320,6 +321,7 @@
   const TransientJob& job = submission.job;
   const auto known = scheduler.jobs.find(job.id);
   if (known != scheduler.jobs.end()) {
+    GrantJobLease(scheduler, job.id, submission.sent_at);
     known->second.may_have_started |= submission.may_have_started;
     known->second.has_changed_group |=
         !(known->second.group == submission.group);
@@ -361,6 +363,7 @@
   ScheduledJob& accepted =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
+  GrantJobLease(scheduler, job.id, submission.sent_at);
   accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
@@ -602,7 +605,8 @@
                         });
   for (const SubmissionId& id : queued_jobs) {
     ScheduledJob& job = scheduler.jobs.at(id);
-    if (MayHaveUnknownRuns(scheduler, job, now))
+    if (!MayStartTasks(scheduler, id, now) ||
+        MayHaveUnknownRuns(scheduler, job, now))
       continue;
     RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
     if (scheduler.jobs.count(id) == 0)
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -11,7 +11,9 @@
 /** Accepts a job, or rejects it as decided by DecideAdmission(). For a job that
  * is already known the receiver is added, and the result goes to all of its
  * receivers. A job that ended shortly before is not run again; its result is
- * sent to the receiver. A job with a task that was given up fails.
+ * sent to the receiver. A job with a task that was given up fails. Its lease
+ * runs from the time at which the submission was sent, which is expected on
+ * this daemon's clock.
  */
 void AcceptJob(Scheduler& scheduler,
                const DaemonRef& receiver,
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -89,6 +89,8 @@
    * until the runs on it end that were reported for a job of this daemon.
    */
   bool is_held_for_reported_runs = false;
+  /** True while the latest list showed runs that are left to its owner. */
+  bool has_foreign_runs = false;
   /** False once the endpoint's entry has been removed from the store. */
   bool is_registered = true;
   uint64_t fencing_token = 0;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -6,6 +6,7 @@
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/speed_learning.h"
 
@@ -246,6 +247,7 @@
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
+        !HasLeaseForStart(scheduler, endpoint, now) ||
         now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
       continue;
     const double risk =
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -8,6 +8,7 @@
  * Jobs:
  * - job_flow.h accepts, starts and ends jobs
  * - admission.h rejects jobs that cannot be completed
+ * - job_lease.h runs a job only as long as its receivers confirm it
  * - job_order.h orders the queue
  * - placement.h chooses the endpoint of a task
  * - spillover.h chooses another group for a job
@@ -124,6 +125,10 @@
    */
   bool are_endpoints_known = false;
   std::unordered_map<SubmissionId, ScheduledJob> jobs;
+  /** When the lease of each job ends; also of jobs that have ended or were
+   * handed over, whose runs may still be managed here.
+   */
+  std::unordered_map<SubmissionId, Millis> job_lease_ends;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -56,6 +56,15 @@
   std::vector<JobInProgress> jobs_in_progress;
   /** Load of the groups of endpoints that the sender owns. */
   std::vector<GroupLoad> group_loads;
+
+  /** Jobs that the receiver of this heartbeat schedules, and whose results the
+   * sender waits for. Such a heartbeat answers one of the receiver's and says
+   * nothing else.
+   */
+  std::vector<SubmissionId> confirmed_jobs;
+  /** Time of sending of the heartbeat that it answers, on that sender's clock.
+   */
+  Millis answered_sent_at;
 };
 
 }  // namespace dogwoodfall
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -130,7 +130,9 @@
   TransientJob job;
   /** Endpoints that are to run it. */
   EndpointGroup group;
-  /** Time of sending, on the sender's clock. */
+  /** Time of sending, on the sender's clock; after its reception, on that of
+   * the receiver.
+   */
   Millis sent_at;
   /** True when the receiver may forward it to a group with more free capacity.
    */
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -305,8 +305,9 @@
   SchedulerWorld world;
   world.AddEndpoint("e1", 16, 1);
   world.Run({20});
-  const JobSubmission submission =
+  JobSubmission submission =
       SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
+  submission.sent_at = world.now;
   Actions actions;
   AcceptJob(world.scheduler, kReceiver, kNorth, submission, world.now, actions);
   const CommandId earlier_start = FindStart(actions);
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -91,8 +91,10 @@
   this->task_resources[submission.job.id] =
       submission.job.steps.front().resources;
   this->submitted_at.emplace(submission.job.id, this->now);
+  JobSubmission received = submission;
+  received.sent_at = this->now;
   Actions actions;
-  AcceptJob(this->scheduler, kReceiver, kGroup, submission, this->now, actions);
+  AcceptJob(this->scheduler, kReceiver, kGroup, received, this->now, actions);
   this->Deliver(actions);
   this->CollectResults();
 }
@@ -145,6 +147,9 @@
   }
   this->due_replies.insert(this->due_replies.end(), later.begin(), later.end());
   if (this->now.count % kReviewPeriod.count == 0) {
+    // The receivers wait for all jobs.
+    for (const auto& [id, job] : this->scheduler.jobs)
+      RenewJobLease(this->scheduler, id, this->now);
     Actions actions;
     ReviewQueue(this->scheduler, this->now, actions);
     ReviewEndpoints(this->scheduler, this->now, actions);
--- a/tests/support/scheduler_world.h
+++ b/tests/support/scheduler_world.h
@@ -10,6 +10,7 @@
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/job_lease.h"
 #include "core/scheduling/scheduler.h"
 #include "fake_endpoint.h"
 
