--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -77,6 +77,9 @@
              {{"", counters.relocated_runs}});
   AddCounter(families, "runs_lost_total", "Runs lost with their endpoints", "",
              {{"", counters.lost_runs}});
+  AddCounter(families, "job_leases_ended_total",
+             "Jobs whose runs were stopped because no receiver confirmed them",
+             "", {{"", counters.ended_job_leases}});
   AddCounter(families, "tasks_given_up_total",
              "Tasks given up because they crash their endpoints", "",
              {{"", counters.given_up_tasks}});
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -27,6 +27,8 @@
 void StopRunsWithoutLease(Scheduler& scheduler, Millis now, Actions& actions) {
   std::map<SubmissionId, size_t> stopped;
   for (auto& [id, endpoint] : scheduler.endpoints) {
+    if (endpoint.status == EndpointStatus::kFenced)
+      continue;
     for (auto& [key, run] : endpoint.runs) {
       const SubmissionId& job = key.first.job;
       if (!run.is_claimed || run.state == RunState::kStopping ||
@@ -36,6 +38,7 @@
       ++stopped[job];
     }
   }
+  scheduler.counters.ended_job_leases += stopped.size();
   for (const auto& [job, runs] : stopped) {
     const Millis ended_for = now - GetJobLeaseEnd(scheduler, job);
     actions.push_back(
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -25,6 +25,8 @@
   uint64_t relocated_runs = 0;
   /** Runs that were lost with their endpoints. */
   uint64_t lost_runs = 0;
+  /** Jobs whose runs were stopped because no receiver confirmed them. */
+  uint64_t ended_job_leases = 0;
   /** Tasks that were given up because they crash their endpoints. */
   uint64_t given_up_tasks = 0;
   /** Ejections of endpoints whose runs kept failing. */
