--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -32,6 +32,24 @@
 /** Period of renewals for an unresponsive endpoint without runs. */
 constexpr Millis kUnresponsivePollPeriod{300};
 
+/** Time after which a clock that was read has to be read again, so that leases
+ * last long enough for the next renewal.
+ */
+constexpr Millis kMaxClockAge{1'000};
+
+/** Converts a time to the clock of an endpoint. The clock may have run 2 % slow
+ * since it was read, and a lease must not last longer for it.
+ */
+Millis ToEndpointClock(const ManagedEndpoint& endpoint,
+                       Millis time,
+                       Millis now) {
+  constexpr int64_t kMaxClockDriftPercent = 2;
+  constexpr int64_t kPercent = 100;
+  const Millis age = now - endpoint.clock_read_at;
+  const Millis max_drift{age.count * kMaxClockDriftPercent / kPercent};
+  return time + endpoint.clock_offset.value_or(Millis()) - max_drift;
+}
+
 CommandId SendCommand(Scheduler& scheduler,
                       const ManagedEndpoint& endpoint,
                       PendingCommand pending,
@@ -61,7 +79,7 @@
   const Millis lease_until = ComputeRunLeaseEnd(scheduler, endpoint, now);
   if (endpoint.clock_offset && !endpoint.runs.empty() &&
       !IsOutOfContact(endpoint) && lease_until > now) {
-    renewal.lease_until = lease_until + *endpoint.clock_offset;
+    renewal.lease_until = ToEndpointClock(endpoint, lease_until, now);
     endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
   }
   ++scheduler.counters.renewals;
@@ -121,6 +139,7 @@
   run.start_sent_at = now;
   run.confirmed_at = kUnconfirmed;
   run.expected_run_time = expected_run_time;
+  run.has_short_lease = now - endpoint.clock_read_at > kMaxClockAge;
   endpoint.used = endpoint.used + run.resources;
   const Millis lease_until =
       std::min(ComputeRunLeaseEnd(scheduler, endpoint, now),
@@ -131,11 +150,11 @@
   pending.sent_at = now;
   pending.kind = PendingCommand::Kind::kStart;
   pending.run = key;
-  run.start_command = SendCommand(
-      scheduler, endpoint, pending,
-      StartRun{task, Attempt(attempt), job.job.payload,
-               lease_until + endpoint.clock_offset.value_or(Millis())},
-      kCommandTimeout, actions);
+  run.start_command =
+      SendCommand(scheduler, endpoint, pending,
+                  StartRun{task, Attempt(attempt), job.job.payload,
+                           ToEndpointClock(endpoint, lease_until, now)},
+                  kCommandTimeout, actions);
   endpoint.runs.emplace(key, run);
   EnsureRenewal(scheduler, endpoint, now, actions);
 }
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -25,8 +25,10 @@
                            const EndpointReply& reply,
                            Millis now) {
   endpoint.unanswered = 0;
-  if (reply.clock)
-    endpoint.clock_offset = *reply.clock - now;
+  if (!reply.clock)
+    return;
+  endpoint.clock_offset = *reply.clock - now;
+  endpoint.clock_read_at = now;
 }
 
 void RecordUnansweredCommand(ManagedEndpoint& endpoint,
@@ -211,6 +213,8 @@
     if (run.state == RunState::kStarting)
       run.state = RunState::kRunning;
     endpoint.unhealthy_backoff = Millis();
+    if (run.has_short_lease)
+      PollEndpoint(scheduler, endpoint, now, actions);
     return;
   }
   actions.push_back(
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -43,6 +43,10 @@
   int64_t endpoint_started_at_ms = 0;
   /** When the start was sent, or when the run was found on the endpoint. */
   Millis start_sent_at;
+  /** True when its lease may be short because the endpoint's clock was read
+   * long before the start.
+   */
+  bool has_short_lease = false;
   /** When its start was found to be unanswered; zero if it was not. */
   Millis start_unanswered_at;
   /** When the endpoint confirmed the start or stop. Only a list that was
@@ -102,6 +106,8 @@
   TaskResources used;
   /** Steady clock of the endpoint minus that of this daemon. */
   std::optional<Millis> clock_offset;
+  /** When clock_offset was determined. */
+  Millis clock_read_at;
   /** Time on this daemon's clock by which all runs end unless their lease is
    * renewed.
    */
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -52,7 +52,7 @@
   const auto closed = endpoint.closed_attempts.find(start.task);
   if (closed != endpoint.closed_attempts.end() && closed->second >= key.second)
     return CommandOutcome::kStaleAttempt;
-  if (start.lease_until <= now)
+  if (start.lease_until <= ReadClock(endpoint, now))
     return CommandOutcome::kLeaseExpired;
   if (endpoint.checks_admission &&
       !Fits(resources, endpoint.entry.capacity - UsedBy(endpoint)))
@@ -124,8 +124,15 @@
   endpoint.entry.capacity = capacity;
 }
 
+Millis ReadClock(const FakeEndpoint& endpoint, Millis now) {
+  const auto elapsed = static_cast<double>((now - endpoint.clock_set_at).count);
+  return endpoint.clock_set_at +
+         Millis{std::llround(endpoint.clock_rate * elapsed)};
+}
+
 void AdvanceFakeEndpoint(FakeEndpoint& endpoint, Millis now) {
-  const bool is_lease_expired = endpoint.lease_until <= now;
+  const bool is_lease_expired =
+      endpoint.lease_until <= ReadClock(endpoint, now);
   std::vector<std::pair<RunKey, RunResult>> finished;
   for (const auto& [key, run] : endpoint.running) {
     if (run.crashes && run.started_at + run.run_time <= now) {
@@ -162,7 +169,7 @@
   AdvanceFakeEndpoint(endpoint, now);
   EndpointReply reply;
   reply.id = command.id;
-  reply.clock = now;
+  reply.clock = ReadClock(endpoint, now);
   reply.started_at_ms = endpoint.started_at_ms;
   reply.outcome = CommandOutcome::kDone;
   if (command.fencing_token < endpoint.max_fencing_token) {
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -54,7 +54,11 @@
   int64_t started_at_ms = 1;
   uint64_t max_fencing_token = 0;
   uint64_t last_end_number = 0;
+  /** End of the lease, on the endpoint's clock. */
   Millis lease_until;
+  /** Speed of the endpoint's clock since clock_set_at, when it was right. */
+  double clock_rate = 1;
+  Millis clock_set_at;
   std::map<RunKey, FakeRun> running;
   /** For each task, the highest attempt that has ended or been stopped. A start
    * of this or an earlier attempt is refused as stale.
@@ -82,6 +86,9 @@
                     const TaskResources& capacity,
                     Millis now);
 
+/** Returns the time on an endpoint's clock. */
+Millis ReadClock(const FakeEndpoint& endpoint, Millis now);
+
 /** Ends the runs that are finished at the given time or whose lease has
  * expired, and crashes the endpoint when one of them does so.
  */
