--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -118,6 +118,9 @@
   uint64_t heartbeat_round = 0;
   /** When the latest event was handled; zero before the first one. */
   Millis last_event_at;
+  /** Length of the latest pause of this process, and when it ended. */
+  Millis last_pause;
+  Millis last_pause_ended_at;
   Millis next_heartbeat_at;
   Millis next_review_at;
   /** True once a graceful shutdown has begun. */
--- a/modules/core/fleet/pause_flow.cc
+++ b/modules/core/fleet/pause_flow.cc
@@ -16,6 +16,9 @@
  */
 constexpr Millis kMinPause{300};
 
+/** Time after a pause in which the requests are read that arrived during it. */
+constexpr Millis kBacklogTime{100};
+
 }  // namespace
 
 void HandlePause(FleetNode& node, Millis now, Actions& actions) {
@@ -26,6 +29,8 @@
     return;
   actions.push_back(
       LogEvent{"process_paused", {{"ms", std::to_string(pause.count)}}});
+  node.last_pause = pause;
+  node.last_pause_ended_at = now;
   for (auto& [id, peer_status] : node.peers)
     peer_status.last_received_at = peer_status.last_received_at + pause;
   // When the store can't confirm the membership, peers that have taken over
@@ -34,6 +39,13 @@
   ConfirmMembership(node.store, actions);
 }
 
+Millis GetMaxRequestAge(const FleetNode& node, Millis now) {
+  const bool may_be_backlog = node.last_pause > Millis() &&
+                              now - node.last_pause_ended_at < kBacklogTime;
+  return may_be_backlog ? now - node.last_pause_ended_at + node.last_pause
+                        : Millis();
+}
+
 void HandleMembershipConfirmation(FleetNode& node,
                                   Millis now,
                                   Actions& actions) {
--- a/modules/core/fleet/pause_flow.h
+++ b/modules/core/fleet/pause_flow.h
@@ -16,6 +16,11 @@
  */
 void HandlePause(FleetNode& node, Millis now, Actions& actions);
 
+/** Returns how long a request that is read now may have waited while this
+ * process was paused. Its caller may send it again 1,300 ms after it was sent.
+ */
+Millis GetMaxRequestAge(const FleetNode& node, Millis now);
+
 /** Allows starts again after the store has confirmed the membership. */
 void HandleMembershipConfirmation(FleetNode& node,
                                   Millis now,
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -18,6 +18,7 @@
 struct PendingJob {
   TransientJob job;
   std::vector<CallerToken> callers;
+  /** When it was received at the earliest. */
   Millis received_at;
   /** When the last of its callers stops waiting. */
   Millis caller_deadline;
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -6,6 +6,7 @@
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/ownership_flow.h"
+#include "core/fleet/pause_flow.h"
 #include "core/fleet/spillover_flow.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
@@ -71,7 +72,7 @@
   PendingJob pending;
   pending.job = job;
   pending.callers = {caller};
-  pending.received_at = now;
+  pending.received_at = now - GetMaxRequestAge(node, now);
   pending.caller_deadline = now + job.time_left;
   node.reception.pending.emplace(job.id, std::move(pending));
   PendingJob& added = node.reception.pending.at(job.id);
--- a/tests/core/lost_receiver_test.cc
+++ b/tests/core/lost_receiver_test.cc
@@ -136,5 +136,23 @@
   EXPECT_EQ(fixture.CountStartsInSouth(), 0U);
 }
 
+// The request has waited while its receiver was paused.
+TEST(LostReceiverTest, RequestOfAPausedReceiverRunsBesideNoRepeat) {
+  for (const int64_t pause_ms : {700, 850, 1'000, 1'150}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    world.paused_daemons.insert("north0");
+    world.RunFor({10});
+    world.Submit("north0", "job", 1, {800});
+    world.RunFor({pause_ms});
+    world.paused_daemons.clear();
+    world.RunFor(kRetransmitAfter - Millis{pause_ms});
+    world.Submit("south0", "job", 1, {800});
+    world.RunFor({1'200});
+    EXPECT_TRUE(world.overlaps.empty()) << pause_ms;
+    EXPECT_EQ(world.results.at("job"), JobResult::kCompleted) << pause_ms;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
