--- a/modules/core/fleet/confirmation_flow.cc
+++ b/modules/core/fleet/confirmation_flow.cc
@@ -15,13 +15,11 @@
 constexpr Millis kRequestAfter{200};
 /** Minimum time between two heartbeats to a receiver that request it. */
 constexpr Millis kRequestPeriod{100};
-/** Time after the end of its lease for which an early job is kept. */
-constexpr Millis kUnconfirmedRetention{500};
 
-/** Returns true when a daemon runs a job of a receiver, as far as the receiver
- * knows, and no other daemon may start it.
+/** Returns true when a daemon may run a job of a receiver: it is the scheduler,
+ * or was the last one and has no successor yet.
  */
-bool IsSchedulerOf(const PendingJob& pending, const DaemonRef& daemon) {
+bool IsConfirmedTo(const PendingJob& pending, const DaemonRef& daemon) {
   const bool has_scheduler = pending.scheduler != DaemonRef();
   return daemon ==
          (has_scheduler ? pending.scheduler : pending.previous_scheduler);
@@ -35,7 +33,7 @@
                                               Millis now) {
   std::vector<SubmissionId> confirmed;
   for (auto& [id, pending] : node.reception.pending) {
-    if (!IsSchedulerOf(pending, scheduler) || pending.caller_deadline <= now)
+    if (!IsConfirmedTo(pending, scheduler) || pending.caller_deadline <= now)
       continue;
     pending.confirmed_at = now;
     confirmed.push_back(id);
@@ -80,20 +78,25 @@
   actions.push_back(SendHeartbeat{{heartbeat.from.id}, confirmation});
 }
 
-void ApplyConfirmations(FleetNode& node,
+bool ApplyConfirmations(FleetNode& node,
                         const Heartbeat& confirmation,
                         Millis now) {
   const Millis confirmed_at = confirmation.answered_sent_at;
   if (confirmed_at > now)
-    return;
+    return false;
+  Scheduler& scheduler = node.scheduler;
+  bool has_resumed_job = false;
   for (const SubmissionId& id : confirmation.confirmed_jobs) {
-    RenewJobLease(node.scheduler, id, confirmed_at);
+    const bool had_to_wait = !MayStartTasks(scheduler, id, now);
+    RenewJobLease(scheduler, id, confirmed_at);
+    has_resumed_job |= had_to_wait && MayStartTasks(scheduler, id, now);
     for (EarlyJob& early : node.early_jobs) {
       if (early.submission.job.id == id)
         early.submission.sent_at =
             std::max(early.submission.sent_at, confirmed_at);
     }
   }
+  return has_resumed_job;
 }
 
 void ConfirmOwnJobs(FleetNode& node, Millis now) {
@@ -105,8 +108,7 @@
   std::set<DaemonId> receivers;
   for (const auto& [id, lease_end] : node.scheduler.job_lease_ends) {
     const bool is_due = lease_end - kJobLease + kRequestAfter <= now;
-    const bool has_ended = lease_end + kUnconfirmedRetention <= now;
-    if (is_due && !has_ended)
+    if (is_due && !IsOrphaned(node.scheduler, lease_end, now))
       AddReceivers(node, id, receivers);
   }
   for (const EarlyJob& early : node.early_jobs) {
@@ -128,7 +130,7 @@
   for (EarlyJob& early : std::exchange(node.early_jobs, {})) {
     const Millis lease_end = early.submission.sent_at + kJobLease;
     if (early.receiver == node.self ||
-        now < lease_end + kUnconfirmedRetention) {
+        !IsOrphaned(node.scheduler, lease_end, now)) {
       kept.push_back(std::move(early));
       continue;
     }
@@ -136,6 +138,9 @@
                                {{"job", early.submission.job.id.value},
                                 {"receiver", early.receiver.id.value},
                                 {"reason", "receiver_gone"}}});
+    node.scheduler.finished.push_back(
+        FinishedJob::Ended(early.receiver, early.submission.job.id,
+                           {JobResult::kAbandoned, {}, "receiver_gone"}));
   }
   node.early_jobs = std::move(kept);
 }
--- a/modules/core/fleet/confirmation_flow.h
+++ b/modules/core/fleet/confirmation_flow.h
@@ -24,8 +24,10 @@
                  Millis now,
                  Actions& actions);
 
-/** Extends the leases of the jobs that a receiver has confirmed. */
-void ApplyConfirmations(FleetNode& node,
+/** Extends the leases of the jobs that a receiver has confirmed.
+ * @return true when tasks may be started that had to wait for it
+ */
+bool ApplyConfirmations(FleetNode& node,
                         const Heartbeat& confirmation,
                         Millis now);
 
--- a/modules/core/fleet/pause_flow.cc
+++ b/modules/core/fleet/pause_flow.cc
@@ -31,6 +31,7 @@
       LogEvent{"process_paused", {{"ms", std::to_string(pause.count)}}});
   node.last_pause = pause;
   node.last_pause_ended_at = now;
+  node.scheduler.resumed_at = now;
   for (auto& [id, peer_status] : node.peers)
     peer_status.last_received_at = peer_status.last_received_at + pause;
   // When the store can't confirm the membership, peers that have taken over
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -15,6 +15,7 @@
  * when the next confirmation is late.
  */
 constexpr Millis kMinLeaseForStart{150};
+static_assert(kUnconfirmedJobLease < kMinLeaseForStart);
 /** Time after the end of its lease for which a job waits for a confirmation.
  * Its receiver may only have been paused.
  */
@@ -52,7 +53,7 @@
 void EndOrphanedJobs(Scheduler& scheduler, Millis now, Actions& actions) {
   std::vector<SubmissionId> orphaned;
   for (const auto& [id, job] : scheduler.jobs) {
-    if (GetJobLeaseEnd(scheduler, id) + kOrphanedJobRetention <= now)
+    if (IsOrphaned(scheduler, GetJobLeaseEnd(scheduler, id), now))
       orphaned.push_back(id);
   }
   for (const SubmissionId& id : orphaned)
@@ -109,6 +110,11 @@
          ComputeRunLeaseEnd(scheduler, endpoint, now);
 }
 
+bool IsOrphaned(const Scheduler& scheduler, Millis lease_end, Millis now) {
+  return std::max(lease_end, scheduler.resumed_at) + kOrphanedJobRetention <=
+         now;
+}
+
 void ReviewJobLeases(Scheduler& scheduler, Millis now, Actions& actions) {
   StopRunsWithoutLease(scheduler, now, actions);
   EndOrphanedJobs(scheduler, now, actions);
--- a/modules/core/scheduling/job_lease.h
+++ b/modules/core/scheduling/job_lease.h
@@ -21,6 +21,11 @@
  */
 inline constexpr Millis kJobLease{420};
 
+/** Lease of a job whose submission may be late. Its runs are kept, but it is
+ * too short for a start, so that a confirmation has to arrive first.
+ */
+inline constexpr Millis kUnconfirmedJobLease{140};
+
 /** Time after the end of its lease in which the runs of a job are stopped. The
  * leases of its endpoints are not extended beyond it.
  */
@@ -68,6 +73,13 @@
                       const ManagedEndpoint& endpoint,
                       Millis now);
 
+/** Returns true when no receiver has confirmed a job for so long that it is
+ * given up. Time in which this process was paused does not count.
+ *
+ * @param lease_end when its lease has ended
+ */
+bool IsOrphaned(const Scheduler& scheduler, Millis lease_end, Millis now);
+
 /** Stops the runs of jobs whose leases have ended. Their tasks go back to the
  * queue, and are started again if a receiver confirms the job later. Ends jobs
  * that no receiver has confirmed for much longer.
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -162,6 +162,8 @@
    * again, and that the other daemons have not been told about yet.
    */
   std::vector<EndpointIncarnation> unannounced_retractions;
+  /** When this process went on after its latest pause. */
+  Millis resumed_at;
   /** No run is started before this time. */
   Millis starts_blocked_until;
   /** Results and forwards that have not been sent to the receivers yet. */
--- a/tests/core/lost_receiver_test.cc
+++ b/tests/core/lost_receiver_test.cc
@@ -31,9 +31,6 @@
     }
     this->world.RunFor({3'000});
     const FleetView& view = this->world.Node("north0").view;
-    const EndpointGroup home =
-        GroupOfJob(view, ZoneId("north"), SubmissionId("job"));
-    this->first_scheduler = OwnerOfGroup(view, home)->address.id.value;
     this->scheduler = OwnerOfGroup(view, this->group)->address.id.value;
     for (int i = 0; i < 7; ++i) {
       const std::string id = "north" + std::to_string(i);
@@ -42,16 +39,20 @@
     }
   }
 
-  /** Sends the job to its receiver, which is told to forward it. */
-  void ForwardJob() {
+  /** Sends a job to its receiver, which is told to forward it. */
+  void ForwardJob(const std::string& job = "job", Millis run_time = kRunTime) {
+    const FleetView& view = this->world.Node("north0").view;
+    const EndpointGroup home =
+        GroupOfJob(view, ZoneId("north"), SubmissionId(job));
+    this->first_scheduler = OwnerOfGroup(view, home)->address.id.value;
     this->BlockStarts(this->first_scheduler, {5'000});
-    this->caller = this->world.Submit(this->receiver, "job", 1, kRunTime);
+    this->caller = this->world.Submit(this->receiver, job, 1, run_time);
     this->world.RunFor({10});
     FleetNode& node = this->world.Node(this->first_scheduler);
-    ASSERT_TRUE(RemoveJob(node.scheduler, SubmissionId("job")));
+    ASSERT_TRUE(RemoveJob(node.scheduler, SubmissionId(job)));
     this->BlockStarts(this->first_scheduler, {});
     JobRedirect redirect;
-    redirect.job = SubmissionId("job");
+    redirect.job = SubmissionId(job);
     redirect.to = DaemonId(this->scheduler);
     redirect.group = this->group;
     redirect.view_revision = node.view.revision;
@@ -136,6 +137,26 @@
   EXPECT_EQ(fixture.CountStartsInSouth(), 0U);
 }
 
+// The store can't evict the scheduler, so that nobody takes its jobs over.
+TEST(LostReceiverTest, PausedSchedulerGivesNoJobUpWhoseReceiverWaits) {
+  for (const int64_t pause_ms : {600, 800, 1'000, 1'200}) {
+    for (int64_t phase = 0; phase < 20; ++phase) {
+      FleetWorld world;
+      SetUpTwoZones(world);
+      const std::string owner = world.OwnerOf("north");
+      world.RunFor({phase});
+      world.is_store_unreachable = [](const DaemonId&) { return true; };
+      world.Submit(OtherDaemonInZone(owner), "job", 1, {300});
+      world.RunFor({50});
+      world.paused_daemons.insert(owner);
+      world.RunFor({pause_ms});
+      world.paused_daemons.clear();
+      world.RunFor({1'600 - pause_ms});
+      EXPECT_EQ(world.results["job"], JobResult::kCompleted) << pause_ms;
+    }
+  }
+}
+
 // The request has waited while its receiver was paused.
 TEST(LostReceiverTest, RequestOfAPausedReceiverRunsBesideNoRepeat) {
   for (const int64_t pause_ms : {700, 850, 1'000, 1'150}) {
