--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -365,9 +365,13 @@
     return;
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
   if (!heartbeat.confirmed_jobs.empty()) {
-    ApplyConfirmations(node, heartbeat, now);
     peer_status.last_received_at = now;
+    peer_status.confirmed_at = now;
     peer_status.is_silence_logged = false;
+    if (ApplyConfirmations(node, heartbeat, now)) {
+      PlaceTasks(node.scheduler, now, actions);
+      ReportFinishedJobs(node, now, actions);
+    }
     return;
   }
   if (heartbeat.number <= peer_status.last_heartbeat.number)
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -47,6 +47,8 @@
    * after the peer's removal from the view.
    */
   Millis heartbeat_period;
+  /** When it last confirmed jobs. */
+  Millis confirmed_at;
   /** When the last heartbeat was sent to it. */
   Millis heartbeat_sent_at;
   /** True once the removal of its store item was requested. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -5,6 +5,7 @@
 
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/handover_flow.h"
+#include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/spillover_flow.h"
@@ -53,6 +54,17 @@
   }
 }
 
+/** Returns true when the usual latency of a peer's messages is known: it sends
+ * heartbeats, or has answered one of this daemon's lately. Submissions alone
+ * may all have been held back.
+ */
+bool IsLatencyKnown(const PeerStatus& peer_status, Millis now) {
+  constexpr Millis kMaxConfirmationAge{1'000};
+  return peer_status.delay.is_known &&
+         (peer_status.heartbeat_period > Millis() ||
+          now - peer_status.confirmed_at < kMaxConfirmationAge);
+}
+
 }  // namespace
 
 void ReceiveJob(FleetNode& node,
@@ -180,14 +192,16 @@
                          const DaemonRef& from,
                          const JobSubmission& submission,
                          Actions& actions) {
-  PeerDelay& peer_delay = node.peers[from.id].delay;
-  const bool is_latency_known = peer_delay.is_known;
-  const Millis delay = RecordDelay(peer_delay, submission.sent_at, now);
+  PeerStatus& peer_status = node.peers[from.id];
+  const bool is_latency_known = IsLatencyKnown(peer_status, now);
+  const Millis delay = RecordDelay(peer_status.delay, submission.sent_at, now);
   if (delay < kMaxSubmissionDelay) {
     JobSubmission received = submission;
-    // Without a known latency the job waits for a confirmation by its receiver.
-    received.sent_at = is_latency_known ? now - delay : now - kJobLease;
+    received.sent_at =
+        now - (is_latency_known ? delay : kJobLease - kUnconfirmedJobLease);
     ScheduleLocally(node, now, from, received, actions);
+    if (!is_latency_known)
+      SendHeartbeatTo(node, {from.id}, now, actions);
     return;
   }
   actions.push_back(LogEvent{"job_came_late",
--- a/tests/core/lost_receiver_test.cc
+++ b/tests/core/lost_receiver_test.cc
@@ -137,6 +137,51 @@
   EXPECT_EQ(fixture.CountStartsInSouth(), 0U);
 }
 
+// The first message makes no latency known when it was held back as well.
+TEST(LostReceiverTest, SecondSubmissionOfAReceiverIsNotStartedWhenBothAreLate) {
+  ForwardedJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  world.message_delay = [&](const DaemonId& from, const DaemonId& to) {
+    return from.value == fixture.receiver && !IsInNorth(to) ? Millis{1'295}
+                                                            : Millis();
+  };
+  fixture.ForwardJob("first");
+  fixture.ForwardJob();
+  world.is_store_unreachable = [](const DaemonId&) { return true; };
+  world.is_partitioned = [](const DaemonId& from, const DaemonId& to) {
+    return !IsInNorth(from) && IsInNorth(to);
+  };
+  world.KillDaemon(fixture.receiver);
+  world.RunFor(kRetransmitAfter);
+  fixture.RepeatJob();
+  EXPECT_TRUE(world.overlaps.empty());
+  EXPECT_EQ(fixture.CountStartsInSouth(), 0U);
+}
+
+TEST(LostReceiverTest, FirstSubmissionOfAReceiverStartsAtOnce) {
+  for (int64_t phase = 0; phase < 200; phase += 5) {
+    ForwardedJobFixture fixture;
+    fixture.world.RunFor({phase});
+    fixture.ForwardJob();
+    EXPECT_EQ(fixture.CountStartsInSouth(), 1U) << phase;
+  }
+}
+
+// The next scheduler gets the job as the first message of its receiver.
+TEST(LostReceiverTest, PlannedStopOfASchedulerOfAnotherZoneCutsNoRunOff) {
+  for (int64_t wait_ms = 60; wait_ms < 160; wait_ms += 5) {
+    ForwardedJobFixture fixture;
+    FleetWorld& world = fixture.world;
+    fixture.ForwardJob("job", {700});
+    world.RunFor({wait_ms});
+    ASSERT_EQ(world.CountRuns("job"), 1U);
+    world.StopDaemon(fixture.scheduler);
+    world.RunFor({1'600 - wait_ms});
+    EXPECT_EQ(fixture.CountStartsInSouth(), 1U) << wait_ms;
+    EXPECT_EQ(world.results["job"], JobResult::kCompleted) << wait_ms;
+  }
+}
+
 // The store can't evict the scheduler, so that nobody takes its jobs over.
 TEST(LostReceiverTest, PausedSchedulerGivesNoJobUpWhoseReceiverWaits) {
   for (const int64_t pause_ms : {600, 800, 1'000, 1'200}) {
