--- a/modules/core/scheduling/spillover.cc
+++ b/modules/core/scheduling/spillover.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "core/scheduling/placement.h"
 #include "core/scheduling/speed_learning.h"
@@ -32,10 +33,16 @@
          static_cast<double>(std::max(load.task_capacity, 1U));
 }
 
-uint32_t CountTasks(int64_t millicores, double task_millicores) {
-  return static_cast<uint32_t>(
+/** Adds the tasks that fit to a sum, which stays at the largest number when it
+ * can't hold more.
+ */
+uint32_t AddTasks(uint32_t sum, int64_t millicores, double task_millicores) {
+  const double tasks =
       std::floor(static_cast<double>(std::max<int64_t>(millicores, 0)) /
-                 std::max(task_millicores, 1.0)));
+                 std::max(task_millicores, 1.0));
+  constexpr double kMaxSum = std::numeric_limits<uint32_t>::max();
+  return static_cast<uint32_t>(
+      std::min(static_cast<double>(sum) + tasks, kMaxSum));
 }
 
 }  // namespace
@@ -53,11 +60,12 @@
     if (!is_usable)
       continue;
     const int64_t capacity_millicores = endpoint.entry.capacity.cpu_millicores;
-    load.task_capacity +=
-        CountTasks(capacity_millicores, scheduler.mean_task_millicores);
-    load.free_task_capacity +=
-        CountTasks(capacity_millicores - endpoint.used.cpu_millicores,
-                   scheduler.mean_task_millicores);
+    load.task_capacity = AddTasks(load.task_capacity, capacity_millicores,
+                                  scheduler.mean_task_millicores);
+    load.free_task_capacity =
+        AddTasks(load.free_task_capacity,
+                 capacity_millicores - endpoint.used.cpu_millicores,
+                 scheduler.mean_task_millicores);
   }
   for (const JobOrderKey& key : scheduler.queue) {
     const ScheduledJob& job = scheduler.jobs.at(key.second);
--- a/tests/adapters/odd_entries_test.cc
+++ b/tests/adapters/odd_entries_test.cc
@@ -6,10 +6,13 @@
 #include <vector>
 
 #include "core/fleet/store_session.h"
+#include "core/scheduling/speed_learning.h"
+#include "core/scheduling/spillover.h"
 #include "platform/endpoint_codec.h"
 #include "platform/item_codec.h"
 #include "platform/job_codec.h"
 #include "platform/platform_store.h"
+#include "scheduler_world.h"
 
 namespace dogwoodfall {
 namespace {
@@ -218,6 +221,17 @@
   }
 }
 
+// Capacities of endpoints are added up. Two of 9223372036854775807 overflow,
+// and negative ones reduce the capacity of the group.
+TEST(OddEntriesTest, EndpointWithImpossibleCapacityIsNotUsed) {
+  for (const char* capacity :
+       {R"({"cpu":-5})", R"({"memMb":-1})", R"({"gpu":-1})",
+        R"({"cpu":9223372036854775807})", R"({"memMb":9223372036854775807})",
+        R"({"gpu":9223372036854775807})", R"({"cpu":100000001})",
+        R"({"memMb":1000000001})", R"({"gpu":1000001})"})
+    ExpectEndpointNotUsed({{"capacity", capacity}});
+}
+
 // Peers would send to a wrapped port or give a daemon a wrapped weight.
 TEST(OddEntriesTest, DaemonWithNumberThatDoesNotFitIsUnreadable) {
   for (const char* number : {"70000", "-1", "1e300", "1e999", "true"}) {
@@ -266,6 +280,19 @@
         MakeItem("op/config", MakeRoutesValue(fields)), MakeObject(fields));
 }
 
+// The times of a route are added to the time of day, and run times are
+// multiplied by its stretch.
+TEST(OddEntriesTest, RoutesWithTimesThatOverflowAreUnreadable) {
+  for (const FieldTexts& fields :
+       std::vector<FieldTexts>{{{"timeoutMs", "9223372036854775807"}},
+                               {{"timeoutMs", "-9223372036854775808"}},
+                               {{"targetLatencyMs", "9223372036854775807"}},
+                               {{"stretch", "1e300"}},
+                               {{"stretch", "-1e300"}}})
+    ExpectDecodedAs<UnreadableItem>(
+        MakeItem("op/config", MakeRoutesValue(fields)), MakeObject(fields));
+}
+
 TEST(OddEntriesTest, FollowingGoesOnAfterARevisionThatDoesNotFit) {
   for (const char* revision :
        {"1e999", "1e300", "-1", "18446744073709551616"}) {
@@ -347,6 +374,19 @@
   }
 }
 
+// Leases are added to the clock of an endpoint.
+TEST(OddEntriesTest, EndpointAnswerWithImpossibleClockIsUnanswered) {
+  for (const char* clock : {"9223372036854775807", "-9223372036854775808",
+                            "1000000000000001", "1e18"}) {
+    EXPECT_EQ(DecodeEndpointReply(
+                  CommandId(3), EndpointCallKind::kOrder,
+                  MakeResponse(R"({"clockMs":)" + std::string(clock) + "}"))
+                  .outcome,
+              CommandOutcome::kUnanswered)
+        << clock;
+  }
+}
+
 // A predecessor of 4294967296 was read as step 0.
 TEST(OddEntriesTest, JobWithNumberThatDoesNotFitIsABadRequest) {
   for (const char* fields :
@@ -376,5 +416,54 @@
   }
 }
 
+/** Decodes an entry and adds its endpoint if it names one to use. */
+bool AddIfUsable(SchedulerWorld& world,
+                 const std::string& id,
+                 const std::string& capacity) {
+  const auto change = DecodeItem(nlohmann::json::parse(
+      MakeItem("servers/" + id, MakeEndpointValue({{"capacity", capacity}}))));
+  const auto* endpoint =
+      change ? std::get_if<EndpointChanged>(&*change) : nullptr;
+  if (endpoint == nullptr)
+    return false;
+  world.AddEndpoint(id, 1, 1);
+  world.ReportCapacity(id, endpoint->entry.capacity);
+  return true;
+}
+
+// Two capacities of 9223372036854775807 overflow when they are added up.
+TEST(OddEntriesTest, SumsOfAcceptedCapacitiesDoNotOverflow) {
+  for (const char* capacity :
+       {R"({"cpu":9223372036854775807,"memMb":9223372036854775807,)"
+        R"("gpu":9223372036854775807})",
+        R"({"cpu":100000000,"memMb":1000000000,"gpu":1000000})"}) {
+    SchedulerWorld world;
+    int added = 0;
+    for (int i = 0; i < 50; ++i)
+      added += AddIfUsable(world, "e" + std::to_string(i), capacity) ? 1 : 0;
+    world.Run({20});
+    world.Submit("job", 4, 1, {100});
+    world.Run({500});
+    UpdateSpeeds(world.scheduler, world.now);
+    EXPECT_EQ(world.results[SubmissionId("job")].outcome.result ==
+                  JobResult::kCompleted,
+              added > 0)
+        << capacity;
+  }
+}
+
+// A sum that wraps makes the largest group look full to the others.
+TEST(OddEntriesTest, LoadOfManyLargeEndpointsDoesNotWrap) {
+  SchedulerWorld world;
+  for (int i = 0; i < 50; ++i)
+    ASSERT_TRUE(AddIfUsable(world, "e" + std::to_string(i),
+                            R"({"cpu":100000000,"memMb":1,"gpu":0})"));
+  world.Run({20});
+  const EndpointGroup group = world.scheduler.endpoints.begin()->second.group;
+  const GroupLoad load = ComputeGroupLoad(world.scheduler, group, world.now);
+  EXPECT_EQ(load.task_capacity, 4'294'967'295U);
+  EXPECT_EQ(load.free_task_capacity, 4'294'967'295U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
