--- a/modules/adapters/http/http_address.cc
+++ b/modules/adapters/http/http_address.cc
@@ -8,7 +8,8 @@
 
 bool IsIpv4Address(const std::string& text) {
   in_addr address = {};
-  return inet_pton(AF_INET, text.c_str(), &address) == 1;
+  return text.find('\0') == std::string::npos &&
+         inet_pton(AF_INET, text.c_str(), &address) == 1;
 }
 
 std::optional<HttpAddress> ParseHttpAddress(const std::string& text) {
--- a/tests/adapters/odd_entries_test.cc
+++ b/tests/adapters/odd_entries_test.cc
@@ -232,6 +232,17 @@
     ExpectEndpointNotUsed({{"capacity", capacity}});
 }
 
+// Commands to an address that is none fail one by one, each after a time in
+// which the task could have run elsewhere.
+TEST(OddEntriesTest, EndpointWithInvalidAddressIsNotUsed) {
+  for (const char* address :
+       {"10.0.0.9:70000", "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1",
+        "10.0.0.9:1e3", "10.0.0.9:", "10.0.0.9", ":80", "not-an-ip:80",
+        "999.0.0.1:80", "10.0.0:80", "[::1]:80", "10.0.0.9 :80",
+        "10.0.0.9\\u0000x:80"})
+    ExpectEndpointNotUsed({{"address", "\"" + std::string(address) + "\""}});
+}
+
 // Peers would send to a wrapped port or give a daemon a wrapped weight.
 TEST(OddEntriesTest, DaemonWithNumberThatDoesNotFitIsUnreadable) {
   for (const char* number : {"70000", "-1", "1e300", "1e999", "true"}) {
@@ -244,6 +255,12 @@
     ExpectMemberUnreadable({{"incarnation", number}});
 }
 
+TEST(OddEntriesTest, DaemonWithInvalidAddressIsUnreadable) {
+  for (const char* ip :
+       {"nonsense", "", "10.0.0", "10.0.0.1:80", "::1", "10.0.0.1\\u0000x"})
+    ExpectMemberUnreadable({{"ip", "\"" + std::string(ip) + "\""}});
+}
+
 // Writers in languages with one number type write whole numbers as floats.
 TEST(OddEntriesTest, WholeFloatInRangeIsAccepted) {
   const auto endpoint = DecodeItem(nlohmann::json::parse(
