--- a/tests/adapters/odd_entries_test.cc
+++ b/tests/adapters/odd_entries_test.cc
@@ -310,6 +310,50 @@
         MakeItem("op/config", MakeRoutesValue(fields)), MakeObject(fields));
 }
 
+// A number beyond the range of a float made the whole answer unreadable. It was
+// requested again and again, and no later change was applied.
+TEST(OddEntriesTest, OverflowingNumberBesideTheValueSpoilsOnlyItsItem) {
+  const std::string value = MakeEndpointValue();
+  for (const char* number : {"1e999", "-1e999", "1.5E+400"}) {
+    ExpectDecodedAs<EndpointChanged>(
+        MakeItem("servers/odd", value, {{"lease", number}}), number);
+    ExpectDecodedAs<UnreadableItem>(
+        MakeItem("servers/odd", value, {{"revision", number}}), number);
+    ExpectDecodedAs<EndpointRemoved>(
+        MakeItem("servers/odd", value, {{"value", number}}), number);
+    ExpectDecodedAs<UnreadableItem>(
+        MakeItem("dogwoodfall/members/odd", MakeMemberValue(),
+                 {{"createRevision", number}}),
+        number);
+    ExpectDecodedAs<UnreadableItem>(number, number);
+  }
+}
+
+// Texts that contain such a number stay as they are.
+TEST(OddEntriesTest, OverflowingNumberLeavesTextsUnchanged) {
+  const std::string label = R"("a\" 1e999 \\")";
+  const std::string item = MakeItem(
+      "servers/odd",
+      MakeEndpointValue({{"labels", "[" + label + "]"}, {"seq", "1e999"}}));
+  const auto change = DecodeItem(nlohmann::json::parse(item));
+  ASSERT_TRUE(change && std::holds_alternative<EndpointChanged>(*change));
+  EXPECT_EQ(std::get<EndpointChanged>(*change).entry.kind, "a\" 1e999 \\");
+}
+
+// An answer that is no JSON, or whose own fields don't fit, is not applied; the
+// session requests it again.
+TEST(OddEntriesTest, AnswerThatIsNoJsonBesideAnOverflowingNumberIsMalformed) {
+  const std::string item = MakeItem("servers/e", MakeEndpointValue());
+  for (const std::string& events :
+       {item + ",01e999", item + ",1e999x", item + ",1e999,", item + ",+1e999",
+        item + ",1e999]", "1e999," + item + ",nul", item + ",1e999e1"}) {
+    FollowedItems followed(ItemScope::kEndpoints);
+    followed.Answer(MakeList(""));
+    EXPECT_TRUE(followed.Answer(MakeEvents(events)).changes.empty()) << events;
+    EXPECT_TRUE(followed.IsWatchingFrom(kListRevision)) << events;
+  }
+}
+
 TEST(OddEntriesTest, FollowingGoesOnAfterARevisionThatDoesNotFit) {
   for (const char* revision :
        {"1e999", "1e300", "-1", "18446744073709551616"}) {
