--- a/tests/adapters/odd_entries_test.cc
+++ b/tests/adapters/odd_entries_test.cc
@@ -435,6 +435,25 @@
   }
 }
 
+// An index of 4294967313 was read as 17, so that a run of another task seemed
+// to be in progress.
+TEST(OddEntriesTest, TaskNameWithNumberThatDoesNotFitNamesNoTask) {
+  const auto decode = [](const std::string& numbers) {
+    return DecodeEndpointReply(
+        CommandId(3), EndpointCallKind::kRenewal,
+        MakeResponse(R"({"running":[["5c0e7a21d94b36f8)" + numbers +
+                     R"(",2,"",41]],"ended":[]})"));
+  };
+  EXPECT_EQ(decode(".0.1.17").running.size(), 1U);
+  for (const char* numbers :
+       {".0.1.4294967313", ".0.4294967297.17", ".4294967296.1.17",
+        ".0.1.99999999999999999999", ".0.1.-1", ".0.1.", ".0.1", ".0..17"}) {
+    const EndpointReply reply = decode(numbers);
+    EXPECT_EQ(reply.outcome, CommandOutcome::kDone) << numbers;
+    EXPECT_TRUE(reply.running.empty()) << numbers;
+  }
+}
+
 // Leases are added to the clock of an endpoint.
 TEST(OddEntriesTest, EndpointAnswerWithImpossibleClockIsUnanswered) {
   for (const char* clock : {"9223372036854775807", "-9223372036854775808",
