--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -48,6 +48,15 @@
   ExpectNoDuplicateRuns(options, {1, 2, 3});
 }
 
+// Their first receivers still wait for the jobs.
+TEST(DaemonFaultsTest,
+     RepeatsOfConnectedCallersAmongFaultsCauseNoDuplicateRuns) {
+  FaultOptions options = AllFaults();
+  options.rounds_per_fault = 60;
+  options.has_silent_repeats = true;
+  ExpectNoDuplicateRuns(options, {1001, 1077, 1081});
+}
+
 FaultOptions RareKills() {
   FaultOptions options;
   options.faults = {DaemonFault::kKill};
