--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -156,7 +156,9 @@
                            ToEndpointClock(endpoint, lease_until, now)},
                   kCommandTimeout, actions);
   endpoint.runs.emplace(key, run);
-  EnsureRenewal(scheduler, endpoint, now, actions);
+  // A renewal that follows the answer knows the endpoint's clock.
+  if (!run.has_short_lease)
+    EnsureRenewal(scheduler, endpoint, now, actions);
 }
 
 void SendStop(Scheduler& scheduler,
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -213,8 +213,6 @@
     if (run.state == RunState::kStarting)
       run.state = RunState::kRunning;
     endpoint.unhealthy_backoff = Millis();
-    if (run.has_short_lease)
-      PollEndpoint(scheduler, endpoint, now, actions);
     return;
   }
   actions.push_back(
