Refuse requests that have waited for so long that their callers may have sent them again

A receiver was paused for 3.4 s. Its callers got no answer and sent their jobs to another zone, where they ran; when the receiver went on, it had the old requests run in its own zone as well.

Cause: the time at which a request is read was taken for the time at which it was sent. The pause was counted into the age of the job, but not into the deadline of its caller, and no age kept a job from being started. From 1,300 ms on an unannounced job can't be told from a second submission of it.

The scheduler's log has job_taken for jobs whose callers had left 1.9 s before.

A job of 1,000 ms that no scheduler has announced is refused, which leaves 300 ms for the announcement of a younger one. Jobs that are assigned late or redirected for another reason are checked as well, and deadlines count from the arrival.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -78,9 +78,10 @@
       std::make_unique<PlatformStore>(*this->http, this->settings.store);
   this->callers = std::make_unique<CallerGateway>(CallerGateway::Callbacks{
       [this]() -> const RouteTable& { return this->node.routes; },
-      [this](HttpToken token, const TransientJob& job) {
+      [this](HttpToken token, const TransientJob& job,
+             std::optional<Millis> age) {
         this->CallCore([&](Millis now, Actions& actions) {
-          OnJob(this->node, now, CallerToken(token), job, actions);
+          OnJob(this->node, now, CallerToken(token), job, age, actions);
         });
       },
       &WriteLog});
--- a/modules/adapters/http/http_server.cc
+++ b/modules/adapters/http/http_server.cc
@@ -1,6 +1,9 @@
 #include "adapters/http/http_server.h"
 
 #include <evhtp.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <cassert>
 #include <utility>
@@ -43,6 +46,20 @@
   }
 }
 
+/** Returns the time for which a request has waited in the socket's buffers. */
+std::optional<Millis> GetRequestAge(evhtp_request_t* request) {
+  const evhtp_connection_t* connection = evhtp_request_get_connection(request);
+  tcp_info info = {};
+  socklen_t length = sizeof(info);
+  if (getsockopt(bufferevent_getfd(connection->bev), IPPROTO_TCP, TCP_INFO,
+                 &info, &length) != 0)
+    return std::nullopt;
+  // Network stacks that do not keep the time report 0.
+  if (info.tcpi_last_data_recv == 0)
+    return std::nullopt;
+  return Millis{info.tcpi_last_data_recv};
+}
+
 void AddHeader(evhtp_request_t* request, const char* key, const char* value) {
   evhtp_headers_add_header(request->headers_out,
                            evhtp_header_new(key, value, 1, 1));
@@ -193,6 +210,7 @@
     return;
   }
   HttpRequest parsed;
+  parsed.age = GetRequestAge(request);
   parsed.method = GetMethodName(request);
   if (request->uri != nullptr && request->uri->path != nullptr)
     parsed.path = StringOrEmpty(request->uri->path->full);
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -5,11 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "base/millis.h"
 #include "base/result.h"
 
 struct event_base;
@@ -32,6 +34,10 @@
   std::string body;
   /** The captured headers that the request has, by lower-case name. */
   std::map<std::string, std::string> headers;
+  /** Time since its last byte has arrived at this host; none when the system
+   * does not report it.
+   */
+  std::optional<Millis> age;
 };
 
 /** Limits and options of a listener. */
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -18,6 +18,15 @@
  * the heartbeat period (100 ms) and the lease of runs (500 ms).
  */
 constexpr Millis kHeartbeatValidity{600};
+/** Age from which a job is refused that no scheduler has announced. Its caller
+ * may send it again from 1,300 ms on, and by then the heartbeat of its
+ * scheduler has to reach the other daemons.
+ */
+constexpr Millis kMaxUnannouncedAge{1'000};
+/** Reason of that refusal. */
+constexpr const char* kTooOld = "too_old";
+/** Reason of the end of a job whose callers have stopped waiting. */
+constexpr const char* kTimeLimit = "time_limit";
 
 /** Computes the maximum wait for the progress of a job from its previous
  * scheduler: the time for which runs that it has started may go on. It is
@@ -49,6 +58,14 @@
   return {};
 }
 
+/** Returns true when the caller of a job may have sent it again and no
+ * scheduler may have announced it yet, so that its repeat may run elsewhere.
+ */
+bool MayRunElsewhere(const PendingJob& pending, Millis now) {
+  return !pending.may_have_started &&
+         now - pending.received_at >= kMaxUnannouncedAge;
+}
+
 void AddHolder(PendingJob& pending, const DaemonRef& holder) {
   std::vector<DaemonRef>& holders = pending.holders;
   if (holder != DaemonRef() &&
@@ -175,13 +192,18 @@
                   PendingJob& pending,
                   Millis now,
                   Actions& actions) {
-  const SubmissionId& job = pending.job.id;
+  const SubmissionId job = pending.job.id;
+  const bool is_too_old = MayRunElsewhere(pending, now);
   const std::optional<RunningJob> running = FindRunningJob(node, job, now);
   if (running) {
     pending.may_have_started = true;
     if (!IsOwnerOf(node.view, running->scheduler, running->group))
       pending.previous_scheduler = running->scheduler;
   }
+  if (is_too_old || pending.caller_deadline <= now) {
+    AbandonJob(node, now, job, is_too_old ? kTooOld : kTimeLimit, actions);
+    return;
+  }
   AssignToGroup(
       node, pending,
       running ? running->group : GroupOfJob(node.view, node.zone, job), now,
@@ -221,15 +243,21 @@
   pending.announced_group = redirect.group;
   pending.was_spilled_over |= redirect.is_spillover;
   pending.required_view_revision = redirect.view_revision;
-  if (node.view.revision >= redirect.view_revision)
+  if (MayRunElsewhere(pending, now))
+    AbandonJob(node, now, redirect.job, kTooOld, actions);
+  else if (node.view.revision >= redirect.view_revision)
     AssignToGroup(node, pending, redirect.group, now, actions);
 }
 
 void AssignJobs(FleetNode& node, Millis now, Actions& actions) {
-  std::vector<SubmissionId> expired;
+  std::vector<std::pair<SubmissionId, const char*>> ended;
   for (auto& [id, pending] : node.reception.pending) {
     if (pending.caller_deadline <= now) {
-      expired.push_back(id);
+      ended.emplace_back(id, kTimeLimit);
+      continue;
+    }
+    if (pending.scheduler == DaemonRef() && MayRunElsewhere(pending, now)) {
+      ended.emplace_back(id, kTooOld);
       continue;
     }
     if (pending.required_view_revision > node.view.revision)
@@ -250,8 +278,8 @@
         has_group ? pending.group : GroupOfJob(node.view, node.zone, id), now,
         actions);
   }
-  for (const SubmissionId& id : expired)
-    AbandonJob(node, now, id, "time_limit", actions);
+  for (const auto& [id, reason] : ended)
+    AbandonJob(node, now, id, reason, actions);
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -297,8 +297,10 @@
            Millis now,
            CallerToken caller,
            const TransientJob& job,
+           std::optional<Millis> measured_age,
            Actions& actions) {
   HandlePause(node, now, actions);
+  node.has_received_job = true;
   if (!CanBeAnswered(node, job, now)) {
     actions.push_back(LogEvent{
         "job_refused", {{"job", job.id.value}, {"reason", "stopping"}}});
@@ -306,7 +308,9 @@
         caller, {JobResult::kRefused, kStoppingRetryAfter, "stopping"}});
     return;
   }
-  ReceiveJob(node, now, caller, job, actions);
+  ReceiveJob(node, now, caller, job,
+             measured_age ? *measured_age : GetMaxRequestAge(node, now),
+             actions);
 }
 
 void OnCallerDisconnected(FleetNode& node,
@@ -391,6 +395,7 @@
 
 void OnTick(FleetNode& node, Millis now, Actions& actions) {
   HandlePause(node, now, actions);
+  UpdateBacklog(node, now);
   AdvanceStoreSession(node.store, now, actions);
   SendDueFrames(node.sessions, SessionLimits(), now, actions);
   SendHeartbeats(node, now, actions);
--- a/modules/core/fleet/fleet_events.h
+++ b/modules/core/fleet/fleet_events.h
@@ -1,6 +1,8 @@
 #ifndef DOGWOODFALL_MODULES_CORE_FLEET_FLEET_EVENTS_H_
 #define DOGWOODFALL_MODULES_CORE_FLEET_FLEET_EVENTS_H_
 
+#include <optional>
+
 #include "core/fleet/fleet_node.h"
 
 namespace dogwoodfall {
@@ -13,11 +15,15 @@
 
 /** Handles a job from a caller. The answer is an AnswerJob action, which may
  * follow in a later event.
+ *
+ * @param measured_age time since the request has arrived at this host; none
+ * when the system does not report it
  */
 void OnJob(FleetNode& node,
            Millis now,
            CallerToken caller,
            const TransientJob& job,
+           std::optional<Millis> measured_age,
            Actions& actions);
 
 /** Handles a caller that has closed its connection. */
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -120,9 +120,14 @@
   uint64_t heartbeat_round = 0;
   /** When the latest event was handled; zero before the first one. */
   Millis last_event_at;
-  /** Length of the latest pause of this process, and when it ended. */
-  Millis last_pause;
+  /** When the latest pause of this process ended. */
   Millis last_pause_ended_at;
+  /** True until the requests have been read that arrived during that pause. */
+  bool has_backlog = false;
+  /** When the first of these requests may have arrived. */
+  Millis backlog_began_at;
+  /** True when a job was received after the latest tick. */
+  bool has_received_job = false;
   Millis next_heartbeat_at;
   Millis next_review_at;
   /** True once a graceful shutdown has begun. */
--- a/modules/core/fleet/pause_flow.cc
+++ b/modules/core/fleet/pause_flow.cc
@@ -16,8 +16,12 @@
  */
 constexpr Millis kMinPause{300};
 
-/** Time after a pause in which the requests are read that arrived during it. */
-constexpr Millis kBacklogTime{100};
+/** Minimum and maximum time after a pause in which the requests are read that
+ * arrived during it. In between, the backlog ends with the first period between
+ * two ticks in which none is read.
+ */
+constexpr Millis kMinBacklogTime{100};
+constexpr Millis kMaxBacklogTime{1'000};
 
 }  // namespace
 
@@ -29,7 +33,9 @@
     return;
   actions.push_back(
       LogEvent{"process_paused", {{"ms", std::to_string(pause.count)}}});
-  node.last_pause = pause;
+  if (!node.has_backlog)
+    node.backlog_began_at = previous;
+  node.has_backlog = true;
   node.last_pause_ended_at = now;
   node.scheduler.resumed_at = now;
   for (auto& [id, peer_status] : node.peers)
@@ -41,10 +47,15 @@
 }
 
 Millis GetMaxRequestAge(const FleetNode& node, Millis now) {
-  const bool may_be_backlog = node.last_pause > Millis() &&
-                              now - node.last_pause_ended_at < kBacklogTime;
-  return may_be_backlog ? now - node.last_pause_ended_at + node.last_pause
-                        : Millis();
+  return node.has_backlog ? now - node.backlog_began_at : Millis();
+}
+
+void UpdateBacklog(FleetNode& node, Millis now) {
+  const Millis elapsed = now - node.last_pause_ended_at;
+  const bool is_read = elapsed >= kMinBacklogTime && !node.has_received_job;
+  if (is_read || elapsed >= kMaxBacklogTime)
+    node.has_backlog = false;
+  node.has_received_job = false;
 }
 
 void HandleMembershipConfirmation(FleetNode& node,
--- a/modules/core/fleet/pause_flow.h
+++ b/modules/core/fleet/pause_flow.h
@@ -17,10 +17,13 @@
 void HandlePause(FleetNode& node, Millis now, Actions& actions);
 
 /** Returns how long a request that is read now may have waited while this
- * process was paused. Its caller may send it again 1,300 ms after it was sent.
+ * process was paused.
  */
 Millis GetMaxRequestAge(const FleetNode& node, Millis now);
 
+/** Ends the backlog of a pause once it has been read; called on each tick. */
+void UpdateBacklog(FleetNode& node, Millis now);
+
 /** Allows starts again after the store has confirmed the membership. */
 void HandleMembershipConfirmation(FleetNode& node,
                                   Millis now,
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -71,21 +71,23 @@
                 Millis now,
                 CallerToken caller,
                 const TransientJob& job,
+                Millis request_age,
                 Actions& actions) {
   ++node.reception.counters.jobs;
   node.reception.by_caller[caller] = job.id;
   const auto known = node.reception.pending.find(job.id);
+  const Millis caller_deadline = now - request_age + job.time_left;
   if (known != node.reception.pending.end()) {
     known->second.callers.push_back(caller);
     known->second.caller_deadline =
-        std::max(known->second.caller_deadline, now + job.time_left);
+        std::max(known->second.caller_deadline, caller_deadline);
     return;
   }
   PendingJob pending;
   pending.job = job;
   pending.callers = {caller};
-  pending.received_at = now - GetMaxRequestAge(node, now);
-  pending.caller_deadline = now + job.time_left;
+  pending.received_at = now - request_age;
+  pending.caller_deadline = caller_deadline;
   node.reception.pending.emplace(job.id, std::move(pending));
   PendingJob& added = node.reception.pending.at(job.id);
   AssignNewJob(node, added, now, actions);
@@ -199,6 +201,8 @@
     JobSubmission received = submission;
     received.sent_at =
         now - (is_latency_known ? delay : kJobLease - kUnconfirmedJobLease);
+    received.job.age = received.job.age + delay;
+    received.job.time_left = received.job.time_left - delay;
     ScheduleLocally(node, now, from, received, actions);
     if (!is_latency_known)
       SendHeartbeatTo(node, {from.id}, now, actions);
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -6,12 +6,16 @@
 namespace dogwoodfall {
 
 /** Accepts a caller's job and assigns it to a scheduler. A job that is already
- * pending gets another caller.
+ * pending gets another caller. A job whose request has waited for so long that
+ * its caller may have sent it again to another daemon is refused.
+ *
+ * @param request_age maximum time since the request has arrived
  */
 void ReceiveJob(FleetNode& node,
                 Millis now,
                 CallerToken caller,
                 const TransientJob& job,
+                Millis request_age,
                 Actions& actions);
 
 /** Removes a caller, and cancels its job when no other caller waits for it. */
--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -1,5 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -80,7 +83,7 @@
   job.time_left = {9'000};
   const Millis resumed_at = world.now + Millis{700};
   Actions actions;
-  OnJob(node, resumed_at, CallerToken(1), job, actions);
+  OnJob(node, resumed_at, CallerToken(1), job, std::nullopt, actions);
   EXPECT_FALSE(HasEndpointCommand<StartRun>(actions));
   const CallKeyValue* confirmation =
       FindConfirmation(actions, ItemScope::kDaemons);
@@ -228,5 +231,168 @@
   EXPECT_TRUE(world.results.count("job") == 1 || world.CountRuns("job") == 1);
 }
 
+TransientJob MakeJob(const std::string& id, Millis time_left) {
+  TransientJob job;
+  job.id = SubmissionId(id);
+  job.service = "service";
+  job.steps.resize(1);
+  job.steps[0].task_count = 1;
+  job.time_left = time_left;
+  return job;
+}
+
+/** Lets a receiver, which may own its zone's endpoints, read requests after a
+ * pause whose callers have sent their jobs again to the other zone. The first
+ * connections stay open.
+ */
+void PlayRepeatsOfRequestsToPausedReceiver(bool is_owner,
+                                           bool measures_request_age,
+                                           Millis pause,
+                                           Millis retransmit_after) {
+  constexpr int kJobs = 6;
+  constexpr Millis kRunTime{900};
+  FleetWorld world;
+  world.measures_request_age = measures_request_age;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  const std::string receiver = is_owner ? owner : OtherDaemonInZone(owner);
+  world.paused_daemons.insert(receiver);
+  const Millis paused_at = world.now;
+  std::map<Millis, std::string> repeats;
+  for (int i = 0; i < kJobs; ++i) {
+    const std::string job = "job" + std::to_string(i);
+    world.Submit(receiver, job, 2, kRunTime);
+    repeats[world.now + retransmit_after] = job;
+    world.RunFor({100});
+  }
+  const Millis end = paused_at + pause + Millis{2'500};
+  while (world.now < end) {
+    if (world.now >= paused_at + pause)
+      world.paused_daemons.clear();
+    const auto repeat = repeats.find(world.now);
+    if (repeat != repeats.end())
+      world.Submit("south0", repeat->second, 2, kRunTime);
+    world.RunFor({10});
+  }
+  EXPECT_TRUE(world.overlaps.empty())
+      << "pause " << pause.count << " ms, repeats after "
+      << retransmit_after.count << " ms, owner " << is_owner << ", measured "
+      << measures_request_age;
+}
+
+// A receiver is paused, and its callers send their jobs again elsewhere. It
+// must not have the old requests run beside their repeats, even if the first
+// connections are still open.
+TEST(PauseTest, RequestsThatWaitedForAPausedReceiverRunBesideNoRepeat) {
+  for (const int64_t retransmit_ms : {1'300, 2'000, 2'800}) {
+    for (int64_t pause_ms = 700; pause_ms <= 4'300; pause_ms += 200) {
+      for (const bool is_owner : {false, true}) {
+        for (const bool measures_request_age : {false, true}) {
+          PlayRepeatsOfRequestsToPausedReceiver(is_owner, measures_request_age,
+                                                {pause_ms}, {retransmit_ms});
+        }
+      }
+    }
+  }
+}
+
+// Refuses only the requests that are too old, and these at once.
+TEST(PauseTest, RequestsOfUnknownOrHighAgeAreRefusedAndYoungOnesServed) {
+  for (const bool measures_request_age : {false, true}) {
+    FleetWorld world;
+    world.measures_request_age = measures_request_age;
+    SetUpTwoZones(world);
+    const std::string receiver = OtherDaemonInZone(world.OwnerOf("north"));
+    world.paused_daemons.insert(receiver);
+    world.Submit(receiver, "old", 1, {100});
+    world.RunFor({1'500});
+    world.Submit(receiver, "young", 1, {100});
+    world.RunFor({50});
+    world.paused_daemons.clear();
+    world.RunFor({10});
+    EXPECT_EQ(world.results["old"], JobResult::kRefused);
+    world.RunFor({300});
+    EXPECT_EQ(world.results["young"], measures_request_age
+                                          ? JobResult::kCompleted
+                                          : JobResult::kRefused);
+    world.Submit(receiver, "new", 1, {100});
+    world.RunFor({300});
+    EXPECT_EQ(world.results["new"], JobResult::kCompleted);
+  }
+}
+
+// A receiver with a long backlog reads old requests long after a pause, or
+// after another pause.
+TEST(PauseTest, RequestReadLateFromABacklogIsRefused) {
+  constexpr Millis kTick{20};
+  for (const Millis last_read_after : {Millis{200}, Millis{500}}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    FleetNode& node = world.Node(OtherDaemonInZone(world.OwnerOf("north")));
+    const Millis resumed_at = world.now + Millis{1'500};
+    Actions actions;
+    uint64_t requests = 0;
+    const auto read_request = [&](Millis now) {
+      ++requests;
+      OnJob(node, now, CallerToken(requests),
+            MakeJob("job" + std::to_string(requests), {9'000}), std::nullopt,
+            actions);
+    };
+    for (Millis now = resumed_at; now < resumed_at + Millis{200};
+         now = now + kTick) {
+      OnTick(node, now, actions);
+      read_request(now);
+    }
+    read_request(resumed_at + last_read_after);
+    EXPECT_EQ(node.reception.counters
+                  .answers[static_cast<size_t>(JobResult::kRefused)],
+              requests)
+        << last_read_after.count;
+  }
+}
+
+// The submission of a job was held back until its repeat may run elsewhere. Its
+// scheduler redirects it.
+TEST(PauseTest, JobRedirectedAfterALongTimeIsRefused) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  const std::string owner = world.OwnerOf("north");
+  const std::string receiver = OtherDaemonInZone(owner);
+  FleetNode& node = world.Node(receiver);
+  Actions actions;
+  OnJob(node, world.now, CallerToken(1), MakeJob("job", {9'000}), Millis(),
+        actions);
+  world.now = world.now + Millis{1'200};
+  JobRedirect redirect;
+  redirect.job = SubmissionId("job");
+  redirect.to = DaemonId(owner);
+  redirect.group = {ZoneId("south"), 0};
+  redirect.view_revision = node.view.revision;
+  const Actions reaction = Deliver(world, owner, receiver, redirect);
+  EXPECT_TRUE(
+      std::any_of(reaction.begin(), reaction.end(), [](const Action& action) {
+        const auto* answer = std::get_if<AnswerJob>(&action);
+        return answer != nullptr &&
+               answer->outcome.result == JobResult::kRefused;
+      }));
+}
+
+// An old request that joins a pending job must not extend the time for which
+// its callers wait.
+TEST(PauseTest, OldRequestForAPendingJobExtendsNoDeadline) {
+  FleetWorld world;
+  SetUpTwoZones(world);
+  FleetNode& node = world.Node(OtherDaemonInZone(world.OwnerOf("north")));
+  const TransientJob job = MakeJob("job", {1'500});
+  Actions actions;
+  OnJob(node, world.now, CallerToken(1), job, Millis(), actions);
+  ASSERT_EQ(node.reception.pending.count(job.id), 1U);
+  const Millis deadline = node.reception.pending.at(job.id).caller_deadline;
+  OnJob(node, world.now + Millis{100}, CallerToken(2), job, Millis{1'400},
+        actions);
+  ASSERT_EQ(node.reception.pending.count(job.id), 1U);
+  EXPECT_EQ(node.reception.pending.at(job.id).caller_deadline, deadline);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -122,10 +123,14 @@
   this->resources_by_job[submitted.id] = step.resources;
   const CallerToken caller(++this->last_caller);
   this->callers[caller] = job;
-  this->DeliverEvent(daemon, this->incarnations.at(daemon),
-                     [=](FleetNode& node, Actions& actions) {
-                       OnJob(node, this->now, caller, submitted, actions);
-                     });
+  this->DeliverEvent(
+      daemon, this->incarnations.at(daemon),
+      [=, sent_at = this->now](FleetNode& node, Actions& actions) {
+        std::optional<Millis> measured_age;
+        if (this->measures_request_age)
+          measured_age = this->now - sent_at;
+        OnJob(node, this->now, caller, submitted, measured_age, actions);
+      });
   return caller;
 }
 
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -84,6 +84,8 @@
   std::function<Millis(const DaemonId&)> store_delay;
   /** True for daemons that the store does not answer. */
   std::function<bool(const DaemonId&)> is_store_unreachable;
+  /** Whether daemons are told how long a request has waited for them. */
+  bool measures_request_age = false;
   /** Paused daemons: their events are delayed until they are removed here. */
   std::set<std::string> paused_daemons;
   Millis now{1'000'000};
