Let no write of a former process replace a daemon's item

Cause: its peers ended their sessions with it when the item of its former incarnation was listed for a moment, and started them anew from message 1 when the present one was listed again. The daemon had ended nothing and counted on, so that all of its messages were dropped as out of order. The item of the former incarnation came back since items were written without a condition: the store executed a write late whose writer had ended.

Why it works: a peer keeps its session with the previous incarnation and goes on with it when that one is listed again, so both sides count the same. A write has the revision that the daemon knows as its condition; when that isn't met, the answer tells the revision, so that a write whose answer was lost costs one more call.

The tests of PauseTest that this commit touches fail now also when a result is missing.

--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -201,6 +201,8 @@
     return;
   actions.push_back(LogEvent{"own_item_lost",
                              {{"view", std::to_string(node.view.revision)}}});
+  node.store.item_revision =
+      own == node.view.members.end() ? 0 : own->second.revision;
   RequestRegistration(node.store, now);
 }
 
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -97,7 +97,7 @@
   if (session.lease != 0 && session.is_registered)
     call = RenewLease{session.lease};
   else if (session.lease != 0)
-    call = WriteMember{session.self, session.lease};
+    call = WriteMember{session.self, session.lease, session.item_revision};
   Call(session, StoreCallPurpose::kRegister, std::move(call),
        kRegistrationTimeout, actions);
 }
@@ -184,6 +184,17 @@
                          const KeyValueReply& reply,
                          Millis now) {
   session.is_registration_pending = false;
+  if (reply.conflicting_revision) {
+    // Another write of the item was executed, of an earlier incarnation or one
+    // whose answer was lost.
+    session.item_revision = *reply.conflicting_revision;
+    session.next_registration_at =
+        now + (session.registration_failures == 0
+                   ? Millis()
+                   : ComputeRetryDelay(session, session.registration_failures));
+    ++session.registration_failures;
+    return;
+  }
   if (reply.outcome == KeyValueOutcome::kConditionFailed) {
     // The lease has expired, which has removed the item.
     session.lease = 0;
@@ -200,6 +211,8 @@
     session.lease = reply.lease;
     return;
   }
+  if (!session.is_registered)
+    session.item_revision = reply.store_revision;
   session.is_registered = true;
   session.next_registration_at = now + kRenewalPeriod;
 }
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -83,6 +83,8 @@
   uint64_t lease = 0;
   /** True while the store has the item with the content of `self`. */
   bool is_registered = false;
+  /** Revision at which the own item is expected; 0 if there is none. */
+  uint64_t item_revision = 0;
   Millis next_registration_at;
   uint32_t registration_failures = 0;
   bool is_registration_pending = false;
--- a/modules/core/peers/peer_session.cc
+++ b/modules/core/peers/peer_session.cc
@@ -38,6 +38,13 @@
 void StartSession(PeerSessions& sessions, const DaemonRef& peer) {
   PeerSession session;
   session.peer = peer;
+  const auto previous = sessions.previous_sessions.find(peer.id);
+  if (previous != sessions.previous_sessions.end() &&
+      previous->second.peer == peer)
+    session = std::move(previous->second);
+  const auto current = sessions.sessions.find(peer.id);
+  if (current != sessions.sessions.end() && current->second.peer != peer)
+    sessions.previous_sessions[peer.id] = std::move(current->second);
   sessions.sessions[peer.id] = std::move(session);
 }
 
--- a/modules/core/peers/peer_session.h
+++ b/modules/core/peers/peer_session.h
@@ -48,6 +48,10 @@
 struct PeerSessions {
   DaemonRef self;
   std::map<DaemonId, PeerSession> sessions;
+  /** The session with the previous incarnation of each peer. The peer may still
+   * have its side of it.
+   */
+  std::map<DaemonId, PeerSession> previous_sessions;
   /** Frames that were resent. */
   uint64_t repeats = 0;
   /** Frames that were received more than once. */
@@ -74,7 +78,8 @@
 };
 
 /** Starts a session with an incarnation and ends the one with a previous
- * incarnation of the same daemon.
+ * incarnation of the same daemon. If the session with that incarnation was the
+ * previous one, it goes on where it ended: the peer counts its messages on.
  */
 void StartSession(PeerSessions& sessions, const DaemonRef& peer);
 
--- a/modules/ports/key_value_call.h
+++ b/modules/ports/key_value_call.h
@@ -2,6 +2,7 @@
 #define DOGWOODFALL_MODULES_PORTS_KEY_VALUE_CALL_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -52,10 +53,12 @@
   uint64_t lease = 0;
 };
 
-/** Writes the item of a daemon. */
+/** Writes the item of a daemon if it is still at a revision. */
 struct WriteMember {
   FleetMember member;
   uint64_t lease = 0;
+  /** 0 if there must be no item. */
+  uint64_t expected_revision = 0;
 };
 
 /** Removes the item of a daemon if it is still at this revision. */
@@ -101,6 +104,10 @@
   /** Revision of the whole store, or of the change made; 0 if unknown. */
   uint64_t store_revision = 0;
   uint64_t lease = 0;
+  /** Revision of the item if it was not the one that the call expected; 0 if
+   * there is no item.
+   */
+  std::optional<uint64_t> conflicting_revision;
 };
 
 }  // namespace dogwoodfall
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -228,6 +228,21 @@
   EXPECT_EQ(decoded->member.created_revision, 4U);
 }
 
+TEST(PlatformStoreTest, WriteThatMetAnotherRevisionTellsIt) {
+  const WriteMember write;
+  const auto reply = [&write](int status, const char* body) {
+    return DecodeKeyValueReply(write, MakeResponse(status, body));
+  };
+  EXPECT_EQ(reply(200, R"({"revision":12})").store_revision, 12U);
+  const KeyValueReply conflict =
+      reply(412, R"({"items":[{"key":"k","revision":9}]})");
+  EXPECT_EQ(conflict.outcome, KeyValueOutcome::kConditionFailed);
+  EXPECT_EQ(conflict.conflicting_revision, 9U);
+  EXPECT_EQ(reply(412, R"({"items":[]})").conflicting_revision, 0U);
+  EXPECT_EQ(reply(412, "{}").conflicting_revision, std::nullopt);
+  EXPECT_EQ(reply(404, "{}").conflicting_revision, std::nullopt);
+}
+
 TEST(PlatformStoreTest, DistinguishesResponses) {
   const auto outcome = [](const HttpResponse& answer) {
     return DecodeKeyValueReply(RenewLease{7}, answer).outcome;
--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -310,14 +310,14 @@
     world.RunFor({50});
     world.paused_daemons.clear();
     world.RunFor({10});
-    EXPECT_EQ(world.results["old"], JobResult::kRefused);
+    EXPECT_EQ(world.results.at("old"), JobResult::kRefused);
     world.RunFor({300});
-    EXPECT_EQ(world.results["young"], measures_request_age
-                                          ? JobResult::kCompleted
-                                          : JobResult::kRefused);
+    EXPECT_EQ(world.results.at("young"), measures_request_age
+                                             ? JobResult::kCompleted
+                                             : JobResult::kRefused);
     world.Submit(receiver, "new", 1, {100});
     world.RunFor({300});
-    EXPECT_EQ(world.results["new"], JobResult::kCompleted);
+    EXPECT_EQ(world.results.at("new"), JobResult::kCompleted);
   }
 }
 
--- a/tests/core/peer_session_test.cc
+++ b/tests/core/peer_session_test.cc
@@ -60,5 +60,30 @@
   EXPECT_EQ(CountResets(actions), 1U);
 }
 
+// The peer has its side of the session all the time. Its next message must be
+// accepted after another incarnation was listed in between.
+TEST(PeerSessionTest, SessionWithAnIncarnationThatIsListedAgainGoesOn) {
+  const DaemonRef self{DaemonId("self"), Incarnation(1)};
+  const DaemonRef peer{DaemonId("peer"), Incarnation(2)};
+  PeerSessions sessions;
+  sessions.self = self;
+  StartSession(sessions, peer);
+  PeerFrame frame;
+  frame.from = peer;
+  frame.to = self;
+  frame.message = JobCancellation{SubmissionId("job")};
+  const Millis now{1'000};
+  frame.sequence = 1;
+  EXPECT_TRUE(Receive(sessions, frame, now).has_value());
+  StartSession(sessions, {peer.id, Incarnation(1)});
+  frame.sequence = 2;
+  EXPECT_FALSE(Receive(sessions, frame, now).has_value());
+  StartSession(sessions, peer);
+  EXPECT_TRUE(Receive(sessions, frame, now).has_value());
+  Actions actions;
+  EXPECT_TRUE(Send(sessions, peer, JobCancellation{SubmissionId("job")},
+                   SessionLimits(), now, actions));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -31,6 +31,8 @@
       command_delay([](const DaemonId&) { return Millis(); }),
       is_answer_lost([](const EndpointCommand&) { return false; }),
       store_delay([](const DaemonId&) { return Millis(); }),
+      store_execution_delay(
+          [](const DaemonId&, const KeyValueCall&) { return Millis(); }),
       is_store_unreachable([](const DaemonId&) { return false; }) {
   RouteTable routes;
   routes.version = 3;
@@ -78,6 +80,15 @@
     this->RemoveMember(id);
 }
 
+void FleetWorld::ReplaceMember(const FleetMember& member) {
+  FleetMember& stored = this->members.at(member.address.id).member;
+  const uint64_t created_revision = stored.created_revision;
+  stored = member;
+  stored.created_revision = created_revision;
+  stored.revision = ++this->revision;
+  this->history.emplace_back(this->revision, MemberChanged{stored});
+}
+
 void FleetWorld::DeregisterDaemon(const std::string& id) {
   this->RemoveMember(DaemonId(id));
 }
@@ -358,6 +369,15 @@
         {daemon, incarnation, call.token, *watch, this->now + watch->wait});
     return;
   }
+  const Millis late = this->store_execution_delay(DaemonId(daemon), call.call);
+  if (late > Millis()) {
+    this->Schedule(late, [this, call]() { this->AnswerStoreCall(call); });
+    this->Schedule(
+        call.timeout, [this, daemon, incarnation, token = call.token]() {
+          this->DeliverStoreReply(daemon, incarnation, token, KeyValueReply());
+        });
+    return;
+  }
   const Millis delay = kStoreLatency + this->store_delay(DaemonId(daemon));
   this->Schedule(delay, [this, daemon, incarnation, call]() {
     this->DeliverStoreReply(daemon, incarnation, call.token,
@@ -401,6 +421,11 @@
   } else if (const auto* write = std::get_if<WriteMember>(&call.call)) {
     if (this->leases.count(write->lease) == 0) {
       reply.outcome = KeyValueOutcome::kConditionFailed;
+    } else if (this->RevisionOfMember(write->member.address.id) !=
+               write->expected_revision) {
+      reply.outcome = KeyValueOutcome::kConditionFailed;
+      reply.conflicting_revision =
+          this->RevisionOfMember(write->member.address.id);
     } else {
       const DaemonId id = write->member.address.id;
       const auto known = this->members.find(id);
@@ -427,6 +452,11 @@
   return reply;
 }
 
+uint64_t FleetWorld::RevisionOfMember(const DaemonId& id) const {
+  const auto known = this->members.find(id);
+  return known == this->members.end() ? 0 : known->second.member.revision;
+}
+
 void FleetWorld::RemoveMember(const DaemonId& id) {
   this->members.erase(id);
   ++this->revision;
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -27,6 +27,8 @@
   void AddEndpoint(const std::string& id, const std::string& zone);
   /** Removes the items of all daemons from the store, but not their leases. */
   void RemoveAllMembers();
+  /** Overwrites a daemon's item in the store. */
+  void ReplaceMember(const FleetMember& member);
   /** Removes a daemon's item from the store, but not its lease. */
   void DeregisterDaemon(const std::string& id);
   /** Removes an endpoint's item from the store; the endpoint keeps running. */
@@ -82,6 +84,11 @@
   std::function<bool(const EndpointCommand&)> is_answer_lost;
   /** Additional time that an answer of the store takes to a daemon. */
   std::function<Millis(const DaemonId&)> store_delay;
+  /** Time after which the store executes a call without answering it; zero for
+   * calls that it executes and answers.
+   */
+  std::function<Millis(const DaemonId&, const KeyValueCall&)>
+      store_execution_delay;
   /** True for daemons that the store does not answer. */
   std::function<bool(const DaemonId&)> is_store_unreachable;
   /** Whether daemons are told how long a request has waited for them. */
@@ -132,6 +139,8 @@
   void ExecuteEndpointCommand(const std::string& daemon,
                               const EndpointCommand& command);
   void RemoveMember(const DaemonId& id);
+  /** Returns the revision of a daemon's item; 0 if there is none. */
+  uint64_t RevisionOfMember(const DaemonId& id) const;
   /** Writes an endpoint's item to the store. */
   void WriteEntry(EndpointEntry entry);
   void ExpireLeases();
