Don't let a message that can't be sent block the link to its peer

Cause: a message gets its number before it is encoded, and nothing took the number back when that failed: the message stayed the first one to be acknowledged, and the peer dropped all later ones as out of order. This one could not be encoded since the store's codec takes a stretch up to 1,000,000 and the peers' codec took one up to 1,000.

Why it works: SendFrame tells when a frame can never be sent, also when it is too large. Its number then goes out without a message, so that the peer accepts the next one, and a job whose submission was dropped is refused at once. Both codecs share one limit, for both signs.

--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -246,7 +246,11 @@
 
 void Daemon::Perform(const Action& action) {
   if (const auto* frame = std::get_if<SendFrame>(&action)) {
-    this->peers->SendFrame(frame->frame);
+    if (!this->peers->SendFrame(frame->frame)) {
+      this->CallCore([&](Millis now, Actions& actions) {
+        OnFrameNotSendable(this->node, now, frame->frame, actions);
+      });
+    }
   } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
     this->peers->SendHeartbeat(heartbeat->to, heartbeat->heartbeat);
   } else if (const auto* reset = std::get_if<ResetPeerLink>(&action)) {
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -4,6 +4,7 @@
 #include <cereal/types/optional.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
+#include <cmath>
 #include <utility>
 
 #include "adapters/peers/bounded_archive.h"
@@ -16,8 +17,10 @@
  */
 constexpr int64_t kMaxMillis = 1'000'000'000'000'000;
 
-/** Max accepted stretch, the factor of the run time in a latency objective. */
-constexpr double kMaxStretch = 1'000;
+void CheckStretch(double stretch) {
+  if (!(std::abs(stretch) <= kMaxStretch))
+    throw cereal::Exception("stretch out of range");
+}
 
 }  // namespace
 
@@ -173,8 +176,7 @@
   archive(job.id, job.route, job.service, job.payload, job.steps, job.priority,
           job.max_attempts, job.stretch, job.target_latency, job.age,
           job.time_left);
-  if (!(job.stretch >= 0 && job.stretch <= kMaxStretch))
-    throw cereal::Exception("stretch out of range");
+  CheckStretch(job.stretch);
 }
 
 template <class Archive>
@@ -269,8 +271,7 @@
   archive(route.name, route.host, route.prefix, route.service, route.priority,
           route.max_attempts, route.stretch, route.target_latency,
           route.timeout);
-  if (!(route.stretch >= 0 && route.stretch <= kMaxStretch))
-    throw cereal::Exception("stretch out of range");
+  CheckStretch(route.stretch);
 }
 
 template <class Archive>
--- a/modules/adapters/peers/peer_network.cc
+++ b/modules/adapters/peers/peer_network.cc
@@ -14,6 +14,7 @@
 #include <optional>
 #include <utility>
 
+#include "adapters/logging/guard.h"
 #include "adapters/peers/peer_codec.h"
 
 namespace dogwoodfall {
@@ -164,26 +165,31 @@
   }
 }
 
-void PeerNetwork::SendFrame(const PeerFrame& frame) {
-  const std::string bytes = EncodeFrame(frame);
+bool PeerNetwork::SendFrame(const PeerFrame& frame) {
+  std::string bytes;
+  const bool is_encoded =
+      RunGuarded("encode_frame", [&]() { bytes = EncodeFrame(frame); });
+  if (!is_encoded)
+    return false;
   if (bytes.size() > this->limits.max_frame_bytes) {
     ++this->counters.dropped_too_large;
-    return;
+    return false;
   }
   bufferevent* stream = this->FindOrOpenOutbound(frame.to.id);
   if (stream == nullptr)
-    return;
+    return true;
   evbuffer* output = bufferevent_get_output(stream);
   if (evbuffer_get_length(output) + bytes.size() >
       this->limits.max_queued_bytes) {
     ++this->counters.dropped_queue_full;
-    return;
+    return true;
   }
   const uint32_t length = htonl(static_cast<uint32_t>(bytes.size()));
   evbuffer_add(output, &length, sizeof(length));
   evbuffer_add(output, bytes.data(), bytes.size());
   ++this->counters.frames_sent;
   this->counters.bytes_sent += bytes.size() + kLengthPrefixBytes;
+  return true;
 }
 
 void PeerNetwork::SendHeartbeat(const std::vector<DaemonId>& to,
--- a/modules/adapters/peers/peer_network.h
+++ b/modules/adapters/peers/peer_network.h
@@ -87,8 +87,10 @@
    */
   void SetMembers(const std::vector<DaemonMember>& members);
 
-  /** Sends a frame. Delivery is not guaranteed. */
-  void SendFrame(const PeerFrame& frame);
+  /** Sends a frame. Delivery is not guaranteed.
+   * @return false if it can never be sent: it can't be encoded or is too large
+   */
+  bool SendFrame(const PeerFrame& frame);
 
   /** Sends a heartbeat to peers. Delivery is not guaranteed. */
   void SendHeartbeat(const std::vector<DaemonId>& to,
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -360,6 +360,22 @@
     HandlePeerMessage(node, frame.from, *message, now, actions);
 }
 
+void OnFrameNotSendable(FleetNode& node,
+                        Millis now,
+                        const PeerFrame& frame,
+                        Actions& actions) {
+  const std::optional<PeerMessage> message =
+      DropMessage(node.sessions, frame.to, frame.sequence, actions);
+  if (!message)
+    return;
+  actions.push_back(LogEvent{"message_dropped",
+                             {{"peer", frame.to.id.value},
+                              {"kind", std::to_string(message->index())},
+                              {"sequence", std::to_string(frame.sequence)}}});
+  if (const auto* submission = std::get_if<JobSubmission>(&*message))
+    AbandonUnsentJob(node, now, submission->job.id, frame.to, actions);
+}
+
 void OnHeartbeat(FleetNode& node,
                  Millis now,
                  const Heartbeat& heartbeat,
--- a/modules/core/fleet/fleet_events.h
+++ b/modules/core/fleet/fleet_events.h
@@ -51,6 +51,12 @@
                  const PeerFrame& frame,
                  Actions& actions);
 
+/** Handles a frame that can't be sent to its peer, now or later. */
+void OnFrameNotSendable(FleetNode& node,
+                        Millis now,
+                        const PeerFrame& frame,
+                        Actions& actions);
+
 /** Handles a heartbeat from a peer. */
 void OnHeartbeat(FleetNode& node,
                  Millis now,
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -189,6 +189,19 @@
                 actions);
 }
 
+void AbandonUnsentJob(FleetNode& node,
+                      Millis now,
+                      const SubmissionId& job,
+                      const DaemonRef& scheduler,
+                      Actions& actions) {
+  const auto entry = node.reception.pending.find(job);
+  if (entry == node.reception.pending.end() ||
+      entry->second.scheduler != scheduler)
+    return;
+  entry->second.scheduler = DaemonRef();
+  AbandonJob(node, now, job, "not_sendable", actions);
+}
+
 void HandleJobSubmission(FleetNode& node,
                          Millis now,
                          const DaemonRef& from,
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -52,6 +52,13 @@
                 const char* reason,
                 Actions& actions);
 
+/** Abandons a job that can't be sent to its scheduler. */
+void AbandonUnsentJob(FleetNode& node,
+                      Millis now,
+                      const SubmissionId& job,
+                      const DaemonRef& scheduler,
+                      Actions& actions);
+
 /** Cancels a job that a receiver has sent to this daemon, whether it is
  * scheduled or still waits for a newer view.
  */
--- a/modules/core/node/node_events.h
+++ b/modules/core/node/node_events.h
@@ -53,6 +53,12 @@
 /** Mints the id of a submission that a caller is going to send. */
 SubmissionId OnMint(Node& node, Millis now);
 
+/** Handles a frame that can't be sent to its peer, now or later. */
+void OnFrameNotSendable(Node& node,
+                        Millis now,
+                        const PeerFrame& frame,
+                        Actions& actions);
+
 /** Handles a frame from a peer. */
 void OnPeerFrame(Node& node,
                  Millis now,
--- a/modules/core/node/peer_flow.cc
+++ b/modules/core/node/peer_flow.cc
@@ -201,6 +201,17 @@
   node.configuration_text = text;
 }
 
+void OnFrameNotSendable(Node& node,
+                        Millis,
+                        const PeerFrame& frame,
+                        Actions& actions) {
+  if (!DropMessage(node.sessions, frame.to, frame.sequence, actions))
+    return;
+  actions.push_back(LogEvent{"message_dropped",
+                             {{"peer", frame.to.id.value},
+                              {"sequence", std::to_string(frame.sequence)}}});
+}
+
 void OnPeerFrame(Node& node,
                  Millis now,
                  const PeerFrame& frame,
--- a/modules/core/peers/peer_session.cc
+++ b/modules/core/peers/peer_session.cc
@@ -75,6 +75,26 @@
   return true;
 }
 
+std::optional<PeerMessage> DropMessage(PeerSessions& sessions,
+                                       const DaemonRef& peer,
+                                       uint64_t sequence,
+                                       Actions& actions) {
+  if (!HasSession(sessions, peer))
+    return std::nullopt;
+  PeerSession& session = sessions.sessions.at(peer.id);
+  for (UnacknowledgedMessage& unacknowledged : session.unacknowledged) {
+    if (unacknowledged.sequence != sequence || !unacknowledged.message)
+      continue;
+    std::optional<PeerMessage> message =
+        std::exchange(unacknowledged.message, std::nullopt);
+    PeerFrame frame = MakeFrame(sessions, session);
+    frame.sequence = sequence;
+    actions.push_back(SendFrame{std::move(frame)});
+    return message;
+  }
+  return std::nullopt;
+}
+
 std::optional<PeerMessage> Receive(PeerSessions& sessions,
                                    const PeerFrame& frame,
                                    Millis now) {
@@ -94,7 +114,7 @@
     session.resends_without_progress = 0;
     session.sent_at = now;
   }
-  if (frame.sequence == 0 || !frame.message)
+  if (frame.sequence == 0)
     return std::nullopt;
   session.is_acknowledgement_due = true;
   if (frame.sequence != session.received_up_to + 1) {
--- a/modules/core/peers/peer_session.h
+++ b/modules/core/peers/peer_session.h
@@ -17,7 +17,8 @@
 /** A message that the peer has not acknowledged yet. */
 struct UnacknowledgedMessage {
   uint64_t sequence = 0;
-  PeerMessage message;
+  /** None once the message was dropped. */
+  std::optional<PeerMessage> message;
 };
 
 /** The state of the message exchange between two incarnations.
@@ -98,6 +99,16 @@
           Millis now,
           Actions& actions);
 
+/** Drops a message that can't be sent, and sends its number without a message,
+ * so that the peer accepts later ones.
+ *
+ * @return the message; none if it was acknowledged or dropped before
+ */
+std::optional<PeerMessage> DropMessage(PeerSessions& sessions,
+                                       const DaemonRef& peer,
+                                       uint64_t sequence,
+                                       Actions& actions);
+
 /** Handles a received frame. Returns its message if it is the next one in
  * order.
  */
--- a/modules/model/peer_frame.h
+++ b/modules/model/peer_frame.h
@@ -22,6 +22,7 @@
   uint64_t sequence = 0;
   /** Number up to which the sender has received all messages. */
   uint64_t acknowledged = 0;
+  /** None with a number in place of a message that could not be sent. */
   std::optional<PeerMessage> message;
 };
 
--- a/modules/model/transient_job.h
+++ b/modules/model/transient_job.h
@@ -28,6 +28,11 @@
   uint32_t max_per_endpoint = 0;
 };
 
+/** Maximum magnitude of a stretch, so that run times multiplied by it can't
+ * overflow.
+ */
+inline constexpr double kMaxStretch = 1'000'000;
+
 /** A job that is not persisted. Its answer goes to the request that submitted
  * it; if the job is lost, the caller sends it again.
  */
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
+#include "platform/item_codec.h"
+
 namespace dogwoodfall {
 namespace {
 
@@ -62,6 +65,22 @@
   EXPECT_TRUE(report.tasks[0].is_given_up);
 }
 
+// Whatever stretch the store may hold, messages with it can be sent.
+TEST(PeerCodecTest, RoutesOfTheStoreCanBeSentToPeers) {
+  for (const char* stretch : {"2000", "1000000", "-0.5", "-1000000"}) {
+    const RouteTable table = DecodeRoutes(nlohmann::json::parse(
+        std::string(R"({"version":1,"routes":[{"name":"r","host":"h",)") +
+        R"("prefix":"/p/","service":"s","stretch":)" + stretch + "}]}"));
+    PeerFrame frame;
+    frame.message = RoutesNotice{table};
+    EXPECT_TRUE(DecodeFrame(EncodeFrame(frame)).has_value()) << stretch;
+    JobSubmission submission;
+    submission.job.stretch = table.routes.at(0).stretch;
+    frame.message = submission;
+    EXPECT_TRUE(DecodeFrame(EncodeFrame(frame)).has_value()) << stretch;
+  }
+}
+
 // Guards against a decoder that reads past the end of a frame, or that accepts
 // a part of one.
 TEST(PeerCodecTest, RejectsTruncatedFramesAndTrailingBytes) {
--- a/tests/core/peer_session_test.cc
+++ b/tests/core/peer_session_test.cc
@@ -85,5 +85,33 @@
                    SessionLimits(), now, actions));
 }
 
+// A message can't be encoded. It must not block those after it.
+TEST(PeerSessionTest, DroppedMessageDoesNotBlockLaterOnes) {
+  const DaemonRef self{DaemonId("self"), Incarnation(1)};
+  const DaemonRef peer{DaemonId("peer"), Incarnation(2)};
+  PeerSessions sender;
+  sender.self = self;
+  StartSession(sender, peer);
+  PeerSessions receiver;
+  receiver.self = peer;
+  StartSession(receiver, self);
+  const Millis now{1'000};
+  Actions sent;
+  Send(sender, peer, JobCancellation{SubmissionId("first")}, SessionLimits(),
+       now, sent);
+  Send(sender, peer, JobCancellation{SubmissionId("second")}, SessionLimits(),
+       now, sent);
+  Actions replacement;
+  ASSERT_TRUE(DropMessage(sender, peer, 1, replacement).has_value());
+  EXPECT_FALSE(DropMessage(sender, peer, 1, replacement).has_value());
+  ASSERT_EQ(replacement.size(), 1U);
+  EXPECT_FALSE(
+      Receive(receiver, std::get<SendFrame>(replacement[0]).frame, now));
+  const auto second =
+      Receive(receiver, std::get<SendFrame>(sent[1]).frame, now);
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(std::get<JobCancellation>(*second).job, SubmissionId("second"));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -27,6 +27,7 @@
 FleetWorld::FleetWorld()
     : prints_log(std::getenv("FLEET_WORLD_LOG") != nullptr),
       is_partitioned([](const DaemonId&, const DaemonId&) { return false; }),
+      is_frame_sendable([](const PeerFrame&) { return true; }),
       message_delay([](const DaemonId&, const DaemonId&) { return Millis(); }),
       command_delay([](const DaemonId&) { return Millis(); }),
       is_answer_lost([](const EndpointCommand&) { return false; }),
@@ -245,6 +246,13 @@
   const DaemonId from(daemon);
   for (const Action& action : actions) {
     if (const auto* frame = std::get_if<SendFrame>(&action)) {
+      if (!this->is_frame_sendable(frame->frame)) {
+        Actions reaction;
+        OnFrameNotSendable(this->nodes.at(daemon), this->now, frame->frame,
+                           reaction);
+        this->ExecuteActions(daemon, reaction);
+        continue;
+      }
       const std::string to = frame->frame.to.id.value;
       if (this->incarnations.count(to) == 0 ||
           this->is_partitioned(from, DaemonId(to)))
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -76,6 +76,8 @@
   std::map<EndpointId, FakeEndpoint> endpoints;
   /** True for pairs of daemons that can't reach each other. */
   std::function<bool(const DaemonId&, const DaemonId&)> is_partitioned;
+  /** False for frames that can't be sent. */
+  std::function<bool(const PeerFrame&)> is_frame_sendable;
   /** Time by which messages from one daemon to another are delayed. */
   std::function<Millis(const DaemonId&, const DaemonId&)> message_delay;
   /** Time by which commands of a daemon to endpoints are delayed. */
