Cancel running jobs when their callers ask for it

Cause: the gateway answered each DELETE with 410, as stored jobs are not supported. It did so for jobs that need not be kept as well, which run, and which can be withdrawn already when their callers leave.

Why it works: a daemon that waits for the job's result ends it as it does when all callers have left, and answers the POST 200 with state cancelled, so that the job is not sent again. Any daemon may be asked; it forwards the request to all others with a message that exists already and that daemons of an older version ignore. 410 is said only when all have answered, and 504 when one has not. A cancelled job is known for 10 s, so that a submission that arrives late does not start it.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -84,6 +84,11 @@
           OnJob(this->node, now, CallerToken(token), job, age, actions);
         });
       },
+      [this](HttpToken token, const SubmissionId& job) {
+        this->CallCore([&](Millis now, Actions& actions) {
+          OnCancelJob(this->node, now, CallerToken(token), job, actions);
+        });
+      },
       &WriteLog});
   const Result<bool> listen_result = this->OpenListeners();
   if (!listen_result.ok())
@@ -298,6 +303,10 @@
   } else if (const auto* answer = std::get_if<AnswerJob>(&action)) {
     CallerGateway::Answer(*this->caller_server, answer->caller.value,
                           answer->outcome);
+  } else if (const auto* cancellation =
+                 std::get_if<AnswerCancellation>(&action)) {
+    CallerGateway::AnswerCancelRequest(
+        *this->caller_server, cancellation->caller.value, cancellation->result);
   } else if (const auto* members = std::get_if<UpdatePeers>(&action)) {
     this->peers->SetMembers(members->members);
   } else if (const auto* log = std::get_if<LogEvent>(&action)) {
--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -13,7 +13,7 @@
 
 const char* GetJobResultLabel(size_t job_result) {
   constexpr const char* kNames[] = {"completed", "failed", "refused",
-                                    "abandoned"};
+                                    "abandoned", "cancelled"};
   return job_result < std::size(kNames) ? kNames[job_result] : "other";
 }
 
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/cancellation_flow.h"
 #include "core/fleet/confirmation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
@@ -270,6 +271,10 @@
     HandleJobProgress(node, from, *progress, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
     RedirectJob(node, now, from, *redirect, actions);
+  } else if (const auto* request = std::get_if<CancelForward>(&message)) {
+    HandleCancelForward(node, now, from, *request, actions);
+  } else if (const auto* answer = std::get_if<ForwardAnswer>(&message)) {
+    HandleCancelAnswer(node, from, *answer, actions);
   } else if (const auto* losses = std::get_if<LostEndpointsReport>(&message)) {
     ApplyLostEndpointsReport(node.scheduler, *losses, now, actions);
   }
@@ -313,6 +318,16 @@
              actions);
 }
 
+void OnCancelJob(FleetNode& node,
+                 Millis now,
+                 CallerToken caller,
+                 const SubmissionId& job,
+                 Actions& actions) {
+  HandlePause(node, now, actions);
+  CancelJobOfCaller(node, now, caller, job, actions);
+  PlaceTasks(node.scheduler, now, actions);
+}
+
 void OnCallerDisconnected(FleetNode& node,
                           Millis now,
                           CallerToken caller,
@@ -431,6 +446,7 @@
   AssignJobs(node, now, actions);
   ReportFinishedJobs(node, now, actions);
   AnnounceLosses(node, now, actions);
+  ReviewCancellations(node, now, actions);
   FinishShutdown(node, now, actions);
 }
 
--- a/modules/core/fleet/fleet_events.h
+++ b/modules/core/fleet/fleet_events.h
@@ -26,6 +26,15 @@
            std::optional<Millis> measured_age,
            Actions& actions);
 
+/** Handles a caller's request to cancel a job. The answer is an
+ * AnswerCancellation action, which may follow in a later event.
+ */
+void OnCancelJob(FleetNode& node,
+                 Millis now,
+                 CallerToken caller,
+                 const SubmissionId& job,
+                 Actions& actions);
+
 /** Handles a caller that has closed its connection. */
 void OnCallerDisconnected(FleetNode& node,
                           Millis now,
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -11,6 +11,7 @@
  * - assignment_flow.h: assigns these jobs to schedulers
  * - heartbeat_flow.h: which daemons exchange heartbeats
  * - confirmation_flow.h: receivers confirm the jobs that they wait for
+ * - cancellation_flow.h: callers' requests to cancel jobs
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_delay.h: detects delayed messages
@@ -27,6 +28,7 @@
 #include "base/millis.h"
 #include "core/fleet/fleet_view.h"
 #include "core/fleet/peer_delay.h"
+#include "core/fleet/pending_cancellation.h"
 #include "core/fleet/reception.h"
 #include "core/fleet/store_session.h"
 #include "core/peers/peer_session.h"
@@ -115,6 +117,11 @@
    * are routed by these records.
    */
   std::unordered_map<SubmissionId, ForwardedJob> forwarded_jobs;
+  /** Requests to cancel jobs that other daemons have not answered yet. */
+  std::map<ForwardId, PendingCancellation> cancellations;
+  uint64_t last_cancellation = 0;
+  /** Jobs that were cancelled, with the time until which they are known. */
+  std::unordered_map<SubmissionId, Millis> cancelled_jobs;
   uint64_t heartbeat_number = 0;
   /** Number of heartbeat periods so far. */
   uint64_t heartbeat_round = 0;
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -62,7 +62,7 @@
   static constexpr int64_t kLatencyBoundsMs[] = {50,  100,   200,  400,
                                                  800, 1'600, 3'200};
   static constexpr size_t kLatencyBucketCount = 8;
-  static constexpr size_t kJobResultCount = 4;
+  static constexpr size_t kJobResultCount = 5;
   uint64_t jobs = 0;
   uint64_t callers_disconnected = 0;
   /** Answers by JobResult. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/cancellation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -74,6 +75,14 @@
                 Millis request_age,
                 Actions& actions) {
   ++node.reception.counters.jobs;
+  if (WasCancelled(node, job.id)) {
+    actions.push_back(LogEvent{
+        "job_refused", {{"job", job.id.value}, {"reason", "cancelled"}}});
+    CountAnswer(node.reception.counters, JobResult::kCancelled, Millis());
+    actions.push_back(
+        AnswerJob{caller, {JobResult::kCancelled, {}, "cancelled"}});
+    return;
+  }
   node.reception.by_caller[caller] = job.id;
   const auto known = node.reception.pending.find(job.id);
   const Millis caller_deadline = now - request_age + job.time_left;
--- a/modules/model/transient_job.h
+++ b/modules/model/transient_job.h
@@ -93,6 +93,10 @@
   kRefused = 2,
   /** Abandoned after a task has started; all its runs are stopped. */
   kAbandoned = 3,
+  /** A caller has cancelled it. Only callers are told; daemons do not send each
+   * other this result.
+   */
+  kCancelled = 4,
 };
 
 /** Result of a job, and the time to retry after a refusal. */
--- a/modules/ports/action.h
+++ b/modules/ports/action.h
@@ -8,6 +8,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "model/answer.h"
+#include "model/cancellation_result.h"
 #include "model/daemon_member.h"
 #include "model/daemon_ref.h"
 #include "model/heartbeat.h"
@@ -91,6 +92,12 @@
   JobOutcome outcome;
 };
 
+/** Answers the request of a caller to cancel a job. */
+struct AnswerCancellation {
+  CallerToken caller;
+  CancellationResult result = CancellationResult::kUndecided;
+};
+
 /** Updates the addresses of the other daemons in the network adapter. */
 struct UpdatePeers {
   std::vector<DaemonMember> members;
@@ -114,6 +121,7 @@
                             CallEndpoint,
                             CallKeyValue,
                             AnswerJob,
+                            AnswerCancellation,
                             UpdatePeers,
                             ExitProcess>;
 
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -146,6 +146,17 @@
   return caller;
 }
 
+CallerToken FleetWorld::Cancel(const std::string& daemon,
+                               const std::string& job) {
+  const CallerToken caller(++this->last_caller);
+  this->DeliverEvent(daemon, this->incarnations.at(daemon),
+                     [=](FleetNode& node, Actions& actions) {
+                       OnCancelJob(node, this->now, caller, SubmissionId(job),
+                                   actions);
+                     });
+  return caller;
+}
+
 void FleetWorld::SendMessage(const std::string& from,
                              const std::string& to,
                              const PeerMessage& message) {
@@ -278,6 +289,9 @@
       this->CallStore(daemon, *store);
     } else if (const auto* answer = std::get_if<AnswerJob>(&action)) {
       this->results[this->callers[answer->caller]] = answer->outcome.result;
+    } else if (const auto* cancellation =
+                   std::get_if<AnswerCancellation>(&action)) {
+      this->cancellations[cancellation->caller] = cancellation->result;
     } else if (const auto* log = std::get_if<LogEvent>(&action)) {
       if (!this->prints_log)
         continue;
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -47,6 +47,10 @@
                      const std::string& job,
                      uint32_t tasks,
                      Millis nominal_run_time);
+  /** Requests a daemon to cancel a job.
+   * @return the caller's token
+   */
+  CallerToken Cancel(const std::string& daemon, const std::string& job);
   /** Lets a daemon send a message to another one. */
   void SendMessage(const std::string& from,
                    const std::string& to,
@@ -71,6 +75,8 @@
   uint64_t heartbeat_count = 0;
   /** Results by job id. */
   std::map<std::string, JobResult> results;
+  /** Results of the requests to cancel jobs. */
+  std::map<CallerToken, CancellationResult> cancellations;
   /** Tasks that had two runs at the same time. */
   std::set<JobTask> overlaps;
   std::map<EndpointId, FakeEndpoint> endpoints;
