Count runs, not tasks, for the limit of runs per endpoint

Cause: the limit counted the tasks that are placed on the endpoint. When another daemon reports a task as done, its run here is stopped and its task is done at once, while the run goes on until the endpoint lists its end.

StoppingRunsCountForTheLimitOfRunsPerEndpoint failed before: two runs 1 ms after the report.

Why it works: the limit counts the runs of the step that the endpoint is known to have, whatever the phase of their tasks, as the resources in use are counted.

--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -60,13 +60,18 @@
          endpoint.labels.end();
 }
 
-uint32_t CountTasksOnEndpoint(const ScheduledJob& job,
-                              uint32_t step_index,
-                              const EndpointId& endpoint) {
+/** Counts the runs of a step on an endpoint, including those that are being
+ * stopped, whatever the phase of their tasks.
+ */
+uint32_t CountRunsOfStep(const ManagedEndpoint& endpoint,
+                         const SubmissionId& job,
+                         uint32_t step_index) {
   uint32_t count = 0;
-  for (const TaskProgress& task : job.tasks[step_index]) {
-    if (task.phase == TaskPhase::kPlaced && task.endpoint == endpoint)
-      ++count;
+  auto run = endpoint.runs.lower_bound({{job, step_index, 0}, 0});
+  for (; run != endpoint.runs.end(); ++run, ++count) {
+    const JobTask& task = run->first.first;
+    if (task.job != job || task.step != step_index)
+      break;
   }
   return count;
 }
@@ -226,7 +231,7 @@
          Fits(step.resources,
               endpoint.entry.capacity - endpoint.used - planned_use) &&
          (step.max_per_endpoint == 0 ||
-          CountTasksOnEndpoint(job, step_index, endpoint.entry.id) <
+          CountRunsOfStep(endpoint, job.job.id, step_index) <
               step.max_per_endpoint);
 }
 
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -364,6 +364,30 @@
   EXPECT_TRUE(endpoint.running.empty());
 }
 
+// Another scheduler reports a task as done whose run here is being stopped. No
+// other task of the step may start beside it.
+TEST(SchedulingTest, StoppingRunsCountForTheLimitOfRunsPerEndpoint) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e1", 16, 1);
+  endpoint.stop_duration = {100};
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 3, 2, {200}, "route");
+  submission.job.steps[0].max_per_endpoint = 1;
+  world.SubmitJob(submission, {200});
+  world.Run({50});
+  ASSERT_EQ(endpoint.running.size(), 1U);
+  JobProgress progress;
+  progress.job = SubmissionId("job");
+  progress.done = {{0, endpoint.running.begin()->first.first.index}};
+  world.SubmitProgress(progress);
+  for (int ms = 0; ms < 800; ++ms) {
+    world.Run({1});
+    ASSERT_LE(endpoint.running.size(), 1U) << ms;
+  }
+  EXPECT_EQ(ResultOf(world, "job"), JobResult::kCompleted);
+}
+
 // A second, empty progress message from the previous scheduler must not replace
 // the first one.
 TEST(SchedulingTest, EmptyProgressDoesNotReplaceEarlierProgress) {
