Log and count jobs that two schedulers hold

Two runs of one task start when two submissions of a job are accepted that do not know of each other. The logs could not tell whether the first one had been announced where the second one was scheduled, nor how old each was. A scheduler that hears another one announce a job that it holds in another group now logs both, with the age here and whether it has started.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/announcement_flow.h"
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/confirmation_flow.h"
@@ -420,6 +421,7 @@
   RecordDelay(peer_status.delay, heartbeat.sent_at, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
+  ReportJobsScheduledTwice(node, heartbeat, now, actions);
   ConfirmJobs(node, heartbeat, now, actions);
   SendMissingUpdates(node, peer_status, now, actions);
 }
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -8,6 +8,7 @@
  * - fleet_view.h: which daemon owns which endpoints
  * - store_session.h: calls to the store
  * - reception.h: callers' jobs until they are answered
+ * - announcement_flow.h: jobs that may be sent again are announced
  * - assignment_flow.h: assigns these jobs to schedulers
  * - heartbeat_flow.h: which daemons exchange heartbeats
  * - confirmation_flow.h: receivers confirm the jobs that they wait for
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -3,16 +3,12 @@
 #include <utility>
 #include <vector>
 
+#include "core/fleet/announcement_flow.h"
 #include "core/fleet/spillover_flow.h"
 
 namespace dogwoodfall {
 namespace {
 
-/** Age from which a job is listed in heartbeats, because its caller may
- * send it again to any daemon from 1,300 ms on.
- */
-constexpr Millis kAnnounceJobAfter{700};
-
 Heartbeat MakeHeartbeat(const FleetNode& node, Millis now) {
   Heartbeat heartbeat;
   heartbeat.from = node.self;
@@ -22,10 +18,7 @@
   heartbeat.revision = node.routes.version;
   heartbeat.store_revision = node.view.revision;
   heartbeat.draining = node.is_stopping;
-  for (const auto& [id, job] : node.scheduler.jobs) {
-    if (now - job.received_at >= kAnnounceJobAfter)
-      heartbeat.jobs_in_progress.push_back({id, job.group});
-  }
+  heartbeat.jobs_in_progress = ListAnnouncedJobs(node, now);
   heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
   return heartbeat;
 }
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -84,6 +84,8 @@
    */
   std::vector<ReportedRun> reported_runs;
 
+  /** True once another daemon was found to schedule it in another group. */
+  bool is_scheduled_twice = false;
   /** True once any run of it failed. */
   bool has_failed_run = false;
   /** True once any run of it was sent, found or reported. */
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -27,6 +27,8 @@
   uint64_t lost_runs = 0;
   /** Jobs whose runs were stopped because no receiver confirmed them. */
   uint64_t ended_job_leases = 0;
+  /** Jobs that another daemon schedules as well. */
+  uint64_t jobs_scheduled_twice = 0;
   /** Tasks that were given up because they crash their endpoints. */
   uint64_t given_up_tasks = 0;
   /** Ejections of endpoints whose runs kept failing. */
