Run a job beyond the age of its repeats only where these are known

Callers saw both tasks of a job run twice at the same time, started by schedulers of two zones. A caller may send a job again 1,300 ms after it lost its connection, while its first receiver still waits and confirms the job. The repeat was told apart by announcements from 700 ms on: datagrams that nobody acknowledged, sent to those who were owners by the sender's view. One that was lost, late or sent to a former owner let the repeat start as a new job. Silence was taken for knowledge.

Now the lease of a job ends at an age of 1,070 ms, so that all of its runs have ended before 1,300 ms, unless all owners of groups and their standbys have acknowledged its announcement. Each acknowledgement extends the lease to 870 ms after the announcement was sent; the peer remembers the job for 1,100 ms after the scheduler's last message, so that the runs end first. A job that is not acknowledged in time is ended at once: as refused if nothing of it has started, otherwise as abandoned. A lost announcement costs a job that outlives 1,070 ms instead of the promise. An old job is announced at once where it is accepted; a scheduler that hands it over goes on announcing it until the next one does. A start on an endpoint whose present lease outlasts the announcement waits, as a lease never gets shorter.

SchedulerWorld, which has no other daemons, acknowledges all jobs.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -80,6 +80,9 @@
   AddCounter(families, "job_leases_ended_total",
              "Jobs whose runs were stopped because no receiver confirmed them",
              "", {{"", counters.ended_job_leases}});
+  AddCounter(families, "jobs_unannounced_total",
+             "Jobs ended because they could not be announced in time", "",
+             {{"", counters.unannounced_jobs}});
   AddCounter(families, "jobs_scheduled_twice_total",
              "Jobs that another daemon schedules as well", "",
              {{"", counters.jobs_scheduled_twice}});
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -246,7 +246,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobProgress& message) {
   archive(message.job, message.done, message.active_runs,
-          message.remaining_wait);
+          message.remaining_wait, message.remaining_lease);
 }
 
 template <class Archive>
@@ -313,7 +313,8 @@
           heartbeat.queued_tasks, heartbeat.draining, heartbeat.ended_receiver,
           heartbeat.leaving_endpoints, heartbeat.demands,
           heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at,
-          heartbeat.confirmed_jobs, heartbeat.answered_sent_at);
+          heartbeat.confirmed_jobs, heartbeat.answered_sent_at,
+          heartbeat.acknowledged_jobs);
 }
 
 namespace {
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/fleet/announcement_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -14,10 +15,6 @@
 
 /** Number of times a job may be redirected to another scheduler. */
 constexpr uint32_t kMaxRedirects = 3;
-/** Time for which the jobs listed in a peer's heartbeat count as running there:
- * the heartbeat period (100 ms) and the lease of runs (500 ms).
- */
-constexpr Millis kHeartbeatValidity{600};
 /** Age from which a job is refused that no scheduler has announced. Its caller
  * may send it again from 1,300 ms on, and by then the heartbeat of its
  * scheduler has to reach the other daemons.
@@ -176,16 +173,21 @@
 std::optional<RunningJob> FindRunningJob(const FleetNode& node,
                                          const SubmissionId& job,
                                          Millis now) {
+  std::optional<RunningJob> found;
   for (const auto& [id, peer_status] : node.peers) {
-    if (now - peer_status.last_received_at >= kHeartbeatValidity)
+    if (now - peer_status.last_received_at >= kAnnouncementValidity)
       continue;
     for (const JobInProgress& running :
          peer_status.last_heartbeat.jobs_in_progress) {
-      if (running.job == job)
-        return RunningJob{peer_status.last_heartbeat.from, running.group};
+      if (running.job != job)
+        continue;
+      found = RunningJob{peer_status.last_heartbeat.from, running.group};
+      // Other daemons announce a job that they have handed over.
+      if (IsOwnerOf(node.view, found->scheduler, found->group))
+        return found;
     }
   }
-  return std::nullopt;
+  return found;
 }
 
 void AssignNewJob(FleetNode& node,
--- a/modules/core/fleet/confirmation_flow.cc
+++ b/modules/core/fleet/confirmation_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/fleet/announcement_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/scheduling/job_lease.h"
 
@@ -67,13 +68,16 @@
                  Actions& actions) {
   std::vector<SubmissionId> confirmed =
       RecordConfirmations(node, heartbeat.from, now);
-  if (confirmed.empty())
+  std::vector<SubmissionId> acknowledged =
+      FindAcknowledgedJobs(node, heartbeat);
+  if (confirmed.empty() && acknowledged.empty())
     return;
   Heartbeat confirmation;
   confirmation.from = node.self;
   confirmation.zone = node.zone;
   confirmation.sent_at = now;
   confirmation.confirmed_jobs = std::move(confirmed);
+  confirmation.acknowledged_jobs = std::move(acknowledged);
   confirmation.answered_sent_at = heartbeat.sent_at;
   actions.push_back(SendHeartbeat{{heartbeat.from.id}, confirmation});
 }
@@ -96,7 +100,8 @@
             std::max(early.submission.sent_at, confirmed_at);
     }
   }
-  return has_resumed_job;
+  ApplyAcknowledgements(node, confirmation);
+  return ExtendAnnouncementLeases(node, now) || has_resumed_job;
 }
 
 void ConfirmOwnJobs(FleetNode& node, Millis now) {
@@ -105,18 +110,20 @@
 }
 
 void RequestConfirmations(FleetNode& node, Millis now, Actions& actions) {
-  std::set<DaemonId> receivers;
-  for (const auto& [id, lease_end] : node.scheduler.job_lease_ends) {
+  std::set<DaemonId> peers;
+  for (const auto& [id, lease] : node.scheduler.job_lease_ends) {
+    const Millis lease_end = lease.confirmed_until;
     const bool is_due = lease_end - kJobLease + kRequestAfter <= now;
     if (is_due && !IsOrphaned(node.scheduler, lease_end, now))
-      AddReceivers(node, id, receivers);
+      AddReceivers(node, id, peers);
   }
+  AddUninformedSchedulers(node, now, peers);
   for (const EarlyJob& early : node.early_jobs) {
     if (early.submission.sent_at + kRequestAfter <= now)
-      receivers.insert(early.receiver.id);
+      peers.insert(early.receiver.id);
   }
-  receivers.erase(node.self.id);
-  for (const DaemonId& id : receivers) {
+  peers.erase(node.self.id);
+  for (const DaemonId& id : peers) {
     const auto peer_status = node.peers.find(id);
     if (peer_status == node.peers.end() ||
         now - peer_status->second.heartbeat_sent_at < kRequestPeriod)
--- a/modules/core/fleet/confirmation_flow.h
+++ b/modules/core/fleet/confirmation_flow.h
@@ -18,13 +18,15 @@
  * one end within kRunsEndedAfter, whether or not that one can be reached.
  */
 
-/** Answers a scheduler's heartbeat with the jobs that this daemon waits for. */
+/** Answers a scheduler's heartbeat with the jobs that this daemon waits for,
+ * and with the announced jobs that it knows of now (announcement_flow.h).
+ */
 void ConfirmJobs(FleetNode& node,
                  const Heartbeat& heartbeat,
                  Millis now,
                  Actions& actions);
 
-/** Extends the leases of the jobs that a receiver has confirmed.
+/** Extends the leases of the jobs that a peer has confirmed or acknowledged.
  * @return true when tasks may be started that had to wait for it
  */
 bool ApplyConfirmations(FleetNode& node,
@@ -35,7 +37,8 @@
 void ConfirmOwnJobs(FleetNode& node, Millis now);
 
 /** Sends heartbeats to the receivers of jobs whose leases have not been
- * extended for a while. Other heartbeats may be rarer, get lost or not be
+ * extended for a while, and to peers that have not acknowledged an announced
+ * job. Other heartbeats may be rarer, get lost or not be
  * exchanged.
  */
 void RequestConfirmations(FleetNode& node, Millis now, Actions& actions);
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -400,7 +400,7 @@
   if (!HasSession(node.sessions, heartbeat.from))
     return;
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
-  if (!heartbeat.confirmed_jobs.empty()) {
+  if (IsAnswer(heartbeat)) {
     peer_status.last_received_at = now;
     peer_status.confirmed_at = now;
     peer_status.is_silence_logged = false;
@@ -440,6 +440,7 @@
   RemoveExpiredForwardedJobs(node, now);
   LogSilentReceivers(node, now, actions);
   ConfirmOwnJobs(node, now);
+  ExtendAnnouncementLeases(node, now);
   RequestConfirmations(node, now, actions);
   RemoveUnconfirmedEarlyJobs(node, now, actions);
   StopOrphanedRuns(node, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -22,6 +22,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +53,10 @@
   Millis heartbeat_period;
   /** When it last confirmed jobs. */
   Millis confirmed_at;
+  /** The announced jobs that it last acknowledged. */
+  std::set<SubmissionId> acknowledged_jobs;
+  /** When the heartbeat was sent that it answered so. */
+  Millis acknowledged_at;
   /** When the last heartbeat was sent to it. */
   Millis heartbeat_sent_at;
   /** True once the removal of its store item was requested. */
@@ -85,6 +90,12 @@
    */
   bool is_known_unstarted = false;
   Millis forwarded_at;
+  /** The group that the next scheduler runs it in, as far as known here;
+   * without a zone for a job that was never accepted here.
+   */
+  EndpointGroup released_group;
+  /** When the receiver got it. */
+  Millis received_at;
   /** Daemons that waited for its result when it was released here. Once all of
    * them are lost, its runs that this daemon still manages are stopped.
    */
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/erase_if.h"
+#include "core/fleet/announcement_flow.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/job_flow.h"
 
@@ -142,6 +143,7 @@
   if (to == node.self || !HasSession(node.sessions, to)) {
     ApplyJobProgress(node.scheduler, progress, node.view.revision, now,
                      actions);
+    AnnounceOldJob(node, progress.job, now, actions);
     return;
   }
   actions.push_back(
@@ -172,6 +174,16 @@
     return;
   }
   const std::vector<DaemonRef> receivers = FindReceivers(node, request.job);
+  ForwardedJob record{request.to, {}, false, now, {}, {}, receivers};
+  const auto job = node.scheduler.jobs.find(request.job);
+  if (job != node.scheduler.jobs.end()) {
+    record.released_group = job->second.group;
+    record.received_at = job->second.received_at;
+  } else if (const auto released = node.forwarded_jobs.find(request.job);
+             released != node.forwarded_jobs.end()) {
+    record.released_group = released->second.released_group;
+    record.received_at = released->second.received_at;
+  }
   RedirectEarlyJobs(node, request);
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
@@ -181,7 +193,7 @@
     progress->job = request.job;
   }
   const DaemonRef holder = is_forwarded ? known->second.to : DaemonRef();
-  node.forwarded_jobs[request.job] = {request.to, {}, false, now, receivers};
+  node.forwarded_jobs[request.job] = std::move(record);
   if (progress) {
     DeliverProgress(node, request.to, *progress, now, actions);
     return;
@@ -294,8 +306,8 @@
     return;
   }
   RemoveEmptyProgress(node, submission.job.id);
-  node.forwarded_jobs.try_emplace(submission.job.id,
-                                  ForwardedJob{owner, {}, true, now, {}});
+  node.forwarded_jobs.try_emplace(
+      submission.job.id, ForwardedJob{owner, {}, true, now, {}, {}, {}});
 }
 
 void RecordSpillover(FleetNode& node,
@@ -305,7 +317,8 @@
                      Millis now) {
   RemoveEmptyProgress(node, job);
   ForwardedJob& record =
-      node.forwarded_jobs.try_emplace(job, ForwardedJob{{}, {}, true, {}, {}})
+      node.forwarded_jobs
+          .try_emplace(job, ForwardedJob{{}, {}, true, {}, {}, {}, {}})
           .first->second;
   record.to = owner;
   record.spillover_group = group;
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/announcement_flow.h"
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/handover_flow.h"
@@ -282,6 +283,8 @@
     return;
   node.forwarded_jobs.erase(submission.job.id);
   AcceptJob(node.scheduler, receiver, group, submission, now, actions);
+  if (!is_known)
+    AnnounceOldJob(node, submission.job.id, now, actions);
 }
 
 void CancelReceivedJob(FleetNode& node,
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -64,7 +64,9 @@
   const std::optional<RunningJob> running =
       FindRunningJob(node, submission.job.id, now);
   std::optional<EndpointGroup> group;
-  if (running)
+  // A job announced in this group was handed over to this daemon, which may
+  // have forwarded it since.
+  if (running && !(running->group == submission.group))
     group = running->group;
   const auto record = node.forwarded_jobs.find(submission.job.id);
   if (!group && record != node.forwarded_jobs.end() &&
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -202,6 +202,7 @@
                            reported.active_runs.end());
   known.remaining_wait =
       std::min(known.remaining_wait, reported.remaining_wait);
+  known.remaining_lease = reported.remaining_lease;
 }
 
 void LogReportedRun(const Scheduler& scheduler,
@@ -364,6 +365,7 @@
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
   GrantJobLease(scheduler, job.id, submission.sent_at);
+  GrantAnnouncementLease(scheduler, job.id, now - job.age);
   accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
@@ -375,6 +377,8 @@
     if (now - early->second.received_at > job.age)
       progress.remaining_wait =
           std::max(progress.remaining_wait, submission.max_progress_wait);
+    progress.remaining_lease =
+        progress.remaining_lease - (now - early->second.received_at);
     scheduler.early_progress.erase(early);
     ApplyJobProgress(scheduler, progress, submission.view_revision, now,
                      actions);
@@ -438,11 +442,15 @@
   }
   ScheduledJob& job = found->second;
   job.has_complete_progress = progress.remaining_wait == Millis();
-  if (job.has_complete_progress)
+  if (job.has_complete_progress) {
     job.start_blocked_until = Millis();
-  else
+    RenewAnnouncementLease(
+        scheduler, progress.job,
+        now + std::min(progress.remaining_lease, kHandedOverJobLease));
+  } else {
     job.start_blocked_until =
         std::max(job.start_blocked_until, now + progress.remaining_wait);
+  }
   for (const ActiveRun& run : progress.active_runs) {
     job.has_started = true;
     job.may_have_started = true;
@@ -472,6 +480,8 @@
                             Millis now) {
   JobProgress progress;
   progress.job = job.job.id;
+  progress.remaining_lease =
+      std::max(GetJobLeaseEnd(scheduler, job.job.id) - now, Millis());
   if (job.may_have_started)
     progress.remaining_wait = std::max(job.start_blocked_until - now, Millis());
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -20,6 +20,8 @@
  * Its receiver may only have been paused.
  */
 constexpr Millis kOrphanedJobRetention{500};
+/** Time after a pause of this process in which its jobs are acknowledged. */
+constexpr Millis kAnnouncementTimeAfterPause{200};
 /** Time after its end for which a lease is known, so that runs of a job that
  * was handed over are stopped.
  */
@@ -50,10 +52,16 @@
   }
 }
 
+JobLeaseEnds GetLeaseEnds(const Scheduler& scheduler, const SubmissionId& job) {
+  const auto found = scheduler.job_lease_ends.find(job);
+  return found == scheduler.job_lease_ends.end() ? JobLeaseEnds()
+                                                 : found->second;
+}
+
 void EndOrphanedJobs(Scheduler& scheduler, Millis now, Actions& actions) {
   std::vector<SubmissionId> orphaned;
   for (const auto& [id, job] : scheduler.jobs) {
-    if (IsOrphaned(scheduler, GetJobLeaseEnd(scheduler, id), now))
+    if (IsOrphaned(scheduler, GetLeaseEnds(scheduler, id).confirmed_until, now))
       orphaned.push_back(id);
   }
   for (const SubmissionId& id : orphaned)
@@ -61,15 +69,57 @@
            actions);
 }
 
+/** Ends the jobs whose repeats may be started elsewhere. Progress that a
+ * previous scheduler is to send is waited for, as it extends the lease. After a
+ * pause of this process the jobs are announced first.
+ */
+void EndUnannouncedJobs(Scheduler& scheduler, Millis now, Actions& actions) {
+  if (now < scheduler.resumed_at + kAnnouncementTimeAfterPause)
+    return;
+  std::vector<SubmissionId> unannounced;
+  for (const auto& [id, job] : scheduler.jobs) {
+    if (GetLeaseEnds(scheduler, id).announced_until <= now &&
+        job.start_blocked_until <= now)
+      unannounced.push_back(id);
+  }
+  scheduler.counters.unannounced_jobs += unannounced.size();
+  for (const SubmissionId& id : unannounced) {
+    const ScheduledJob& job = scheduler.jobs.at(id);
+    const bool may_have_run = job.has_started || job.may_have_started;
+    EndJob(scheduler, id,
+           {may_have_run ? JobResult::kAbandoned : JobResult::kRefused,
+            {},
+            "not_announced"},
+           now, actions);
+  }
+}
+
 }  // namespace
 
 void GrantJobLease(Scheduler& scheduler,
                    const SubmissionId& job,
                    Millis confirmed_at) {
-  Millis& end = scheduler.job_lease_ends[job];
+  Millis& end = scheduler.job_lease_ends[job].confirmed_until;
   end = std::max(end, confirmed_at + kJobLease);
 }
 
+void GrantAnnouncementLease(Scheduler& scheduler,
+                            const SubmissionId& job,
+                            Millis received_at) {
+  Millis& end = scheduler.job_lease_ends[job].announced_until;
+  end = std::max(end, received_at + kUnannouncedJobLease);
+}
+
+void RenewAnnouncementLease(Scheduler& scheduler,
+                            const SubmissionId& job,
+                            Millis announced_until) {
+  const auto found = scheduler.job_lease_ends.find(job);
+  if (found == scheduler.job_lease_ends.end())
+    return;
+  Millis& end = found->second.announced_until;
+  end = std::max(end, announced_until);
+}
+
 void RenewJobLease(Scheduler& scheduler,
                    const SubmissionId& job,
                    Millis confirmed_at) {
@@ -78,8 +128,8 @@
 }
 
 Millis GetJobLeaseEnd(const Scheduler& scheduler, const SubmissionId& job) {
-  const auto found = scheduler.job_lease_ends.find(job);
-  return found == scheduler.job_lease_ends.end() ? Millis() : found->second;
+  const JobLeaseEnds ends = GetLeaseEnds(scheduler, job);
+  return std::min(ends.confirmed_until, ends.announced_until);
 }
 
 bool MayStartTasks(const Scheduler& scheduler,
@@ -105,23 +155,31 @@
 
 bool HasLeaseForStart(const Scheduler& scheduler,
                       const ManagedEndpoint& endpoint,
+                      const SubmissionId& job,
                       Millis now) {
   return now + kMinLeaseForStart + kRunEndMargin <=
-         ComputeRunLeaseEnd(scheduler, endpoint, now);
+             ComputeRunLeaseEnd(scheduler, endpoint, now) &&
+         endpoint.lease_until <=
+             GetLeaseEnds(scheduler, job).announced_until + kRunEndMargin;
 }
 
-bool IsOrphaned(const Scheduler& scheduler, Millis lease_end, Millis now) {
-  return std::max(lease_end, scheduler.resumed_at) + kOrphanedJobRetention <=
+bool IsOrphaned(const Scheduler& scheduler,
+                Millis confirmed_until,
+                Millis now) {
+  return std::max(confirmed_until, scheduler.resumed_at) +
+             kOrphanedJobRetention <=
          now;
 }
 
 void ReviewJobLeases(Scheduler& scheduler, Millis now, Actions& actions) {
   StopRunsWithoutLease(scheduler, now, actions);
   EndOrphanedJobs(scheduler, now, actions);
+  EndUnannouncedJobs(scheduler, now, actions);
   auto& leases = scheduler.job_lease_ends;
   for (auto lease = leases.begin(); lease != leases.end();) {
-    const bool is_needed = lease->second + kEndedLeaseRetention > now ||
-                           scheduler.jobs.count(lease->first) > 0;
+    const bool is_needed =
+        lease->second.confirmed_until + kEndedLeaseRetention > now ||
+        scheduler.jobs.count(lease->first) > 0;
     lease = is_needed ? std::next(lease) : leases.erase(lease);
   }
 }
--- a/modules/core/scheduling/job_lease.h
+++ b/modules/core/scheduling/job_lease.h
@@ -12,6 +12,11 @@
  * the job does not have to reach the scheduler: without a confirmation the
  * lease ends, and the runs with it.
  *
+ * A caller may send a job again while its first receiver still waits, as that
+ * one may not notice a broken connection. So the lease also ends before the
+ * age at which a repeat can start elsewhere, unless all daemons that might
+ * schedule the repeat have acknowledged that they know of the job.
+ *
  * The leases of runs on endpoints are nested: they outlast the leases of their
  * jobs by no more than kRunEndMargin, even if the scheduler is lost meanwhile.
  */
@@ -37,6 +42,21 @@
  */
 inline constexpr Millis kRunsEndedAfter{650};
 
+/** Minimum time from the sending of a job to the arrival of its repeat. */
+inline constexpr Millis kMinRepeatAge{1'300};
+
+/** Time from the end of a job's lease to the end of all of its runs. */
+inline constexpr Millis kRunsEndedAfterLease = kRunsEndedAfter - kJobLease;
+
+/** Age at which the lease of a job ends that was not announced. */
+inline constexpr Millis kUnannouncedJobLease =
+    kMinRepeatAge - kRunsEndedAfterLease;
+
+/** Lease of a job that a previous scheduler has handed over, who announces it
+ * until its next scheduler does.
+ */
+inline constexpr Millis kHandedOverJobLease{150};
+
 /** Lets a lease start that was confirmed at the given time, on this daemon's
  * clock, or extends it.
  */
@@ -49,6 +69,19 @@
                    const SubmissionId& job,
                    Millis confirmed_at);
 
+/** Lets a job of the given age run until it is old enough to be announced. */
+void GrantAnnouncementLease(Scheduler& scheduler,
+                            const SubmissionId& job,
+                            Millis received_at);
+
+/** Extends a job's lease as the schedulers of its repeats know of the job, or
+ * as its previous scheduler still announces it. Does nothing for a job that was
+ * never accepted here.
+ */
+void RenewAnnouncementLease(Scheduler& scheduler,
+                            const SubmissionId& job,
+                            Millis announced_until);
+
 /** Returns the time at which a job's lease ends; zero without a lease. */
 Millis GetJobLeaseEnd(const Scheduler& scheduler, const SubmissionId& job);
 
@@ -67,22 +100,25 @@
                           Millis now);
 
 /** Returns true while a start on an endpoint gets a lease that lasts until the
- * next renewal.
+ * next renewal, and the endpoint's present lease doesn't let the run outlast an
+ * announcement of its job.
  */
 bool HasLeaseForStart(const Scheduler& scheduler,
                       const ManagedEndpoint& endpoint,
+                      const SubmissionId& job,
                       Millis now);
 
 /** Returns true when no receiver has confirmed a job for so long that it is
  * given up. Time in which this process was paused does not count.
  *
- * @param lease_end when its lease has ended
+ * @param confirmed_until when its receivers' lease has ended
  */
-bool IsOrphaned(const Scheduler& scheduler, Millis lease_end, Millis now);
+bool IsOrphaned(const Scheduler& scheduler, Millis confirmed_until, Millis now);
 
 /** Stops the runs of jobs whose leases have ended. Their tasks go back to the
  * queue, and are started again if a receiver confirms the job later. Ends jobs
- * that no receiver has confirmed for much longer.
+ * that no receiver has confirmed for much longer, and jobs that may be sent
+ * again and are not known to the schedulers of their repeats.
  */
 void ReviewJobLeases(Scheduler& scheduler, Millis now, Actions& actions);
 
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -252,7 +252,7 @@
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
-        !HasLeaseForStart(scheduler, endpoint, now) ||
+        !HasLeaseForStart(scheduler, endpoint, job.job.id, now) ||
         now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
       continue;
     const double risk =
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -8,7 +8,8 @@
  * Jobs:
  * - job_flow.h accepts, starts and ends jobs
  * - admission.h rejects jobs that cannot be completed
- * - job_lease.h runs a job only as long as its receivers confirm it
+ * - job_lease.h runs a job only as long as its receivers confirm it and the
+ *   schedulers of its repeats know of it
  * - job_order.h orders the queue
  * - placement.h chooses the endpoint of a task
  * - spillover.h chooses another group for a job
@@ -38,6 +39,7 @@
 #include "base/millis.h"
 #include "core/dispatch/run_times.h"
 #include "core/scheduling/crash_record.h"
+#include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/scheduled_job.h"
@@ -128,7 +130,7 @@
   /** When the lease of each job ends; also of jobs that have ended or were
    * handed over, whose runs may still be managed here.
    */
-  std::unordered_map<SubmissionId, Millis> job_lease_ends;
+  std::unordered_map<SubmissionId, JobLeaseEnds> job_lease_ends;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -27,6 +27,10 @@
   uint64_t lost_runs = 0;
   /** Jobs whose runs were stopped because no receiver confirmed them. */
   uint64_t ended_job_leases = 0;
+  /** Jobs that were ended because the schedulers of their repeats did not
+   * acknowledge them.
+   */
+  uint64_t unannounced_jobs = 0;
   /** Jobs that another daemon schedules as well. */
   uint64_t jobs_scheduled_twice = 0;
   /** Tasks that were given up because they crash their endpoints. */
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -65,8 +65,18 @@
   /** Time of sending of the heartbeat that it answers, on that sender's clock.
    */
   Millis answered_sent_at;
+  /** Jobs that the receiver of this heartbeat announces, and whose repeats the
+   * sender assigns to the receiver's group for a while.
+   */
+  std::vector<SubmissionId> acknowledged_jobs;
 };
 
+/** Returns true for a heartbeat that answers another one. */
+inline bool IsAnswer(const Heartbeat& heartbeat) {
+  return !heartbeat.confirmed_jobs.empty() ||
+         !heartbeat.acknowledged_jobs.empty();
+}
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_MODEL_HEARTBEAT_H_
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -210,6 +210,8 @@
    * scheduler; zero when this progress is complete.
    */
   Millis remaining_wait;
+  /** Time for which the job may still run without being announced anew. */
+  Millis remaining_lease;
 };
 
 /** The sender's membership view, for a peer whose view has a lower revision.
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -43,6 +43,7 @@
   heartbeat.draining = true;
   heartbeat.leaving_endpoints = {EndpointId("e1"), EndpointId("e2")};
   heartbeat.demands = {{CustomerId("wharf"), 2, 3}};
+  heartbeat.acknowledged_jobs = {SubmissionId("job")};
   const std::string bytes = EncodeHeartbeat(heartbeat);
   const std::optional<Heartbeat> decoded = DecodeHeartbeat(bytes);
   ASSERT_TRUE(decoded.has_value());
--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -54,7 +54,8 @@
   FaultOptions options = AllFaults();
   options.rounds_per_fault = 60;
   options.has_silent_repeats = true;
-  ExpectNoDuplicateRuns(options, {1001, 1077, 1081, 2043, 2072, 5001});
+  ExpectNoDuplicateRuns(options, {1001, 1077, 1081, 2043, 2052, 2072, 5001,
+                                  5005, 5022, 5047, 5054});
 }
 
 FaultOptions RareKills() {
--- a/tests/support/scheduler_world.cc
+++ b/tests/support/scheduler_world.cc
@@ -147,9 +147,11 @@
   }
   this->due_replies.insert(this->due_replies.end(), later.begin(), later.end());
   if (this->now.count % kReviewPeriod.count == 0) {
-    // The receivers wait for all jobs.
-    for (const auto& [id, job] : this->scheduler.jobs)
+    // The receivers wait for all jobs, and other daemons know of them.
+    for (const auto& [id, job] : this->scheduler.jobs) {
       RenewJobLease(this->scheduler, id, this->now);
+      RenewAnnouncementLease(this->scheduler, id, this->now + kJobLease);
+    }
     Actions actions;
     ReviewQueue(this->scheduler, this->now, actions);
     ReviewEndpoints(this->scheduler, this->now, actions);
