Play late orders and restarts of endpoints beside faults of daemons

The fakes of the endpoints knew no longest lease and no clock that starts anew, and a renewal or start was never carried out late. Now an endpoint shortens a lease to 1,000 ms, may start anew under its former id with its clock at 0, and may carry an order out late without answering it; a paused daemon's lease in the store may be renewed.

The tests are regression guards: late renewals and starts on an endpoint of the same life extend nothing beyond the time that they were sent with; the run on a restarted endpoint of a lost zone is found by the next scheduler; a request held up by a cut of up to 500 ms is joined by its repeat.

--- /dev/null
+++ b/tests/core/held_up_request_test.cc
@@ -0,0 +1,63 @@
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+
+#include "fleet_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr Millis kRetransmitAfter{1'300};
+constexpr Millis kRunTime{1'200};
+
+/** Two zones with daemons that are cut off from all others and from the store.
+ * A request is sent as the cut begins, and read when it ends.
+ */
+struct CutOffReceiverFixture {
+  CutOffReceiverFixture() {
+    SetUpTwoZones(this->world);
+    this->world.is_partitioned = [this](const DaemonId& a, const DaemonId& b) {
+      return this->cut_off.count(a.value) != this->cut_off.count(b.value);
+    };
+    this->world.is_store_unreachable = [this](const DaemonId& daemon) {
+      return this->cut_off.count(daemon.value) > 0;
+    };
+  }
+
+  /** Plays a cut. Its caller has lost the connection at once, which the
+   * receiver doesn't notice.
+   */
+  void Play(const std::set<std::string>& daemons,
+            const std::string& receiver,
+            Millis duration) {
+    this->cut_off = daemons;
+    this->world.RunFor(duration);
+    this->cut_off.clear();
+    this->world.Submit(receiver, "job", 1, kRunTime);
+    this->world.RunFor(kRetransmitAfter - duration);
+    this->runs_before_repeat = this->world.CountRuns("job");
+    this->world.Submit("north0", "job", 1, kRunTime);
+    this->world.RunFor({1'800});
+  }
+
+  FleetWorld world;
+  std::set<std::string> cut_off;
+  size_t runs_before_repeat = 0;
+};
+
+// The repeat finds the job by its announcement or at its scheduler.
+TEST(HeldUpRequestTest, RequestOfAShortCutRunsBesideNoRepeat) {
+  for (const int64_t cut_ms : {150, 200, 400, 500}) {
+    CutOffReceiverFixture fixture;
+    const std::string owner = fixture.world.OwnerOf("south");
+    const std::string receiver = OtherDaemonInZone(owner);
+    fixture.Play({receiver}, receiver, {cut_ms});
+    EXPECT_TRUE(fixture.world.overlaps.empty()) << cut_ms;
+    EXPECT_EQ(fixture.runs_before_repeat, 1U) << cut_ms;
+    EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted) << cut_ms;
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- /dev/null
+++ b/tests/core/restarted_endpoint_test.cc
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/scheduling/job_flow.h"
+#include "core/scheduling/job_lease.h"
+#include "faulty_fleet.h"
+#include "fleet_world.h"
+#include "scheduler_world.h"
+
+namespace dogwoodfall {
+namespace {
+
+constexpr Millis kRetransmitAfter{1'300};
+constexpr Millis kRunTime{1'200};
+
+/** A scheduler with one endpoint, on which a job is started. */
+struct OneEndpointFixture {
+  OneEndpointFixture() {
+    this->world.AddEndpoint("e1", 16, 1);
+    this->world.Run({20});
+  }
+
+  FakeEndpoint& Endpoint() {
+    return this->world.endpoints.at(EndpointId("e1"));
+  }
+
+  /** Starts a run and loses all later commands of its scheduler. */
+  void StartLastRun() {
+    this->world.Submit("job", 1, 7, kRunTime);
+    this->world.Run({1});
+    this->world.is_command_lost = [](const EndpointCommand&) { return true; };
+  }
+
+  /** Returns how long the runs go on from now, at most 5 s. */
+  Millis MeasureRunTime() {
+    const Millis start = this->world.now;
+    while (!this->Endpoint().running.empty() &&
+           this->world.now < start + Millis{5'000})
+      this->world.Run({1});
+    return this->world.now - start;
+  }
+
+  SchedulerWorld world;
+};
+
+// A late renewal has the end of the lease that it was sent with.
+TEST(RestartedEndpointTest, LateRenewalsKeepNoRunOfALostSchedulerAlive) {
+  for (const int64_t late_ms : {100, 300, 500, 600}) {
+    OneEndpointFixture fixture;
+    std::vector<EndpointCommand> sent;
+    fixture.world.is_command_lost = [&sent](const EndpointCommand& command) {
+      sent.push_back(command);
+      return false;
+    };
+    fixture.world.Submit("job", 1, 7, kRunTime);
+    fixture.world.Run({400});
+    fixture.world.is_command_lost = [](const EndpointCommand&) { return true; };
+    const Millis lost_at = fixture.world.now;
+    fixture.world.Run({late_ms});
+    for (const EndpointCommand& command : sent)
+      ExecuteCommand(fixture.Endpoint(), command, {}, {}, fixture.world.now);
+    fixture.MeasureRunTime();
+    EXPECT_LE(fixture.world.now, lost_at + kRunsEndedAfter) << late_ms;
+  }
+}
+
+/** Two zones, of which one has a single daemon and a single endpoint. A job
+ * that the other zone has received is forwarded to it before it starts.
+ */
+struct ForwardedJobFixture {
+  ForwardedJobFixture() {
+    this->world.StartDaemon("north0", "north");
+    this->world.AddEndpoint("north-e0", "north");
+    for (int i = 0; i < 2; ++i) {
+      this->world.StartDaemon("south" + std::to_string(i), "south");
+      this->world.AddEndpoint("south-e" + std::to_string(i), "south");
+    }
+    this->world.RunFor({4'000});
+    this->owner = this->world.OwnerOf("south");
+    this->receiver = OtherDaemonInZone(this->owner);
+  }
+
+  void ForwardJob() {
+    FleetNode& node = this->world.Node(this->owner);
+    node.scheduler.starts_blocked_until = this->world.now + Millis{5'000};
+    this->world.Submit(this->receiver, "job", 1, {760});
+    this->world.RunFor({10});
+    ASSERT_TRUE(RemoveJob(node.scheduler, SubmissionId("job")));
+    node.scheduler.starts_blocked_until = Millis();
+    JobRedirect redirect;
+    redirect.job = SubmissionId("job");
+    redirect.to = DaemonId("north0");
+    redirect.group = {ZoneId("north"), 0};
+    redirect.view_revision = node.view.revision;
+    redirect.is_spillover = true;
+    this->world.SendMessage(this->owner, this->receiver, redirect);
+  }
+
+  /** Removes the scheduler of the other zone while the job runs there. */
+  void LoseScheduler() {
+    this->world.RunFor({6});
+    ASSERT_EQ(this->world.CountRuns("job"), 1U);
+    this->world.DeregisterDaemon("north0");
+    this->world.KillDaemon("north0");
+    this->world.RunFor({1'600});
+  }
+
+  FleetWorld world;
+  std::string owner;
+  std::string receiver;
+};
+
+TEST(RestartedEndpointTest, JobOfALostZoneRunsBesideNoEarlierRun) {
+  ForwardedJobFixture fixture;
+  fixture.ForwardJob();
+  fixture.LoseScheduler();
+  EXPECT_TRUE(fixture.world.overlaps.empty());
+  EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted);
+}
+
+// The next scheduler finds the run when it lists the runs there.
+TEST(RestartedEndpointTest, JobOfALostZoneRunsBesideNoRunOnARestartedEndpoint) {
+  ForwardedJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  world.RestartEndpoint("north-e0", world.now + Millis{1},
+                        world.now + Millis{1'500});
+  fixture.ForwardJob();
+  fixture.LoseScheduler();
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
+/** A job whose receiver and scheduler are lost right after its start was sent.
+ * Its caller sends it again to the other zone.
+ */
+void PlayLateStartOfALostZone(FleetWorld& world, Millis late) {
+  const std::string owner = world.OwnerOf("north");
+  const std::string receiver = OtherDaemonInZone(owner);
+  world.command_execution_delay = [late](const EndpointCommand& command) {
+    return std::holds_alternative<StartRun>(command.command) ? late : Millis();
+  };
+  world.Submit(receiver, "job", 1, kRunTime);
+  world.RunFor({8});
+  world.KillDaemon(owner);
+  world.KillDaemon(receiver);
+  world.command_execution_delay = [](const EndpointCommand&) {
+    return Millis();
+  };
+  world.RunFor(kRetransmitAfter);
+  world.Submit("south0", "job", 1, {400});
+  world.RunFor({800});
+}
+
+TEST(RestartedEndpointTest, LateStartOfALostZoneRunsBesideNoRepeat) {
+  for (const int64_t late_ms : {300, 400, 600, 900, 1'300}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    PlayLateStartOfALostZone(world, {late_ms});
+    EXPECT_TRUE(world.overlaps.empty()) << late_ms;
+    EXPECT_EQ(world.results["job"], JobResult::kCompleted) << late_ms;
+  }
+}
+
+// Late orders, cuts, restarts and long pauses overlap with hand-overs.
+TEST(RestartedEndpointTest, FaultyEndpointsAndDaemonsCauseNoDuplicateRuns) {
+  constexpr int64_t kRareFaults = 60;
+  FaultOptions options = AllFaultsOfDaemonsAndEndpoints();
+  options.rounds_per_fault = kRareFaults;
+  for (const uint32_t seed : {1, 2, 3, 1001}) {
+    for (const JobTask& task : FaultyFleet(seed, options).Play())
+      ADD_FAILURE() << "seed " << seed << ": " << task.job.value << "."
+                    << task.index;
+  }
+}
+
+}  // namespace
+}  // namespace dogwoodfall
--- a/tests/support/daemon_faults_main.cc
+++ b/tests/support/daemon_faults_main.cc
@@ -29,6 +29,18 @@
   mixes["zone-cuts"] = AllFaults();
   mixes["zone-cuts"].faults.push_back(DaemonFault::kCutZone);
   mixes["zone-cuts"].rounds_per_fault = kRareFaults;
+  mixes["endpoints"] = AllFaultsOfDaemonsAndEndpoints();
+  mixes["endpoints"].rounds_per_fault = kRareFaults;
+  mixes["endpoint-restarts"] = mixes["endpoints"];
+  mixes["endpoint-restarts"].endpoint_faults = {EndpointFault::kExecutesLate,
+                                                EndpointFault::kRestart,
+                                                EndpointFault::kCutAndRestart};
+  mixes["endpoint-lateness"] = mixes["endpoints"];
+  mixes["endpoint-lateness"].endpoint_faults = {EndpointFault::kExecutesLate,
+                                                EndpointFault::kCut};
+  mixes["zone-losses"] = mixes["endpoint-restarts"];
+  mixes["zone-losses"].faults = {DaemonFault::kKill, DaemonFault::kKillZone};
+  mixes["zone-losses"].rounds_per_endpoint_fault = 4;
   return mixes;
 }
 
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -7,6 +7,22 @@
 namespace dogwoodfall {
 namespace {
 
+/** Extends the lease of an endpoint; leases are never shortened. */
+void ExtendLease(FakeEndpoint& endpoint, Millis lease_until, Millis now) {
+  const Millis longest = ReadClock(endpoint, now) + kMaxEndpointLease;
+  endpoint.lease_until =
+      std::max(endpoint.lease_until, std::min(lease_until, longest));
+}
+
+void ForgetFormerLife(FakeEndpoint& endpoint) {
+  endpoint.max_fencing_token = 0;
+  endpoint.last_end_number = 0;
+  endpoint.lease_until = Millis();
+  endpoint.running.clear();
+  endpoint.closed_attempts.clear();
+  endpoint.ended.clear();
+}
+
 void EndRun(FakeEndpoint& endpoint, const RunKey& key, RunResult result) {
   endpoint.running.erase(key);
   uint32_t& closed = endpoint.closed_attempts[key.first];
@@ -46,7 +62,7 @@
                      const TaskResources& resources,
                      Millis now) {
   const RunKey key{start.task, start.attempt.value};
-  endpoint.lease_until = std::max(endpoint.lease_until, start.lease_until);
+  ExtendLease(endpoint, start.lease_until, now);
   if (endpoint.running.count(key) > 0)
     return CommandOutcome::kDone;
   const auto closed = endpoint.closed_attempts.find(start.task);
@@ -97,7 +113,7 @@
               EndpointReply& reply) {
   constexpr double kFullPercent = 100;
   if (renewal.lease_until)
-    endpoint.lease_until = std::max(endpoint.lease_until, *renewal.lease_until);
+    ExtendLease(endpoint, *renewal.lease_until, now);
   auto& ended = endpoint.ended;
   ended.erase(std::remove_if(ended.begin(), ended.end(),
                              [&renewal](const EndedRun& run) {
@@ -126,7 +142,7 @@
 
 Millis ReadClock(const FakeEndpoint& endpoint, Millis now) {
   const auto elapsed = static_cast<double>((now - endpoint.clock_set_at).count);
-  return endpoint.clock_set_at +
+  return endpoint.clock_at_start.value_or(endpoint.clock_set_at) +
          Millis{std::llround(endpoint.clock_rate * elapsed)};
 }
 
@@ -153,12 +169,15 @@
   ++endpoint.crashes;
   endpoint.down_until = now + kRestartTime;
   endpoint.started_at_ms = endpoint.down_until.count;
-  endpoint.max_fencing_token = 0;
-  endpoint.last_end_number = 0;
-  endpoint.lease_until = Millis();
-  endpoint.running.clear();
-  endpoint.closed_attempts.clear();
-  endpoint.ended.clear();
+  ForgetFormerLife(endpoint);
+}
+
+void RestartFakeEndpoint(FakeEndpoint& endpoint, Millis back_at) {
+  endpoint.down_until = back_at;
+  endpoint.started_at_ms = back_at.count;
+  endpoint.clock_set_at = back_at;
+  endpoint.clock_at_start = Millis();
+  ForgetFormerLife(endpoint);
 }
 
 EndpointReply ExecuteCommand(FakeEndpoint& endpoint,
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -20,6 +20,11 @@
 inline constexpr Millis kCapacityReductionGrace =
     kContactTime + kEndpointHeartbeat;
 
+/** Longest lease that an endpoint grants, counted from the execution of a
+ * command.
+ */
+inline constexpr Millis kMaxEndpointLease{1'000};
+
 /** Fake endpoint that follows the published endpoint protocol on a fake clock.
  */
 struct FakeEndpoint {
@@ -56,9 +61,11 @@
   uint64_t last_end_number = 0;
   /** End of the lease, on the endpoint's clock. */
   Millis lease_until;
-  /** Speed of the endpoint's clock since clock_set_at, when it was right. */
+  /** Speed of the endpoint's clock since clock_set_at. */
   double clock_rate = 1;
   Millis clock_set_at;
+  /** Endpoint's clock at clock_set_at; none if it was right. */
+  std::optional<Millis> clock_at_start;
   std::map<RunKey, FakeRun> running;
   /** For each task, the highest attempt that has ended or been stopped. A start
    * of this or an earlier attempt is refused as stale.
@@ -99,6 +106,13 @@
  */
 void CrashFakeEndpoint(FakeEndpoint& endpoint, Millis now);
 
+/** Starts an endpoint anew under its former id: it knows nothing of its former
+ * life, and its clock starts at 0.
+ *
+ * @param back_at when it is up; it is down until then
+ */
+void RestartFakeEndpoint(FakeEndpoint& endpoint, Millis back_at);
+
 /** Executes a command.
  *
  * @param nominal_run_time run time of a started run at slowness 1
--- a/tests/support/faulty_fleet.cc
+++ b/tests/support/faulty_fleet.cc
@@ -1,6 +1,7 @@
 #include "faulty_fleet.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dogwoodfall {
 namespace {
@@ -24,6 +25,15 @@
   return options;
 }
 
+FaultOptions AllFaultsOfDaemonsAndEndpoints() {
+  FaultOptions options = AllFaults();
+  options.endpoint_faults = {EndpointFault::kExecutesLate, EndpointFault::kCut,
+                             EndpointFault::kCutAndRestart,
+                             EndpointFault::kRestart};
+  options.renews_leases_in_pauses = true;
+  return options;
+}
+
 FaultyFleet::FaultyFleet(uint32_t seed, const FaultOptions& options)
     : options(options),
       scenario(seed, ChurnOptionsOf(options)),
@@ -39,6 +49,19 @@
   this->world.is_store_unreachable = [this](const DaemonId& daemon) {
     return this->world.now < this->cut_from_store_until[daemon];
   };
+  this->world.is_endpoint_unreachable = [this](const DaemonId&,
+                                               const EndpointId& endpoint) {
+    return this->world.now < this->endpoints_cut_until[endpoint];
+  };
+  this->world.command_execution_delay = [this](const EndpointCommand& command) {
+    const bool is_late =
+        this->world.now < this->endpoints_late_until[command.endpoint] &&
+        this->scenario.Draw(0, 2) == 0;
+    return Millis{is_late ? this->scenario.Draw(300, 2'500) : 0};
+  };
+  this->world.is_renewed_while_paused = [options](const std::string&) {
+    return options.renews_leases_in_pauses;
+  };
   if (!options.loses_answers)
     return;
   this->world.is_answer_lost = [this](const EndpointCommand&) {
@@ -52,6 +75,7 @@
     this->scenario.StartDaemons();
     this->EndPauses();
     this->InjectFaults();
+    this->InjectEndpointFault();
     this->RepeatJobs();
     this->SendNewJob();
     this->world.RunFor({5});
@@ -121,6 +145,45 @@
     case DaemonFault::kCutZone:
       this->zones_cut_until = this->DrawTime(300, 2'500);
       break;
+    case DaemonFault::kKillZone:
+      this->KillZone(daemon.front());
+      break;
+  }
+}
+
+void FaultyFleet::InjectEndpointFault() {
+  constexpr Millis kTimeWithoutFaults{2'500};
+  if (this->options.endpoint_faults.empty() ||
+      this->world.now <= this->start + kTimeWithoutFaults ||
+      this->scenario.Draw(0, this->options.rounds_per_endpoint_fault - 1) != 0)
+    return;
+  auto endpoint = this->world.endpoints.begin();
+  const auto endpoints = static_cast<int64_t>(this->world.endpoints.size());
+  std::advance(endpoint, this->scenario.Draw(0, endpoints - 1));
+  const EndpointId& id = endpoint->first;
+  const auto count = static_cast<int64_t>(this->options.endpoint_faults.size());
+  const auto index = static_cast<size_t>(this->scenario.Draw(0, count - 1));
+  switch (this->options.endpoint_faults[index]) {
+    case EndpointFault::kExecutesLate:
+      this->endpoints_late_until[id] = this->DrawTime(300, 3'000);
+      break;
+    case EndpointFault::kCut:
+      this->endpoints_cut_until[id] = this->DrawTime(100, 2'000);
+      break;
+    case EndpointFault::kCutAndRestart: {
+      const Millis cut_until = this->DrawTime(100, 2'000);
+      this->endpoints_cut_until[id] = cut_until;
+      this->world.RestartEndpoint(
+          id.value, cut_until - Millis{50},
+          cut_until + Millis{this->scenario.Draw(0, 1'500)});
+      break;
+    }
+    case EndpointFault::kRestart: {
+      const Millis back_at = this->DrawTime(20, 500);
+      this->world.RestartEndpoint(
+          id.value, back_at, back_at + Millis{this->scenario.Draw(0, 1'500)});
+      break;
+    }
   }
 }
 
@@ -131,9 +194,21 @@
   this->scenario.SetNextStart(daemon, this->DrawTime(100, 2'500));
 }
 
+void FaultyFleet::KillZone(char zone) {
+  const std::vector<std::string> ready = this->scenario.ready_daemons;
+  for (const std::string& daemon : ready) {
+    if (daemon.front() == zone)
+      this->Kill(daemon);
+  }
+}
+
 void FaultyFleet::Pause(const std::string& daemon) {
   this->world.paused_daemons.insert(daemon);
-  this->paused_until[daemon] = this->DrawTime(50, 1'200);
+  constexpr int64_t kLongestPauseMs = 1'200;
+  constexpr int64_t kLongestRenewedPauseMs = 3'000;
+  this->paused_until[daemon] = this->DrawTime(
+      50, this->options.renews_leases_in_pauses ? kLongestRenewedPauseMs
+                                                : kLongestPauseMs);
 }
 
 void FaultyFleet::Stop(const std::string& daemon) {
--- a/tests/support/faulty_fleet.h
+++ b/tests/support/faulty_fleet.h
@@ -20,6 +20,19 @@
   kStop,
   /** Cuts the daemon's zone off from the other one. */
   kCutZone,
+  /** Kills all daemons of the daemon's zone. */
+  kKillZone,
+};
+
+enum class EndpointFault {
+  /** Some commands are executed late and not answered. */
+  kExecutesLate,
+  /** No daemon reaches the endpoint, which runs on. */
+  kCut,
+  /** The endpoint is cut off and starts anew under its former id meanwhile. */
+  kCutAndRestart,
+  /** The endpoint starts anew under its former id. */
+  kRestart,
 };
 
 struct FaultOptions {
@@ -29,6 +42,13 @@
   std::vector<DaemonFault> faults;
   /** Mean number of rounds of 5 ms from one fault to the next. */
   int64_t rounds_per_fault = 31;
+  std::vector<EndpointFault> endpoint_faults;
+  /** The same for the faults of endpoints. */
+  int64_t rounds_per_endpoint_fault = 10;
+  /** Whether pauses may last for up to 3 s, during which the store leases of
+   * paused daemons are renewed.
+   */
+  bool renews_leases_in_pauses = false;
   /** Whether answers of endpoints are lost now and then. */
   bool loses_answers = false;
   /** Whether some callers send their jobs again to another daemon while the
@@ -40,6 +60,10 @@
 /** Returns options with all faults and lost answers of endpoints. */
 FaultOptions AllFaults();
 
+/** Returns options with all faults of daemons and endpoints, and long pauses.
+ */
+FaultOptions AllFaultsOfDaemonsAndEndpoints();
+
 /** Plays joining daemons with faults, and callers that send their jobs. A seed
  * determines all draws.
  */
@@ -59,7 +83,9 @@
   void EndPauses();
   void InjectFaults();
   void InjectFault(DaemonFault fault, const std::string& daemon);
+  void InjectEndpointFault();
   void Kill(const std::string& daemon);
+  void KillZone(char zone);
   void Pause(const std::string& daemon);
   void Stop(const std::string& daemon);
   void RepeatJobs();
@@ -75,6 +101,8 @@
   std::map<DaemonId, Millis> cut_from_daemons_until;
   std::map<DaemonId, Millis> cut_from_store_until;
   Millis zones_cut_until;
+  std::map<EndpointId, Millis> endpoints_cut_until;
+  std::map<EndpointId, Millis> endpoints_late_until;
   std::map<std::string, JobShape> shapes;
   int job_count = 0;
 };
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -30,11 +30,15 @@
       is_frame_sendable([](const PeerFrame&) { return true; }),
       message_delay([](const DaemonId&, const DaemonId&) { return Millis(); }),
       command_delay([](const DaemonId&) { return Millis(); }),
+      command_execution_delay([](const EndpointCommand&) { return Millis(); }),
+      is_endpoint_unreachable(
+          [](const DaemonId&, const EndpointId&) { return false; }),
       is_answer_lost([](const EndpointCommand&) { return false; }),
       store_delay([](const DaemonId&) { return Millis(); }),
       store_execution_delay(
           [](const DaemonId&, const KeyValueCall&) { return Millis(); }),
-      is_store_unreachable([](const DaemonId&) { return false; }) {
+      is_store_unreachable([](const DaemonId&) { return false; }),
+      is_renewed_while_paused([](const std::string&) { return false; }) {
   RouteTable routes;
   routes.version = 3;
   this->history.emplace_back(++this->revision, RoutesChanged{routes});
@@ -101,6 +105,17 @@
                              EndpointRemoved{EndpointId(id), this->revision});
 }
 
+void FleetWorld::RestartEndpoint(const std::string& id,
+                                 Millis back_at,
+                                 Millis listed_at) {
+  RestartFakeEndpoint(this->endpoints.at(EndpointId(id)), back_at);
+  this->Schedule(listed_at - this->now, [this, id]() {
+    FakeEndpoint& endpoint = this->endpoints.at(EndpointId(id));
+    endpoint.entry.started_at_ms = endpoint.started_at_ms;
+    this->WriteEntry(endpoint.entry);
+  });
+}
+
 void FleetWorld::ChangeEndpointCapacity(const std::string& id,
                                         const TaskResources& capacity) {
   FakeEndpoint& endpoint = this->endpoints.at(EndpointId(id));
@@ -215,6 +230,7 @@
 void FleetWorld::Step() {
   for (auto& [id, endpoint] : this->endpoints)
     AdvanceFakeEndpoint(endpoint, this->now);
+  this->RenewLeasesOfPausedDaemons();
   this->ExpireLeases();
   this->AnswerWatches();
   while (!this->events.empty() && this->events.begin()->at <= this->now) {
@@ -328,29 +344,23 @@
   if (incarnation == this->incarnations.end())
     return;
   FakeEndpoint& endpoint = this->endpoints.at(command.endpoint);
-  const bool is_down = endpoint.down_until > this->now;
-  Millis nominal_run_time;
-  TaskResources resources;
-  if (const auto* start = std::get_if<StartRun>(&command.command)) {
-    nominal_run_time = this->nominal_run_times[start->task.job];
-    resources = this->resources_by_job[start->task.job];
+  const bool is_down =
+      endpoint.down_until > this->now ||
+      this->is_endpoint_unreachable(DaemonId(daemon), command.endpoint);
+  const Millis late =
+      is_down ? Millis() : this->command_execution_delay(command);
+  if (late > Millis()) {
+    this->Schedule(late, [this, command, life = endpoint.started_at_ms]() {
+      FakeEndpoint& endpoint = this->endpoints.at(command.endpoint);
+      if (endpoint.started_at_ms == life)
+        this->ExecuteOnEndpoint(endpoint, command);
+    });
   }
   EndpointReply reply;
-  if (!is_down) {
-    reply = ExecuteCommand(endpoint, command, nominal_run_time, resources,
-                           this->now);
-  }
-  if (is_down || this->is_answer_lost(command)) {
-    EndpointReply unanswered;
-    unanswered.id = command.id;
-    this->Schedule(
-        command.timeout,
-        [this, daemon, incarnation = incarnation->second, unanswered]() {
-          this->DeliverEvent(
-              daemon, incarnation, [=](FleetNode& node, Actions& out) {
-                OnEndpointReply(node, this->now, unanswered, out);
-              });
-        });
+  if (!is_down && late == Millis())
+    reply = this->ExecuteOnEndpoint(endpoint, command);
+  if (is_down || late > Millis() || this->is_answer_lost(command)) {
+    this->LeaveUnanswered(daemon, command);
     return;
   }
   const auto* renewal = std::get_if<RenewRuns>(&command.command);
@@ -363,9 +373,15 @@
     auto& waiting = std::get<RenewRuns>(poll.command);
     waiting.wait = waiting.wait - kPollPeriod;
     waiting.lease_until.reset();
-    this->Schedule(kPollPeriod, [this, daemon, poll]() {
-      this->ExecuteEndpointCommand(daemon, poll);
-    });
+    this->Schedule(
+        kPollPeriod, [this, daemon, poll, life = endpoint.started_at_ms]() {
+          if (!this->IsRunning(daemon))
+            return;
+          if (this->endpoints.at(poll.endpoint).started_at_ms == life)
+            this->ExecuteEndpointCommand(daemon, poll);
+          else
+            this->LeaveUnanswered(daemon, poll);
+        });
     return;
   }
   this->Schedule(kNetworkLatency, [this, daemon,
@@ -376,6 +392,31 @@
   });
 }
 
+EndpointReply FleetWorld::ExecuteOnEndpoint(FakeEndpoint& endpoint,
+                                            const EndpointCommand& command) {
+  Millis nominal_run_time;
+  TaskResources resources;
+  if (const auto* start = std::get_if<StartRun>(&command.command)) {
+    nominal_run_time = this->nominal_run_times[start->task.job];
+    resources = this->resources_by_job[start->task.job];
+  }
+  return ExecuteCommand(endpoint, command, nominal_run_time, resources,
+                        this->now);
+}
+
+void FleetWorld::LeaveUnanswered(const std::string& daemon,
+                                 const EndpointCommand& command) {
+  EndpointReply unanswered;
+  unanswered.id = command.id;
+  this->Schedule(command.timeout, [this, daemon,
+                                   incarnation = this->incarnations.at(daemon),
+                                   unanswered]() {
+    this->DeliverEvent(daemon, incarnation, [=](FleetNode& node, Actions& out) {
+      OnEndpointReply(node, this->now, unanswered, out);
+    });
+  });
+}
+
 void FleetWorld::CallStore(const std::string& daemon,
                            const CallKeyValue& call) {
   const uint64_t incarnation = this->incarnations.at(daemon);
@@ -485,6 +526,17 @@
   this->history.emplace_back(this->revision, MemberRemoved{id, this->revision});
 }
 
+void FleetWorld::RenewLeasesOfPausedDaemons() {
+  for (const std::string& daemon : this->paused_daemons) {
+    const auto stored = this->members.find(DaemonId(daemon));
+    if (stored == this->members.end() || !this->is_renewed_while_paused(daemon))
+      continue;
+    const uint64_t lease = stored->second.lease;
+    if (this->leases.count(lease) > 0)
+      this->leases[lease] = this->now + this->lease_lengths[lease];
+  }
+}
+
 void FleetWorld::ExpireLeases() {
   for (auto lease = this->leases.begin(); lease != this->leases.end();) {
     if (lease->second > this->now) {
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -34,6 +34,11 @@
   /** Removes an endpoint's item from the store; the endpoint keeps running. */
   void DeregisterEndpoint(const std::string& id);
 
+  /** Starts an endpoint anew under its former id.
+   * @param back_at when it is up again
+   * @param listed_at when its item in the store shows the restart
+   */
+  void RestartEndpoint(const std::string& id, Millis back_at, Millis listed_at);
   /** Changes the capacity of an endpoint and its item in the store. */
   void ChangeEndpointCapacity(const std::string& id,
                               const TaskResources& capacity);
@@ -88,6 +93,13 @@
   std::function<Millis(const DaemonId&, const DaemonId&)> message_delay;
   /** Time by which commands of a daemon to endpoints are delayed. */
   std::function<Millis(const DaemonId&)> command_delay;
+  /** Time after which an endpoint executes a command without answering it; zero
+   * for commands that it executes and answers.
+   */
+  std::function<Millis(const EndpointCommand&)> command_execution_delay;
+  /** True for endpoints that a daemon can't reach. */
+  std::function<bool(const DaemonId&, const EndpointId&)>
+      is_endpoint_unreachable;
   /** Decides whether the answer to an executed endpoint command is lost. */
   std::function<bool(const EndpointCommand&)> is_answer_lost;
   /** Additional time that an answer of the store takes to a daemon. */
@@ -101,6 +113,10 @@
   std::function<bool(const DaemonId&)> is_store_unreachable;
   /** Whether daemons are told how long a request has waited for them. */
   bool measures_request_age = false;
+  /** True for daemons whose lease in the store is renewed while they are
+   * paused.
+   */
+  std::function<bool(const std::string&)> is_renewed_while_paused;
   /** Paused daemons: their events are delayed until they are removed here. */
   std::set<std::string> paused_daemons;
   Millis now{1'000'000};
@@ -146,6 +162,11 @@
                         const Heartbeat& heartbeat);
   void ExecuteEndpointCommand(const std::string& daemon,
                               const EndpointCommand& command);
+  EndpointReply ExecuteOnEndpoint(FakeEndpoint& endpoint,
+                                  const EndpointCommand& command);
+  void LeaveUnanswered(const std::string& daemon,
+                       const EndpointCommand& command);
+  void RenewLeasesOfPausedDaemons();
   void RemoveMember(const DaemonId& id);
   /** Returns the revision of a daemon's item; 0 if there is none. */
   uint64_t RevisionOfMember(const DaemonId& id) const;
