--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -58,6 +58,21 @@
                                   5005, 5022, 5047, 5054});
 }
 
+// Its scheduler doesn't know the latency of its receiver's messages.
+TEST(DaemonFaultsTest, JobHeldUpBetweenDaemonsCausesNoDuplicateRuns) {
+  FaultOptions options = AllFaults();
+  options.rounds_per_fault = 60;
+  options.has_silent_repeats = true;
+  ExpectNoDuplicateRuns(options, {9004});
+}
+
+TEST(DaemonFaultsTest, SeriesOfHandoversCausesNoDuplicateRuns) {
+  FaultOptions options = AllFaults();
+  options.rounds_per_fault = 60;
+  options.has_silent_repeats = true;
+  ExpectNoDuplicateRuns(options, {1037});
+}
+
 FaultOptions RareKills() {
   FaultOptions options;
   options.faults = {DaemonFault::kKill};
--- a/tests/core/held_up_request_test.cc
+++ b/tests/core/held_up_request_test.cc
@@ -59,5 +59,37 @@
   }
 }
 
+// Its age counts from its reading, so it is not announced before the repeat.
+TEST(HeldUpRequestTest, RequestOfACutOffReceiverRunsBesideNoRepeat) {
+  for (const int64_t cut_ms : {700, 850, 1'000, 1'150, 1'250}) {
+    CutOffReceiverFixture fixture;
+    const std::string owner = fixture.world.OwnerOf("south");
+    const std::string receiver = OtherDaemonInZone(owner);
+    fixture.Play({receiver}, receiver, {cut_ms});
+    EXPECT_TRUE(fixture.world.overlaps.empty()) << cut_ms;
+    EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted) << cut_ms;
+  }
+}
+
+TEST(HeldUpRequestTest, RequestOfACutOffSchedulerRunsBesideNoRepeat) {
+  for (const int64_t cut_ms : {700, 850, 1'000, 1'150, 1'250}) {
+    CutOffReceiverFixture fixture;
+    const std::string owner = fixture.world.OwnerOf("south");
+    fixture.Play({owner}, owner, {cut_ms});
+    EXPECT_TRUE(fixture.world.overlaps.empty()) << cut_ms;
+    EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted) << cut_ms;
+  }
+}
+
+// Daemons of its own zone still reach the receiver.
+TEST(HeldUpRequestTest, RequestOfACutOffZoneRunsBesideNoRepeat) {
+  for (const int64_t cut_ms : {700, 850, 1'000, 1'150, 1'250}) {
+    CutOffReceiverFixture fixture;
+    fixture.Play({"south0", "south1"}, "south0", {cut_ms});
+    EXPECT_TRUE(fixture.world.overlaps.empty()) << cut_ms;
+    EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted) << cut_ms;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/core/restarted_endpoint_test.cc
+++ b/tests/core/restarted_endpoint_test.cc
@@ -177,5 +177,28 @@
   }
 }
 
+// Its clock starts anew, and a time on the former clock is far ahead of it.
+TEST(RestartedEndpointTest, RunOnARestartedEndpointEndsWithItsLostScheduler) {
+  OneEndpointFixture fixture;
+  RestartFakeEndpoint(fixture.Endpoint(), fixture.world.now);
+  fixture.StartLastRun();
+  EXPECT_LE(fixture.MeasureRunTime(), kRunsEndedAfter);
+}
+
+// A late start has a lease from its execution on instead of being refused.
+TEST(RestartedEndpointTest,
+     LateStartOnARestartedEndpointOfALostZoneRunsBesideNoRepeat) {
+  for (const int64_t late_ms : {300, 400, 600, 900, 1'300}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    for (const auto& [id, endpoint] : world.endpoints)
+      world.RestartEndpoint(id.value, world.now + Millis{1},
+                            world.now + Millis{1'500});
+    world.RunFor({2});
+    PlayLateStartOfALostZone(world, {late_ms});
+    EXPECT_TRUE(world.overlaps.empty()) << late_ms;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
