Simplify the records of released jobs, and correct comments

Behaviour is unchanged. MakeReleaseRecord() replaces a lookup inside ReleaseJob(), and the records of forwarded jobs are filled by name instead of by position. The order of the modules in fleet_node.h and the comments on leases, acknowledgements and the counter of ended leases said something else than the code does.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -78,10 +78,10 @@
   AddCounter(families, "runs_lost_total", "Runs lost with their endpoints", "",
              {{"", counters.lost_runs}});
   AddCounter(families, "job_leases_ended_total",
-             "Jobs whose runs were stopped because no receiver confirmed them",
-             "", {{"", counters.ended_job_leases}});
+             "Jobs whose runs were stopped because their leases had ended", "",
+             {{"", counters.ended_job_leases}});
   AddCounter(families, "jobs_unannounced_total",
-             "Jobs ended because they could not be announced in time", "",
+             "Jobs ended because they were not acknowledged in time", "",
              {{"", counters.unannounced_jobs}});
   AddCounter(families, "jobs_scheduled_twice_total",
              "Jobs that another daemon schedules as well", "",
--- a/modules/core/fleet/confirmation_flow.h
+++ b/modules/core/fleet/confirmation_flow.h
@@ -38,8 +38,7 @@
 
 /** Sends heartbeats to the receivers of jobs whose leases have not been
  * extended for a while, and to peers that have not acknowledged an announced
- * job. Other heartbeats may be rarer, get lost or not be
- * exchanged.
+ * job. Other heartbeats may be rarer, get lost or not be exchanged.
  */
 void RequestConfirmations(FleetNode& node, Millis now, Actions& actions);
 
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -8,10 +8,10 @@
  * - fleet_view.h: which daemon owns which endpoints
  * - store_session.h: calls to the store
  * - reception.h: callers' jobs until they are answered
- * - announcement_flow.h: jobs that may be sent again are announced
  * - assignment_flow.h: assigns these jobs to schedulers
  * - heartbeat_flow.h: which daemons exchange heartbeats
  * - confirmation_flow.h: receivers confirm the jobs that they wait for
+ * - announcement_flow.h: schedulers announce jobs that may be sent again
  * - cancellation_flow.h: callers' requests to cancel jobs
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
@@ -51,11 +51,11 @@
    * after the peer's removal from the view.
    */
   Millis heartbeat_period;
-  /** When it last confirmed jobs. */
+  /** When it last confirmed or acknowledged jobs. */
   Millis confirmed_at;
-  /** The announced jobs that it last acknowledged. */
+  /** The announced jobs that its latest answer acknowledges. */
   std::set<SubmissionId> acknowledged_jobs;
-  /** When the heartbeat was sent that it answered so. */
+  /** When the heartbeat was sent that it has answered. */
   Millis acknowledged_at;
   /** When the last heartbeat was sent to it. */
   Millis heartbeat_sent_at;
@@ -90,12 +90,6 @@
    */
   bool is_known_unstarted = false;
   Millis forwarded_at;
-  /** The group that the next scheduler runs it in, as far as known here;
-   * without a zone for a job that was never accepted here.
-   */
-  EndpointGroup released_group;
-  /** When the receiver got it. */
-  Millis received_at;
   /** Daemons that waited for its result when it was released here. Once all of
    * them are lost, its runs that this daemon still manages are stopped.
    */
@@ -104,6 +98,12 @@
    * manages were stopped.
    */
   bool is_scheduler_lost = false;
+  /** The group that the next scheduler runs it in, as far as known here;
+   * without a zone for a job that was never accepted here.
+   */
+  EndpointGroup released_group;
+  /** When the receiver got it, if it was accepted here. */
+  Millis received_at;
 };
 
 /** The whole state of a daemon on the platform. */
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -77,6 +77,28 @@
                                                 : forwarded->second.receivers;
 }
 
+/** Makes the record of a job that is released now, maybe not for the first
+ * time.
+ */
+ForwardedJob MakeReleaseRecord(const FleetNode& node,
+                               const JobReleaseRequest& request,
+                               Millis now) {
+  ForwardedJob record;
+  record.to = request.to;
+  record.forwarded_at = now;
+  record.receivers = FindReceivers(node, request.job);
+  const auto job = node.scheduler.jobs.find(request.job);
+  const auto former = node.forwarded_jobs.find(request.job);
+  if (job != node.scheduler.jobs.end()) {
+    record.released_group = job->second.group;
+    record.received_at = job->second.received_at;
+  } else if (former != node.forwarded_jobs.end()) {
+    record.released_group = former->second.released_group;
+    record.received_at = former->second.received_at;
+  }
+  return record;
+}
+
 /** Sends a daemon the endpoints that were lost with tasks of a job. */
 void SendLostEndpoints(FleetNode& node,
                        const DaemonRef& to,
@@ -173,17 +195,7 @@
     SendView(node, request.to, now, actions);
     return;
   }
-  const std::vector<DaemonRef> receivers = FindReceivers(node, request.job);
-  ForwardedJob record{request.to, {}, false, now, {}, {}, receivers};
-  const auto job = node.scheduler.jobs.find(request.job);
-  if (job != node.scheduler.jobs.end()) {
-    record.released_group = job->second.group;
-    record.received_at = job->second.received_at;
-  } else if (const auto released = node.forwarded_jobs.find(request.job);
-             released != node.forwarded_jobs.end()) {
-    record.released_group = released->second.released_group;
-    record.received_at = released->second.received_at;
-  }
+  ForwardedJob record = MakeReleaseRecord(node, request, now);
   RedirectEarlyJobs(node, request);
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
@@ -306,8 +318,11 @@
     return;
   }
   RemoveEmptyProgress(node, submission.job.id);
-  node.forwarded_jobs.try_emplace(
-      submission.job.id, ForwardedJob{owner, {}, true, now, {}, {}, {}});
+  ForwardedJob record;
+  record.to = owner;
+  record.is_known_unstarted = true;
+  record.forwarded_at = now;
+  node.forwarded_jobs.try_emplace(submission.job.id, std::move(record));
 }
 
 void RecordSpillover(FleetNode& node,
@@ -316,10 +331,9 @@
                      const EndpointGroup& group,
                      Millis now) {
   RemoveEmptyProgress(node, job);
-  ForwardedJob& record =
-      node.forwarded_jobs
-          .try_emplace(job, ForwardedJob{{}, {}, true, {}, {}, {}, {}})
-          .first->second;
+  const auto [entry, is_first] = node.forwarded_jobs.try_emplace(job);
+  ForwardedJob& record = entry->second;
+  record.is_known_unstarted |= is_first;
   record.to = owner;
   record.spillover_group = group;
   record.forwarded_at = now;
--- a/modules/core/scheduling/job_lease.h
+++ b/modules/core/scheduling/job_lease.h
@@ -48,12 +48,14 @@
 /** Time from the end of a job's lease to the end of all of its runs. */
 inline constexpr Millis kRunsEndedAfterLease = kRunsEndedAfter - kJobLease;
 
-/** Age at which the lease of a job ends that was not announced. */
+/** Age at which the lease of a job ends whose announcement has not been
+ * acknowledged.
+ */
 inline constexpr Millis kUnannouncedJobLease =
     kMinRepeatAge - kRunsEndedAfterLease;
 
-/** Lease of a job that a previous scheduler has handed over, who announces it
- * until its next scheduler does.
+/** Longest lease of a job that was handed over, until its next scheduler's
+ * announcement is acknowledged. The previous one announces it meanwhile.
  */
 inline constexpr Millis kHandedOverJobLease{150};
 
@@ -69,7 +71,9 @@
                    const SubmissionId& job,
                    Millis confirmed_at);
 
-/** Lets a job of the given age run until it is old enough to be announced. */
+/** Lets a job that was received at the given time, on this daemon's clock, run
+ * up to an age of kUnannouncedJobLease.
+ */
 void GrantAnnouncementLease(Scheduler& scheduler,
                             const SubmissionId& job,
                             Millis received_at);
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -25,7 +25,7 @@
   uint64_t relocated_runs = 0;
   /** Runs that were lost with their endpoints. */
   uint64_t lost_runs = 0;
-  /** Jobs whose runs were stopped because no receiver confirmed them. */
+  /** Jobs whose runs were stopped because their leases had ended. */
   uint64_t ended_job_leases = 0;
   /** Jobs that were ended because the schedulers of their repeats did not
    * acknowledge them.
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -65,8 +65,8 @@
   /** Time of sending of the heartbeat that it answers, on that sender's clock.
    */
   Millis answered_sent_at;
-  /** Jobs that the receiver of this heartbeat announces, and whose repeats the
-   * sender assigns to the receiver's group for a while.
+  /** Jobs that the receiver of this heartbeat has announced, and that the
+   * sender will not take for new ones for a while. Part of such an answer.
    */
   std::vector<SubmissionId> acknowledged_jobs;
 };
--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -48,29 +48,31 @@
   ExpectNoDuplicateRuns(options, {1, 2, 3});
 }
 
-// Their first receivers still wait for the jobs.
-TEST(DaemonFaultsTest,
-     RepeatsOfConnectedCallersAmongFaultsCauseNoDuplicateRuns) {
+FaultOptions RareFaultsAndRepeats() {
   FaultOptions options = AllFaults();
   options.rounds_per_fault = 60;
   options.has_silent_repeats = true;
-  ExpectNoDuplicateRuns(options, {1001, 1077, 1081, 2043, 2052, 2072, 5001,
-                                  5005, 5022, 5047, 5054});
+  return options;
+}
+
+// Their first receivers still wait for the jobs.
+TEST(DaemonFaultsTest,
+     RepeatsOfConnectedCallersAmongFaultsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(RareFaultsAndRepeats(),
+                        {1001, 1077, 1081, 2043, 2072, 5001});
+}
+
+TEST(DaemonFaultsTest, JobsThatAreNotAnnouncedCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(RareFaultsAndRepeats(), {2052, 5005, 5022, 5047, 5054});
 }
 
 // Its scheduler doesn't know the latency of its receiver's messages.
 TEST(DaemonFaultsTest, JobHeldUpBetweenDaemonsCausesNoDuplicateRuns) {
-  FaultOptions options = AllFaults();
-  options.rounds_per_fault = 60;
-  options.has_silent_repeats = true;
-  ExpectNoDuplicateRuns(options, {9004});
+  ExpectNoDuplicateRuns(RareFaultsAndRepeats(), {9004});
 }
 
 TEST(DaemonFaultsTest, SeriesOfHandoversCausesNoDuplicateRuns) {
-  FaultOptions options = AllFaults();
-  options.rounds_per_fault = 60;
-  options.has_silent_repeats = true;
-  ExpectNoDuplicateRuns(options, {1037});
+  ExpectNoDuplicateRuns(RareFaultsAndRepeats(), {1037});
 }
 
 FaultOptions RareKills() {
--- a/tests/core/repeated_job_test.cc
+++ b/tests/core/repeated_job_test.cc
@@ -34,7 +34,7 @@
   void SubmitFirst() {
     this->world.Submit(this->receiver, "job", 1, kRunTime);
     this->world.RunFor({100});
-    ASSERT_EQ(this->world.CountRuns("job"), 1u);
+    ASSERT_EQ(this->world.CountRuns("job"), 1U);
   }
 
   void SubmitAgain() {
@@ -65,9 +65,9 @@
   fixture.are_zones_cut = true;
   fixture.SubmitFirst();
   fixture.world.RunFor({1'100});
-  ASSERT_EQ(fixture.world.results.count("job"), 1u);
+  ASSERT_EQ(fixture.world.results.count("job"), 1U);
   EXPECT_EQ(fixture.world.results.at("job"), JobResult::kAbandoned);
-  EXPECT_EQ(fixture.world.CountRuns("job"), 0u);
+  EXPECT_EQ(fixture.world.CountRuns("job"), 0U);
 }
 
 TEST(RepeatedJobTest, AnnouncedJobRunsOnAndItsRepeatJoinsIt) {
@@ -76,9 +76,9 @@
   fixture.world.RunFor({1'200});
   fixture.SubmitAgain();
   fixture.world.RunFor({50});
-  EXPECT_EQ(fixture.world.CountRuns("job"), 1u);
+  EXPECT_EQ(fixture.world.CountRuns("job"), 1U);
   fixture.world.RunFor({150});
-  ASSERT_EQ(fixture.world.results.count("job"), 1u);
+  ASSERT_EQ(fixture.world.results.count("job"), 1U);
   EXPECT_EQ(fixture.world.results.at("job"), JobResult::kCompleted);
   EXPECT_TRUE(fixture.world.overlaps.empty());
 }
@@ -92,7 +92,7 @@
     fixture.world.RunFor({1'200 - stop_at});
     fixture.SubmitAgain();
     fixture.world.RunFor({200});
-    ASSERT_EQ(fixture.world.results.count("job"), 1u) << stop_at;
+    ASSERT_EQ(fixture.world.results.count("job"), 1U) << stop_at;
     EXPECT_EQ(fixture.world.results.at("job"), JobResult::kCompleted)
         << stop_at;
     EXPECT_TRUE(fixture.world.overlaps.empty()) << stop_at;
