Bound the age of submissions between daemons by round trips

What callers saw: two runs of a task at the same time while daemons were slow without a pause and without a loss.

Cause: the age of a submission was estimated. PeerDelay compared each message with the least delay of the last one to two seconds, so a peer that was slow for that long had its slowness taken for the usual latency. The job counted as young: its first lease began too late, and its announcement too. A receiver that had given its scheduler up waited kRunsEndedAfter and passed the job on, and runs of both went on. Class: an estimated delay where a bound is needed.

Now a submission counts as old as the last round trips with its receiver allow. Before the first round trip it is kept until one has ended, without a start; that costs nothing where daemons exchange heartbeats. This holds whatever the links do: a slow round trip makes the bound looser, never wrong.

SubmissionAgeTest.JobOfASlowReceiverIsNoYoungerThanItIs needs the bound: the estimate counts a constant delay of 100 to 400 ms as none.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -86,9 +86,9 @@
   AddCounter(families, "jobs_scheduled_twice_total",
              "Jobs that another daemon schedules as well", "",
              {{"", counters.jobs_scheduled_twice}});
-  AddCounter(families, "submissions_of_uncertain_age_total",
-             "Submissions that may be well older than they count", "",
-             {{"", counters.submissions_of_uncertain_age}});
+  AddCounter(families, "submissions_of_unknown_age_total",
+             "Submissions whose age was not known on arrival", "",
+             {{"", counters.submissions_of_unknown_age}});
   AddCounter(families, "tasks_given_up_total",
              "Tasks given up because they crash their endpoints", "",
              {{"", counters.given_up_tasks}});
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -402,14 +402,14 @@
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
   if (IsAnswer(heartbeat)) {
     peer_status.last_received_at = now;
-    peer_status.confirmed_at = now;
     peer_status.is_silence_logged = false;
     RecordRoundTrip(peer_status.clock, heartbeat.answered_sent_at,
                     heartbeat.sent_at, now);
-    if (ApplyConfirmations(node, heartbeat, now)) {
+    DetermineAgeOfEarlyJobs(node, heartbeat.from);
+    if (ApplyConfirmations(node, heartbeat, now))
       PlaceTasks(node.scheduler, now, actions);
-      ReportFinishedJobs(node, now, actions);
-    }
+    ScheduleEarlyJobs(node, now, actions);
+    ReportFinishedJobs(node, now, actions);
     return;
   }
   if (heartbeat.number <= peer_status.last_heartbeat.number)
@@ -420,7 +420,8 @@
   }
   peer_status.last_received_at = now;
   peer_status.is_silence_logged = false;
-  RecordDelay(peer_status.delay, heartbeat.sent_at, now);
+  // Drops a bound that this heartbeat disproves.
+  ComputeMaxAge(peer_status.clock, heartbeat.sent_at, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
   ReportJobsScheduledTwice(node, heartbeat, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -16,13 +16,13 @@
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_clock.h: bounds the age of messages
- * - peer_delay.h: detects delayed messages
  * - pause_flow.h: suspends starts after the process was paused
  * - fleet_events.h: the entry points for events from outside
  */
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -31,7 +31,6 @@
 #include "base/millis.h"
 #include "core/fleet/fleet_view.h"
 #include "core/fleet/peer_clock.h"
-#include "core/fleet/peer_delay.h"
 #include "core/fleet/pending_cancellation.h"
 #include "core/fleet/reception.h"
 #include "core/fleet/store_session.h"
@@ -48,7 +47,6 @@
   /** When the last message of its previous incarnation was received. */
   Millis previous_incarnation_received_at;
   Heartbeat last_heartbeat;
-  PeerDelay delay;
   PeerClock clock;
   /** When the last heartbeat of it was answered. */
   Millis answered_at;
@@ -56,8 +54,6 @@
    * after the peer's removal from the view.
    */
   Millis heartbeat_period;
-  /** When it last confirmed or acknowledged jobs. */
-  Millis confirmed_at;
   /** The announced jobs that its latest answer acknowledges. */
   std::set<SubmissionId> acknowledged_jobs;
   /** When the heartbeat was sent that it has answered. */
@@ -74,11 +70,15 @@
   Millis outdated_since;
 };
 
-/** A job that arrived before the view that makes this daemon its scheduler. */
+/** A job that arrived before the view that makes this daemon its scheduler, or
+ * before the difference of its receiver's clock was known.
+ */
 struct EarlyJob {
   DaemonRef receiver;
   JobSubmission submission;
   Millis received_at;
+  /** When it was sent, on its receiver's clock; none once its age is known. */
+  std::optional<Millis> sent_at_receiver;
 };
 
 /** A job that this daemon scheduled or was sent, and that another daemon
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -261,18 +261,6 @@
   }
 }
 
-void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions) {
-  const std::vector<EarlyJob> early_jobs = std::exchange(node.early_jobs, {});
-  for (const EarlyJob& job : early_jobs) {
-    JobSubmission submission = job.submission;
-    submission.job.age = submission.job.age + (now - job.received_at);
-    submission.job.time_left =
-        submission.job.time_left - (now - job.received_at);
-    if (submission.job.time_left > Millis())
-      ScheduleLocally(node, now, job.receiver, submission, actions);
-  }
-}
-
 /** Starts to follow the endpoints' items before this daemon may own some, and
  * stops after it can't own any. While there are no members, as when the store
  * has lost all items, nothing changes.
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -23,6 +23,10 @@
  * as unreachable, and the job as lost with it.
  */
 constexpr Millis kMaxSubmissionDelay{500};
+/** Age of a submission above which its lease is too short for a start, so that
+ * a confirmation has to arrive first.
+ */
+constexpr Millis kMaxAgeForStart = kJobLease - kUnconfirmedJobLease;
 /** Retry-After of a job that was abandoned or could not be assigned. */
 constexpr Millis kAbandonedRetryAfter{1'000};
 
@@ -58,37 +62,50 @@
   }
 }
 
-/** Returns true when the usual latency of a peer's messages is known: it sends
- * heartbeats, or has answered one of this daemon's lately. Submissions alone
- * may all have been held back.
- */
-bool IsLatencyKnown(const PeerStatus& peer_status, Millis now) {
-  constexpr Millis kMaxConfirmationAge{1'000};
-  return peer_status.delay.is_known &&
-         (peer_status.heartbeat_period > Millis() ||
-          now - peer_status.confirmed_at < kMaxConfirmationAge);
+/** Sends a job that was delayed back to its receiver. */
+void RedirectLateJob(FleetNode& node,
+                     const DaemonRef& receiver,
+                     const JobSubmission& submission,
+                     Millis delay,
+                     Actions& actions) {
+  actions.push_back(LogEvent{"job_came_late",
+                             {{"job", submission.job.id.value},
+                              {"receiver", receiver.id.value},
+                              {"late_ms", std::to_string(delay.count)}}});
+  if (submission.may_have_started)
+    RecordPossibleStart(node, submission.job.id);
+  JobRedirect redirect;
+  redirect.job = submission.job.id;
+  redirect.to = node.self.id;
+  redirect.group = submission.group;
+  redirect.may_have_started = submission.may_have_started;
+  redirect.view_revision = node.view.revision;
+  node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
 }
 
-/** Logs and counts a submission that may be older than it counts. */
-void ReportUncertainAge(FleetNode& node,
-                        const DaemonRef& from,
-                        const JobSubmission& submission,
-                        Millis counted_delay,
-                        Millis now,
-                        Actions& actions) {
-  constexpr Millis kReportedUncertainty{100};
-  const std::optional<Millis> max_delay =
-      ComputeMaxAge(node.peers[from.id].clock, submission.sent_at, now);
-  if (max_delay && *max_delay - counted_delay < kReportedUncertainty)
-    return;
-  ++node.scheduler.counters.submissions_of_uncertain_age;
-  actions.push_back(
-      LogEvent{"job_age_uncertain",
-               {{"job", submission.job.id.value},
-                {"receiver", from.id.value},
-                {"counted_ms", std::to_string(counted_delay.count)},
-                {"at_most_ms",
-                 max_delay ? std::to_string(max_delay->count) : "unknown"}}});
+/** Keeps a job until a round trip with its receiver has shown its age. */
+void KeepJobOfUnknownAge(FleetNode& node,
+                         const DaemonRef& receiver,
+                         const JobSubmission& submission,
+                         Millis now,
+                         Actions& actions) {
+  ++node.scheduler.counters.submissions_of_unknown_age;
+  actions.push_back(LogEvent{
+      "job_waits_for_age",
+      {{"job", submission.job.id.value}, {"receiver", receiver.id.value}}});
+  if (submission.may_have_started)
+    RecordPossibleStart(node, submission.job.id);
+  EarlyJob early{receiver, submission, now, submission.sent_at};
+  early.submission.sent_at = now - kMaxAgeForStart;
+  node.early_jobs.push_back(std::move(early));
+  SendHeartbeatTo(node, {receiver.id}, now, actions);
+}
+
+/** Converts the times of a submission to this daemon's clock. */
+void ApplyDelay(JobSubmission& submission, Millis delay, Millis received_at) {
+  submission.sent_at = received_at - delay;
+  submission.job.age = submission.job.age + delay;
+  submission.job.time_left = submission.job.time_left - delay;
 }
 
 }  // namespace
@@ -241,34 +258,50 @@
                          const DaemonRef& from,
                          const JobSubmission& submission,
                          Actions& actions) {
-  PeerStatus& peer_status = node.peers[from.id];
-  const bool is_latency_known = IsLatencyKnown(peer_status, now);
-  const Millis delay = RecordDelay(peer_status.delay, submission.sent_at, now);
-  ReportUncertainAge(node, from, submission, delay, now, actions);
-  if (delay < kMaxSubmissionDelay) {
-    JobSubmission received = submission;
-    received.sent_at =
-        now - (is_latency_known ? delay : kJobLease - kUnconfirmedJobLease);
-    received.job.age = received.job.age + delay;
-    received.job.time_left = received.job.time_left - delay;
-    ScheduleLocally(node, now, from, received, actions);
-    if (!is_latency_known)
-      SendHeartbeatTo(node, {from.id}, now, actions);
+  const std::optional<Millis> delay =
+      ComputeMaxAge(node.peers[from.id].clock, submission.sent_at, now);
+  if (!delay) {
+    KeepJobOfUnknownAge(node, from, submission, now, actions);
     return;
   }
-  actions.push_back(LogEvent{"job_came_late",
-                             {{"job", submission.job.id.value},
-                              {"receiver", from.id.value},
-                              {"late_ms", std::to_string(delay.count)}}});
-  if (submission.may_have_started)
-    RecordPossibleStart(node, submission.job.id);
-  JobRedirect redirect;
-  redirect.job = submission.job.id;
-  redirect.to = node.self.id;
-  redirect.group = submission.group;
-  redirect.may_have_started = submission.may_have_started;
-  redirect.view_revision = node.view.revision;
-  node.scheduler.finished.push_back(FinishedJob::Forwarded(from, redirect));
+  if (*delay >= kMaxSubmissionDelay) {
+    RedirectLateJob(node, from, submission, *delay, actions);
+    return;
+  }
+  JobSubmission received = submission;
+  ApplyDelay(received, *delay, now);
+  ScheduleLocally(node, now, from, received, actions);
+  if (*delay > kMaxAgeForStart)
+    SendHeartbeatTo(node, {from.id}, now, actions);
+}
+
+void DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver) {
+  for (EarlyJob& early : node.early_jobs) {
+    if (!early.sent_at_receiver || early.receiver != receiver)
+      continue;
+    const std::optional<Millis> delay =
+        ComputeMaxAge(node.peers[receiver.id].clock, *early.sent_at_receiver,
+                      early.received_at);
+    if (!delay)
+      continue;
+    ApplyDelay(early.submission, *delay, early.received_at);
+    early.sent_at_receiver.reset();
+  }
+}
+
+void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions) {
+  for (EarlyJob& early : std::exchange(node.early_jobs, {})) {
+    if (early.sent_at_receiver) {
+      node.early_jobs.push_back(std::move(early));
+      continue;
+    }
+    JobSubmission submission = std::move(early.submission);
+    submission.job.age = submission.job.age + (now - early.received_at);
+    submission.job.time_left =
+        submission.job.time_left - (now - early.received_at);
+    if (submission.job.time_left > Millis())
+      ScheduleLocally(node, now, early.receiver, submission, actions);
+  }
 }
 
 void ScheduleLocally(FleetNode& node,
@@ -285,7 +318,7 @@
                   {"receiver", receiver.id.value},
                   {"needed", std::to_string(submission.view_revision)},
                   {"view", std::to_string(node.view.revision)}}});
-    node.early_jobs.push_back({receiver, submission, now});
+    node.early_jobs.push_back({receiver, submission, now, std::nullopt});
     return;
   }
   const EndpointGroup group =
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -74,7 +74,8 @@
 
 /** Handles a job from a peer. A job that was delayed in the network is not
  * started, because its caller has been answered or has sent it again; it is
- * redirected back to its receiver.
+ * redirected back to its receiver. A job whose age is not known is kept until
+ * it is.
  */
 void HandleJobSubmission(FleetNode& node,
                          Millis now,
@@ -82,6 +83,12 @@
                          const JobSubmission& submission,
                          Actions& actions);
 
+/** Determines the age of the kept jobs of a receiver after a round trip. */
+void DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver);
+
+/** Assigns the kept jobs to the own scheduler whose age and view are known. */
+void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions);
+
 /** Assigns a job to the own scheduler. Keeps it for later when it is based on
  * a newer view; redirects it when another daemon owns its group or a less
  * loaded group is available.
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -33,8 +33,8 @@
   uint64_t unannounced_jobs = 0;
   /** Jobs that another daemon schedules as well. */
   uint64_t jobs_scheduled_twice = 0;
-  /** Submissions whose age may be well above the age that counts. */
-  uint64_t submissions_of_uncertain_age = 0;
+  /** Submissions whose age was not known on arrival. */
+  uint64_t submissions_of_unknown_age = 0;
   /** Tasks that were given up because they crash their endpoints. */
   uint64_t given_up_tasks = 0;
   /** Ejections of endpoints whose runs kept failing. */
