Remember an ended job until its last run has ended

What callers saw: a repeat runs beside runs of the first submission, on the same scheduler.

Cause: a job was forgotten when it ended, while its runs were not known to have ended: on endpoints that another daemon had taken over meanwhile, or with a stop that did not arrive. The repeat was taken for a new job and started at once. In another zone it was, too, as an ended job is no longer announced.

Now a job that ends without all of its runs known as ended is kept until then (ended_jobs.h): nothing of a repeat starts here, it is not passed to another group as unstarted, the job stays announced, so that repeats are sent here, and no confirmation extends its lease. Runs that a list shows as ended end the wait.

--- a/modules/core/fleet/announcement_flow.cc
+++ b/modules/core/fleet/announcement_flow.cc
@@ -66,6 +66,12 @@
     if (is_released && node.scheduler.jobs.count(id) == 0)
       announced.push_back({id, job.released_group});
   }
+  for (const auto& [id, job] : node.scheduler.ended_jobs) {
+    if (!job.group.zone.value.empty() && now < job.runs_ended_at &&
+        now - job.received_at >= kAnnounceJobAfter &&
+        node.scheduler.jobs.count(id) == 0)
+      announced.push_back({id, job.group});
+  }
   return announced;
 }
 
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -9,6 +9,7 @@
 #include "base/erase_if.h"
 #include "core/fleet/announcement_flow.h"
 #include "core/scheduling/crash_tracking.h"
+#include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -36,6 +37,19 @@
   return is_known_unstarted;
 }
 
+/** Returns the progress of a job that was never accepted here. Runs of an
+ * earlier submission of it may be active.
+ */
+JobProgress MakeEmptyProgress(const FleetNode& node,
+                              const SubmissionId& id,
+                              Millis now) {
+  JobProgress progress;
+  progress.job = id;
+  progress.remaining_wait =
+      std::max(GetFormerRunsEnd(node.scheduler, id, now) - now, Millis());
+  return progress;
+}
+
 /** Removes a job from the scheduler and from the early jobs and returns its
  * progress; none when its progress is unknown.
  */
@@ -56,9 +70,7 @@
                             !forwarded->second.is_known_unstarted;
   if (!is_known_unstarted || was_released)
     return std::nullopt;
-  JobProgress no_progress;
-  no_progress.job = id;
-  return no_progress;
+  return MakeEmptyProgress(node, id, now);
 }
 
 /** Returns the daemons that wait for a job's result, or that did when it was
@@ -200,10 +212,8 @@
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
   const bool is_forwarded = known != node.forwarded_jobs.end();
-  if (!progress && is_forwarded && known->second.is_known_unstarted) {
-    progress.emplace();
-    progress->job = request.job;
-  }
+  if (!progress && is_forwarded && known->second.is_known_unstarted)
+    progress = MakeEmptyProgress(node, request.job, now);
   const DaemonRef holder = is_forwarded ? known->second.to : DaemonRef();
   node.forwarded_jobs[request.job] = std::move(record);
   if (progress) {
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -13,6 +13,7 @@
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/spillover_flow.h"
+#include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
 
@@ -307,8 +308,11 @@
 void ScheduleLocally(FleetNode& node,
                      Millis now,
                      const DaemonRef& receiver,
-                     const JobSubmission& submission,
+                     const JobSubmission& received_submission,
                      Actions& actions) {
+  JobSubmission submission = received_submission;
+  submission.may_have_started |=
+      GetFormerRunsEnd(node.scheduler, submission.job.id, now) != Millis();
   if (submission.may_have_started)
     RecordPossibleStart(node, submission.job.id);
   if (submission.view_revision > node.view.revision) {
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
@@ -152,6 +153,7 @@
   scheduler.endpoints.erase(known);
   if (MayHaveUnlistedRuns(released, now))
     ExtendReportedRuns(scheduler, released.entry.id, now);
+  RecordReleasedRuns(scheduler, released);
   for (const auto& [key, run] : released.runs) {
     if (run.may_requeue)
       RequeueTaskAfterLease(scheduler, MakeIncarnationEntry(released), key,
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -6,6 +6,7 @@
 #include "base/erase_if.h"
 #include "core/scheduling/admission.h"
 #include "core/scheduling/crash_tracking.h"
+#include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_runs.h"
@@ -118,6 +119,8 @@
 bool MayHaveUnknownRuns(const Scheduler& scheduler,
                         const ScheduledJob& job,
                         Millis now) {
+  if (GetFormerRunsEnd(scheduler, job.job.id, now) != Millis())
+    return true;
   if (!job.may_have_started)
     return false;
   return now < job.start_blocked_until ||
@@ -362,7 +365,7 @@
   ++scheduler.counters.jobs;
   UpdateMeanTaskSize(scheduler, job);
   const Millis former_runs =
-      std::max(GetRunsEndedAt(scheduler, job.id) - now, Millis());
+      std::max(GetFormerRunsEnd(scheduler, job.id, now) - now, Millis());
   ScheduledJob& accepted =
       scheduler.jobs.emplace(job.id, MakeJob(receiver, group, submission))
           .first->second;
@@ -488,6 +491,9 @@
       std::max(GetJobLeaseEnd(scheduler, job.job.id) - now, Millis());
   if (job.may_have_started)
     progress.remaining_wait = std::max(job.start_blocked_until - now, Millis());
+  progress.remaining_wait =
+      std::max(progress.remaining_wait,
+               GetFormerRunsEnd(scheduler, job.job.id, now) - now);
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
       const TaskProgress& task = job.tasks[step][index];
@@ -535,6 +541,7 @@
       (job.has_started || job.may_have_started))
     outcome.result = JobResult::kAbandoned;
   StopRuns(scheduler, id, now, actions);
+  RecordEndedJob(scheduler, job, now);
   ++scheduler.counters.job_results[static_cast<size_t>(outcome.result)];
   LogEvent event = MakeJobEvent("job_ended", job, now);
   AddJobSize(scheduler, job, event);
@@ -543,6 +550,9 @@
   event.fields.emplace_back("tasks_left", std::to_string(job.tasks_left));
   event.fields.emplace_back("tasks_queued", std::to_string(job.tasks_queued));
   event.fields.emplace_back("reason", outcome.reason);
+  const Millis runs_left =
+      std::max(GetFormerRunsEnd(scheduler, id, now) - now, Millis());
+  event.fields.emplace_back("runs_left_ms", std::to_string(runs_left.count));
   actions.push_back(std::move(event));
   if (outcome.result == JobResult::kCompleted ||
       outcome.result == JobResult::kFailed)
@@ -566,8 +576,9 @@
   const auto found = scheduler.jobs.find(id);
   if (found == scheduler.jobs.end()) {
     // After a handover, runs may be active here without their job.
-    scheduler.early_progress.erase(id);
     const size_t runs = StopRuns(scheduler, id, now, actions);
+    RecordWithdrawnJob(scheduler, id, runs > 0, now);
+    scheduler.early_progress.erase(id);
     actions.push_back(LogEvent{"job_cancel_unknown",
                                {{"job", id.value},
                                 {"receiver", receiver.id.value},
@@ -598,6 +609,7 @@
   if (scheduler.jobs.count(id) > 0)
     return;
   const size_t runs = StopRuns(scheduler, id, now, actions);
+  RecordWithdrawnJob(scheduler, id, runs > 0, now);
   if (runs > 0)
     actions.push_back(LogEvent{"left_runs_stopped",
                                {{"job", id.value},
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/job_flow.h"
 
@@ -123,7 +124,9 @@
 void RenewJobLease(Scheduler& scheduler,
                    const SubmissionId& job,
                    Millis confirmed_at) {
-  if (scheduler.job_lease_ends.count(job) > 0)
+  const bool has_ended =
+      scheduler.ended_jobs.count(job) > 0 && scheduler.jobs.count(job) == 0;
+  if (!has_ended && scheduler.job_lease_ends.count(job) > 0)
     GrantJobLease(scheduler, job, confirmed_at);
 }
 
@@ -180,6 +183,7 @@
   StopRunsWithoutLease(scheduler, now, actions);
   EndOrphanedJobs(scheduler, now, actions);
   EndUnannouncedJobs(scheduler, now, actions);
+  ReviewEndedJobs(scheduler, now);
   auto& leases = scheduler.job_lease_ends;
   for (auto lease = leases.begin(); lease != leases.end();) {
     const bool is_needed =
--- a/modules/core/scheduling/job_lease.h
+++ b/modules/core/scheduling/job_lease.h
@@ -66,7 +66,9 @@
                    const SubmissionId& job,
                    Millis confirmed_at);
 
-/** Extends a lease. Does nothing for a job that was never accepted here. */
+/** Extends a lease. Does nothing for a job that was never accepted here, or
+ * that has ended while runs of it may be active.
+ */
 void RenewJobLease(Scheduler& scheduler,
                    const SubmissionId& job,
                    Millis confirmed_at);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -10,6 +10,7 @@
  * - admission.h rejects jobs that cannot be completed
  * - job_lease.h runs a job only as long as its receivers confirm it and the
  *   schedulers of its repeats know of it
+ * - ended_jobs.h remembers jobs until their last runs have ended
  * - job_order.h orders the queue
  * - placement.h chooses the endpoint of a task
  * - spillover.h chooses another group for a job
@@ -39,6 +40,7 @@
 #include "base/millis.h"
 #include "core/dispatch/run_times.h"
 #include "core/scheduling/crash_record.h"
+#include "core/scheduling/ended_job.h"
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
@@ -131,6 +133,8 @@
    * handed over, whose runs may still be managed here.
    */
   std::unordered_map<SubmissionId, JobLeaseEnds> job_lease_ends;
+  /** Jobs that have ended while runs of them may be active. */
+  std::unordered_map<SubmissionId, EndedJob> ended_jobs;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
