Count the lease of a job that is handed over from its sending

Nobody has reported it. The message now carries its time of sending, and its lease is shortened by the most that the round trips between the two daemons allow.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -246,7 +246,7 @@
 template <class Archive>
 void serialize(Archive& archive, JobProgress& message) {
   archive(message.job, message.done, message.active_runs,
-          message.remaining_wait, message.remaining_lease);
+          message.remaining_wait, message.remaining_lease, message.sent_at);
 }
 
 template <class Archive>
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -188,7 +188,9 @@
                 {"done", std::to_string(progress.done.size())},
                 {"running", std::to_string(progress.active_runs.size())}}});
   SendLostEndpoints(node, to, progress.job, now, actions);
-  Send(node.sessions, to, progress, SessionLimits(), now, actions);
+  JobProgress message = progress;
+  message.sent_at = now;
+  Send(node.sessions, to, std::move(message), SessionLimits(), now, actions);
 }
 
 }  // namespace
@@ -309,8 +311,13 @@
                             forwarded->second.to != node.self &&
                             forwarded->second.to != from &&
                             node.scheduler.jobs.count(progress.job) == 0;
+  const std::optional<Millis> delay =
+      ComputeMaxAge(node.peers[from.id].clock, progress.sent_at, now);
+  JobProgress received = progress;
+  received.remaining_lease =
+      delay ? std::max(progress.remaining_lease - *delay, Millis()) : Millis();
   DeliverProgress(node, is_elsewhere ? forwarded->second.to : node.self,
-                  progress, now, actions);
+                  received, now, actions);
 }
 
 void RecordPossibleStart(FleetNode& node, const SubmissionId& job) {
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -212,6 +212,8 @@
   Millis remaining_wait;
   /** Time for which the job may still run without being announced anew. */
   Millis remaining_lease;
+  /** Time of sending, on the sender's clock. */
+  Millis sent_at;
 };
 
 /** The sender's membership view, for a peer whose view has a lower revision.
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -1,11 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "core/fleet/handover_flow.h"
+#include "core/scheduling/job_lease.h"
 #include "fleet_world.h"
 
 namespace dogwoodfall {
@@ -231,5 +233,32 @@
   EXPECT_TRUE(world.overlaps.empty());
 }
 
+// The lease that a message carries was counted from its arrival.
+TEST(JobHandoverTest, LateProgressExtendsNoLease) {
+  constexpr Millis kAge{1'000};
+  for (const int64_t late_ms : {0, 150, 400}) {
+    Handover handover;
+    JobSubmission submission = handover.MakeSubmission();
+    submission.job.age = kAge;
+    submission.may_have_started = true;
+    submission.max_progress_wait = {500};
+    handover.Deliver(submission);
+    JobProgress progress;
+    progress.job = submission.job.id;
+    progress.remaining_lease = kHandedOverJobLease;
+    progress.sent_at = handover.world.now - Millis{late_ms};
+    const Millis released_at = progress.sent_at;
+    handover.Deliver(handover.next, handover.owner, progress);
+    const Millis lease_end = handover.Owner()
+                                 .scheduler.job_lease_ends.at(progress.job)
+                                 .announced_until;
+    const Millis lease_end_by_age =
+        handover.world.now - kAge + kUnannouncedJobLease;
+    EXPECT_LE(lease_end,
+              std::max(released_at + kHandedOverJobLease, lease_end_by_age))
+        << late_ms;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
