Count requests that a slow daemon reads late from their arrival

What callers saw: two runs of a task: a slow daemon reads a request hundreds of milliseconds late and counts its age from then, so that its job is announced only after the repeat has come elsewhere.

A daemon that reads requests late reads its peers' heartbeats late as well, and their age is bounded by round trips. The least age of the heartbeats read last is the delay with which it reads anything, so a request counts as at least that old. Below 20 ms nothing changes. SubmissionAgeTest.RequestOfASlowReceiverIsNoYoungerThanItIs guards it: without the delay the job counts from its reading.

--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -314,9 +314,9 @@
         caller, {JobResult::kRefused, kStoppingRetryAfter, "stopping"}});
     return;
   }
+  const Millis age = measured_age ? *measured_age : GetMaxRequestAge(node, now);
   ReceiveJob(node, now, caller, job,
-             measured_age ? *measured_age : GetMaxRequestAge(node, now),
-             actions);
+             std::max(age, EstimateReadingDelay(node, now)), actions);
 }
 
 void OnCancelJob(FleetNode& node,
@@ -405,6 +405,7 @@
     peer_status.is_silence_logged = false;
     RecordRoundTrip(peer_status.clock, heartbeat.answered_sent_at,
                     heartbeat.sent_at, now);
+    RecordHeartbeatAge(peer_status, heartbeat, now);
     DetermineAgeOfEarlyJobs(node, heartbeat.from);
     if (ApplyConfirmations(node, heartbeat, now))
       PlaceTasks(node.scheduler, now, actions);
@@ -420,8 +421,7 @@
   }
   peer_status.last_received_at = now;
   peer_status.is_silence_logged = false;
-  // Drops a bound that this heartbeat disproves.
-  ComputeMaxAge(peer_status.clock, heartbeat.sent_at, now);
+  RecordHeartbeatAge(peer_status, heartbeat, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
   ReportJobsScheduledTwice(node, heartbeat, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -50,6 +50,9 @@
   PeerClock clock;
   /** When the last heartbeat of it was answered. */
   Millis answered_at;
+  /** When the last heartbeat or answer was read, and its maximum age then. */
+  Millis heartbeat_read_at;
+  std::optional<Millis> heartbeat_age;
   /** Period of the heartbeats that it sends to this daemon, or zero; unchanged
    * after the peer's removal from the view.
    */
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -1,5 +1,7 @@
 #include "core/fleet/heartbeat_flow.h"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -110,6 +112,29 @@
   }
 }
 
+void RecordHeartbeatAge(PeerStatus& peer_status,
+                        const Heartbeat& heartbeat,
+                        Millis now) {
+  peer_status.heartbeat_age =
+      ComputeMaxAge(peer_status.clock, heartbeat.sent_at, now);
+  peer_status.heartbeat_read_at = now;
+}
+
+Millis EstimateReadingDelay(const FleetNode& node, Millis now) {
+  // Timers and round trips add less than this while nothing is slow.
+  constexpr Millis kMinReadingDelay{20};
+  constexpr Millis kMaxReadingAge{300};
+  std::optional<Millis> least;
+  for (const auto& [id, peer_status] : node.peers) {
+    if (!peer_status.heartbeat_age ||
+        now - peer_status.heartbeat_read_at >= kMaxReadingAge)
+      continue;
+    least = std::min(least.value_or(*peer_status.heartbeat_age),
+                     *peer_status.heartbeat_age);
+  }
+  return least && *least >= kMinReadingDelay ? *least : Millis();
+}
+
 Millis GetLastKnownAlive(const FleetNode& node,
                          const DaemonRef& daemon,
                          Millis now) {
--- a/modules/core/fleet/heartbeat_flow.h
+++ b/modules/core/fleet/heartbeat_flow.h
@@ -50,6 +50,18 @@
  */
 void UpdateExpectedHeartbeats(FleetNode& node, Millis now);
 
+/** Records how late a heartbeat or an answer to one has been read. Drops the
+ * bound on the clocks' difference that it disproves (peer_clock.h).
+ */
+void RecordHeartbeatAge(PeerStatus& peer_status,
+                        const Heartbeat& heartbeat,
+                        Millis now);
+
+/** Returns by how much this daemon reads what it is sent late: the least age of
+ * the heartbeats read last. Zero when none was read for a while.
+ */
+Millis EstimateReadingDelay(const FleetNode& node, Millis now);
+
 /** Returns the time at which a daemon was certainly alive last, as far as this
  * one can know: the present when it sends this one no heartbeats.
  */
--- a/tests/core/submission_age_test.cc
+++ b/tests/core/submission_age_test.cc
@@ -50,6 +50,27 @@
   }
 }
 
+// It reads requests as late as the messages of its peers.
+TEST(SubmissionAgeTest, RequestOfASlowReceiverIsNoYoungerThanItIs) {
+  for (const int64_t late_ms : {50, 200, 400, 600}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    const std::string owner = world.OwnerOf("north");
+    world.message_delay = [&owner, late_ms](const DaemonId&,
+                                            const DaemonId& to) {
+      return Millis{to.value == owner ? late_ms : 0};
+    };
+    world.RunFor({1'000});
+    const Millis sent_at = world.now;
+    world.RunFor({late_ms});
+    world.Submit(owner, "job", 1, kRunTime);
+    const Reception& reception = world.Node(owner).reception;
+    const auto pending = reception.pending.find(SubmissionId("job"));
+    ASSERT_NE(pending, reception.pending.end()) << late_ms;
+    EXPECT_LE(pending->second.received_at, sent_at) << late_ms;
+  }
+}
+
 // A receiver that has just started has exchanged no messages so far.
 TEST(SubmissionAgeTest, FirstMessageOfAReceiverIsNoYoungerThanItIs) {
   for (const int64_t late_ms : {0, 200, 400, 700}) {
