Acknowledge only announced jobs that will not be started here

Found by the reviewer, by reading; nobody has reported it. A daemon acknowledged an announced job although its repeat waited here for a view or an age, had been passed to a third group, or was scheduled here in the same group after a takeover. The announcer's lease went on and the repeat started all the same. A repeat that had been passed on once was accepted although it was known to run in another group.

Now such a job is not acknowledged, so that the first scheduler ends its runs in time, and a repeat that is known to run elsewhere is always sent there; the limit of redirects ends a loop.

--- a/modules/core/fleet/announcement_flow.cc
+++ b/modules/core/fleet/announcement_flow.cc
@@ -49,6 +49,22 @@
   return found->second.acknowledged_at;
 }
 
+/** Returns true when this daemon may start an announced job itself, or has sent
+ * it to another group than the announced one, which may.
+ */
+bool MayBeStarted(const FleetNode& node, const JobInProgress& announced) {
+  const auto is_announced = [&announced](const EarlyJob& early) {
+    return early.submission.job.id == announced.job;
+  };
+  if (node.scheduler.jobs.count(announced.job) > 0 ||
+      std::any_of(node.early_jobs.begin(), node.early_jobs.end(), is_announced))
+    return true;
+  const auto forwarded = node.forwarded_jobs.find(announced.job);
+  return forwarded != node.forwarded_jobs.end() &&
+         !forwarded->second.spillover_group.zone.value.empty() &&
+         !(forwarded->second.spillover_group == announced.group);
+}
+
 }  // namespace
 
 std::vector<JobInProgress> ListAnnouncedJobs(const FleetNode& node,
@@ -79,9 +95,7 @@
                                                const Heartbeat& heartbeat) {
   std::vector<SubmissionId> acknowledged;
   for (const JobInProgress& announced : heartbeat.jobs_in_progress) {
-    const auto job = node.scheduler.jobs.find(announced.job);
-    if (job == node.scheduler.jobs.end() ||
-        job->second.group == announced.group)
+    if (!MayBeStarted(node, announced))
       acknowledged.push_back(announced.job);
   }
   return acknowledged;
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -59,8 +59,6 @@
                             const DaemonRef& receiver,
                             const JobSubmission& submission,
                             Millis now) {
-  if (!submission.may_forward)
-    return false;
   const std::optional<RunningJob> running =
       FindRunningJob(node, submission.job.id, now);
   std::optional<EndpointGroup> group;
@@ -69,7 +67,7 @@
   if (running && !(running->group == submission.group))
     group = running->group;
   const auto record = node.forwarded_jobs.find(submission.job.id);
-  if (!group && record != node.forwarded_jobs.end() &&
+  if (!group && submission.may_forward && record != node.forwarded_jobs.end() &&
       !record->second.spillover_group.zone.value.empty())
     group = record->second.spillover_group;
   if (!group || *group == submission.group)
