Let late submissions wait for a confirmation instead of sending them back

A bound on the age is looser than an estimate: a receiver whose best round trip takes 500 ms had each job sent back three times and then abandoned. A late job is accepted with its age, and its short lease allows no start before its receiver has confirmed that it still waits, which takes a round trip. Kept jobs are scheduled again only when a round trip has shown the age of one.

--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -20,10 +20,6 @@
 namespace dogwoodfall {
 namespace {
 
-/** Delay from which a submission is sent back: by then its receiver would count
- * as unreachable, and the job as lost with it.
- */
-constexpr Millis kMaxSubmissionDelay{500};
 /** Age of a submission above which its lease is too short for a start, so that
  * a confirmation has to arrive first.
  */
@@ -63,27 +59,6 @@
   }
 }
 
-/** Sends a job that was delayed back to its receiver. */
-void RedirectLateJob(FleetNode& node,
-                     const DaemonRef& receiver,
-                     const JobSubmission& submission,
-                     Millis delay,
-                     Actions& actions) {
-  actions.push_back(LogEvent{"job_came_late",
-                             {{"job", submission.job.id.value},
-                              {"receiver", receiver.id.value},
-                              {"late_ms", std::to_string(delay.count)}}});
-  if (submission.may_have_started)
-    RecordPossibleStart(node, submission.job.id);
-  JobRedirect redirect;
-  redirect.job = submission.job.id;
-  redirect.to = node.self.id;
-  redirect.group = submission.group;
-  redirect.may_have_started = submission.may_have_started;
-  redirect.view_revision = node.view.revision;
-  node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
-}
-
 /** Keeps a job until a round trip with its receiver has shown its age. */
 void KeepJobOfUnknownAge(FleetNode& node,
                          const DaemonRef& receiver,
@@ -265,18 +240,20 @@
     KeepJobOfUnknownAge(node, from, submission, now, actions);
     return;
   }
-  if (*delay >= kMaxSubmissionDelay) {
-    RedirectLateJob(node, from, submission, *delay, actions);
-    return;
-  }
   JobSubmission received = submission;
   ApplyDelay(received, *delay, now);
   ScheduleLocally(node, now, from, received, actions);
-  if (*delay > kMaxAgeForStart)
+  if (*delay > kMaxAgeForStart) {
+    actions.push_back(LogEvent{"job_came_late",
+                               {{"job", submission.job.id.value},
+                                {"receiver", from.id.value},
+                                {"late_ms", std::to_string(delay->count)}}});
     SendHeartbeatTo(node, {from.id}, now, actions);
+  }
 }
 
-void DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver) {
+bool DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver) {
+  bool has_found_one = false;
   for (EarlyJob& early : node.early_jobs) {
     if (!early.sent_at_receiver || early.receiver != receiver)
       continue;
@@ -287,7 +264,9 @@
       continue;
     ApplyDelay(early.submission, *delay, early.received_at);
     early.sent_at_receiver.reset();
+    has_found_one = true;
   }
+  return has_found_one;
 }
 
 void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions) {
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -72,10 +72,9 @@
 /** Reports the jobs that the own scheduler has finished to their receivers. */
 void ReportFinishedJobs(FleetNode& node, Millis now, Actions& actions);
 
-/** Handles a job from a peer. A job that was delayed in the network is not
- * started, because its caller has been answered or has sent it again; it is
- * redirected back to its receiver. A job whose age is not known is kept until
- * it is.
+/** Handles a job from a peer. A job that was delayed between the daemons is not
+ * started before its receiver confirms that it still waits. A job whose age is
+ * not known is kept until it is.
  */
 void HandleJobSubmission(FleetNode& node,
                          Millis now,
@@ -83,8 +82,10 @@
                          const JobSubmission& submission,
                          Actions& actions);
 
-/** Determines the age of the kept jobs of a receiver after a round trip. */
-void DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver);
+/** Determines the age of the kept jobs of a receiver after a round trip.
+ * @return true when it was determined for any
+ */
+bool DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver);
 
 /** Assigns the kept jobs to the own scheduler whose age and view are known. */
 void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions);
