Hand the wait for runs of an ended job over, and count their endpoints' leases

The wait was lost where complete progress replaced it or two waits were combined; it is now a field of its own in the progress, which the next scheduler records. It was too short where the lease of a run's endpoint is longer than the job's; it now covers both. A second end of the job keeps the time of its first reception.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -246,7 +246,8 @@
 template <class Archive>
 void serialize(Archive& archive, JobProgress& message) {
   archive(message.job, message.done, message.active_runs,
-          message.remaining_wait, message.remaining_lease, message.sent_at);
+          message.remaining_wait, message.remaining_lease, message.sent_at,
+          message.former_runs_wait);
 }
 
 template <class Archive>
--- a/modules/core/fleet/handover_flow.cc
+++ b/modules/core/fleet/handover_flow.cc
@@ -37,19 +37,6 @@
   return is_known_unstarted;
 }
 
-/** Returns the progress of a job that was never accepted here. Runs of an
- * earlier submission of it may be active.
- */
-JobProgress MakeEmptyProgress(const FleetNode& node,
-                              const SubmissionId& id,
-                              Millis now) {
-  JobProgress progress;
-  progress.job = id;
-  progress.remaining_wait =
-      std::max(GetFormerRunsEnd(node.scheduler, id, now) - now, Millis());
-  return progress;
-}
-
 /** Removes a job from the scheduler and from the early jobs and returns its
  * progress; none when its progress is unknown.
  */
@@ -70,7 +57,9 @@
                             !forwarded->second.is_known_unstarted;
   if (!is_known_unstarted || was_released)
     return std::nullopt;
-  return MakeEmptyProgress(node, id, now);
+  JobProgress no_progress;
+  no_progress.job = id;
+  return no_progress;
 }
 
 /** Returns the daemons that wait for a job's result, or that did when it was
@@ -190,6 +179,8 @@
   SendLostEndpoints(node, to, progress.job, now, actions);
   JobProgress message = progress;
   message.sent_at = now;
+  message.former_runs_wait = std::max(
+      GetFormerRunsEnd(node.scheduler, progress.job, now) - now, Millis());
   Send(node.sessions, to, std::move(message), SessionLimits(), now, actions);
 }
 
@@ -214,8 +205,10 @@
   std::optional<JobProgress> progress = ExtractProgress(node, request.job, now);
   const auto known = node.forwarded_jobs.find(request.job);
   const bool is_forwarded = known != node.forwarded_jobs.end();
-  if (!progress && is_forwarded && known->second.is_known_unstarted)
-    progress = MakeEmptyProgress(node, request.job, now);
+  if (!progress && is_forwarded && known->second.is_known_unstarted) {
+    progress.emplace();
+    progress->job = request.job;
+  }
   const DaemonRef holder = is_forwarded ? known->second.to : DaemonRef();
   node.forwarded_jobs[request.job] = std::move(record);
   if (progress) {
@@ -313,6 +306,9 @@
                             node.scheduler.jobs.count(progress.job) == 0;
   const std::optional<Millis> delay =
       ComputeMaxAge(node.peers[from.id].clock, progress.sent_at, now);
+  if (progress.former_runs_wait > Millis())
+    RecordFormerRuns(node.scheduler, progress.job,
+                     now + progress.former_runs_wait);
   JobProgress received = progress;
   received.remaining_lease =
       delay ? std::max(progress.remaining_lease - *delay, Millis()) : Millis();
--- a/modules/core/scheduling/ended_jobs.cc
+++ b/modules/core/scheduling/ended_jobs.cc
@@ -9,13 +9,23 @@
 namespace dogwoodfall {
 namespace {
 
-bool HasRuns(const Scheduler& scheduler, const SubmissionId& id) {
-  return std::any_of(scheduler.endpoints.begin(), scheduler.endpoints.end(),
-                     [&id](const auto& entry) {
-                       const auto& runs = entry.second.runs;
-                       const auto run = runs.lower_bound({{id, 0, 0}, 0});
-                       return run != runs.end() && run->first.first.job == id;
-                     });
+/** Time by which a lease may last longer on a clock that runs 2 % slow. */
+constexpr Millis kClockDriftMargin{50};
+
+/** Returns the time by which the runs of a job have ended that are managed
+ * here; zero without any. The lease of their endpoints may be longer than the
+ * job's.
+ */
+Millis GetManagedRunsEnd(const Scheduler& scheduler, const SubmissionId& id) {
+  Millis end;
+  for (const auto& [endpoint_id, endpoint] : scheduler.endpoints) {
+    const auto run = endpoint.runs.lower_bound({{id, 0, 0}, 0});
+    if (run == endpoint.runs.end() || run->first.first.job != id)
+      continue;
+    end = std::max({end, GetRunsEndedAt(scheduler, id),
+                    endpoint.lease_until + kClockDriftMargin});
+  }
+  return end;
 }
 
 /** Returns the time by which the runs have ended that were reported for a job
@@ -44,7 +54,8 @@
               const EndedJob& job,
               Millis now) {
   return job.runs_ended_at <= now ||
-         (!job.has_unknown_runs && !HasRuns(scheduler, id));
+         (!job.has_unknown_runs &&
+          GetManagedRunsEnd(scheduler, id) == Millis());
 }
 
 }  // namespace
@@ -52,22 +63,22 @@
 void RecordEndedJob(Scheduler& scheduler, const ScheduledJob& job, Millis now) {
   const SubmissionId& id = job.job.id;
   const Millis reported_end = GetReportedRunsEnd(job);
-  const bool has_unknown_runs = reported_end > now;
-  if (!has_unknown_runs && !HasRuns(scheduler, id))
+  const Millis end = std::max(reported_end, GetManagedRunsEnd(scheduler, id));
+  if (end <= now)
     return;
-  EndedJob& ended = AddRecord(
-      scheduler, id, std::max(reported_end, GetRunsEndedAt(scheduler, id)),
-      has_unknown_runs);
+  EndedJob& ended = AddRecord(scheduler, id, end, reported_end > now);
+  const bool is_first = ended.group.zone.value.empty();
+  ended.received_at =
+      is_first ? job.received_at : std::min(ended.received_at, job.received_at);
   ended.group = job.group;
-  ended.received_at = job.received_at;
 }
 
 void RecordWithdrawnJob(Scheduler& scheduler,
                         const SubmissionId& id,
-                        bool has_runs,
                         Millis now) {
-  if (has_runs)
-    AddRecord(scheduler, id, GetRunsEndedAt(scheduler, id), false);
+  const Millis end = GetManagedRunsEnd(scheduler, id);
+  if (end > now)
+    AddRecord(scheduler, id, end, false);
   const auto early = scheduler.early_progress.find(id);
   if (early == scheduler.early_progress.end())
     return;
@@ -75,7 +86,13 @@
   const Millis wait =
       progress.active_runs.empty() ? progress.remaining_wait : kMaxLease;
   if (early->second.received_at + wait > now)
-    AddRecord(scheduler, id, early->second.received_at + wait, true);
+    RecordFormerRuns(scheduler, id, early->second.received_at + wait);
+}
+
+void RecordFormerRuns(Scheduler& scheduler,
+                      const SubmissionId& id,
+                      Millis runs_ended_at) {
+  AddRecord(scheduler, id, runs_ended_at, true);
 }
 
 void RecordReleasedRuns(Scheduler& scheduler, const ManagedEndpoint& endpoint) {
--- a/modules/core/scheduling/ended_jobs.h
+++ b/modules/core/scheduling/ended_jobs.h
@@ -18,14 +18,18 @@
 
 /** Records a job that is withdrawn and not scheduled here, as after a handover,
  * if runs of it may be active.
- *
- * @param has_runs true when runs of it were found on endpoints of this daemon
  */
 void RecordWithdrawnJob(Scheduler& scheduler,
                         const SubmissionId& id,
-                        bool has_runs,
                         Millis now);
 
+/** Records that runs of a job may last until the given time which are not
+ * managed here, and which its previous scheduler knew of.
+ */
+void RecordFormerRuns(Scheduler& scheduler,
+                      const SubmissionId& id,
+                      Millis runs_ended_at);
+
 /** Records that runs on a released endpoint can't be listed here any more. */
 void RecordReleasedRuns(Scheduler& scheduler, const ManagedEndpoint& endpoint);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -491,9 +491,6 @@
       std::max(GetJobLeaseEnd(scheduler, job.job.id) - now, Millis());
   if (job.may_have_started)
     progress.remaining_wait = std::max(job.start_blocked_until - now, Millis());
-  progress.remaining_wait =
-      std::max(progress.remaining_wait,
-               GetFormerRunsEnd(scheduler, job.job.id, now) - now);
   for (uint32_t step = 0; step < job.tasks.size(); ++step) {
     for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
       const TaskProgress& task = job.tasks[step][index];
@@ -577,7 +574,7 @@
   if (found == scheduler.jobs.end()) {
     // After a handover, runs may be active here without their job.
     const size_t runs = StopRuns(scheduler, id, now, actions);
-    RecordWithdrawnJob(scheduler, id, runs > 0, now);
+    RecordWithdrawnJob(scheduler, id, now);
     scheduler.early_progress.erase(id);
     actions.push_back(LogEvent{"job_cancel_unknown",
                                {{"job", id.value},
@@ -609,7 +606,7 @@
   if (scheduler.jobs.count(id) > 0)
     return;
   const size_t runs = StopRuns(scheduler, id, now, actions);
-  RecordWithdrawnJob(scheduler, id, runs > 0, now);
+  RecordWithdrawnJob(scheduler, id, now);
   if (runs > 0)
     actions.push_back(LogEvent{"left_runs_stopped",
                                {{"job", id.value},
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -214,6 +214,8 @@
   Millis remaining_lease;
   /** Time of sending, on the sender's clock. */
   Millis sent_at;
+  /** Time for which runs of an earlier submission may last that has ended. */
+  Millis former_runs_wait;
 };
 
 /** The sender's membership view, for a peer whose view has a lower revision.
