Ignore answers to heartbeats of a former process

An answer to a heartbeat that this daemon's former process has sent names a time on that process's clock. It would bound the clocks' difference and extend leases wrongly where the time of day has changed. Answers to times before the first heartbeat, or in the future, are ignored.

--- a/modules/core/fleet/confirmation_flow.cc
+++ b/modules/core/fleet/confirmation_flow.cc
@@ -93,8 +93,6 @@
                         const Heartbeat& confirmation,
                         Millis now) {
   const Millis confirmed_at = confirmation.answered_sent_at;
-  if (confirmed_at > now)
-    return false;
   Scheduler& scheduler = node.scheduler;
   bool has_resumed_job = false;
   for (const SubmissionId& id : confirmation.confirmed_jobs) {
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -403,13 +403,18 @@
   if (IsAnswer(heartbeat)) {
     peer_status.last_received_at = now;
     peer_status.is_silence_logged = false;
+    // Heartbeats of a former process may still be answered.
+    if (heartbeat.answered_sent_at < node.first_heartbeat_at ||
+        heartbeat.answered_sent_at > now)
+      return;
     RecordRoundTrip(peer_status.clock, heartbeat.answered_sent_at,
                     heartbeat.sent_at, now);
     RecordHeartbeatAge(peer_status, heartbeat, now);
-    DetermineAgeOfEarlyJobs(node, heartbeat.from);
+    const bool has_early_job = DetermineAgeOfEarlyJobs(node, heartbeat.from);
     if (ApplyConfirmations(node, heartbeat, now))
       PlaceTasks(node.scheduler, now, actions);
-    ScheduleEarlyJobs(node, now, actions);
+    if (has_early_job)
+      ScheduleEarlyJobs(node, now, actions);
     ReportFinishedJobs(node, now, actions);
     return;
   }
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -143,6 +143,8 @@
   /** Jobs that were cancelled, with the time until which they are known. */
   std::unordered_map<SubmissionId, Millis> cancelled_jobs;
   uint64_t heartbeat_number = 0;
+  /** When the first heartbeat was sent; zero before. */
+  Millis first_heartbeat_at;
   /** Number of heartbeat periods so far. */
   uint64_t heartbeat_round = 0;
   /** When the latest event was handled; zero before the first one. */
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -90,6 +90,8 @@
                      Millis now,
                      Actions& actions) {
   ++node.heartbeat_number;
+  if (node.first_heartbeat_at == Millis())
+    node.first_heartbeat_at = now;
   for (const DaemonId& id : to) {
     const auto peer_status = node.peers.find(id);
     if (peer_status != node.peers.end())
