Remember the jobs that a daemon has announced before it started anew

Cause: a session with the new life of a daemon replaced what was known of the former one, including the jobs in its last heartbeat. Its runs go on until their leases end, so a repeat was taken for a new job.

Why it works: the last heartbeat of the former life is kept, and its jobs count as running for kAnnouncementValidity after its last message, as they do for a daemon that does not come back. A repeat goes to the owner of the job's group, and waits there for the former scheduler's runs.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -168,6 +168,25 @@
   return owner != nullptr && RefOf(*owner) != pending.scheduler;
 }
 
+/** Returns a job that a daemon has announced before it started anew, while runs
+ * of it may go on.
+ */
+std::optional<RunningJob> FindJobOfEndedDaemon(const FleetNode& node,
+                                               const SubmissionId& job,
+                                               Millis now) {
+  for (const auto& [id, peer_status] : node.peers) {
+    if (now - peer_status.previous_incarnation_received_at >=
+        kAnnouncementValidity)
+      continue;
+    const Heartbeat& last = peer_status.previous_incarnation_heartbeat;
+    for (const JobInProgress& announced : last.jobs_in_progress) {
+      if (announced.job == job)
+        return RunningJob{last.from, announced.group};
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 std::optional<RunningJob> FindRunningJob(const FleetNode& node,
@@ -187,7 +206,7 @@
         return found;
     }
   }
-  return found;
+  return found ? found : FindJobOfEndedDaemon(node, job, now);
 }
 
 void AssignNewJob(FleetNode& node,
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -46,6 +46,8 @@
   Millis last_received_at;
   /** When the last message of its previous incarnation was received. */
   Millis previous_incarnation_received_at;
+  /** The last heartbeat of its previous incarnation, whose runs may go on. */
+  Heartbeat previous_incarnation_heartbeat;
   Heartbeat last_heartbeat;
   PeerClock clock;
   /** When the last heartbeat of it was answered. */
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -186,6 +186,9 @@
                               previous->second.heartbeat_period > Millis();
     peer_status.previous_incarnation_received_at =
         was_expected ? previous->second.last_received_at : now;
+    if (previous != node.peers.end())
+      peer_status.previous_incarnation_heartbeat =
+          previous->second.last_heartbeat;
     peer_status.last_received_at = now;
     node.peers[id] = peer_status;
   }
--- a/tests/core/announcement_test.cc
+++ b/tests/core/announcement_test.cc
@@ -10,6 +10,8 @@
 
 /** Still runs when the job is sent again. */
 constexpr Millis kRunTime{1'450};
+constexpr Millis kRepeatAt{1'310};
+constexpr Millis kRepeatRunTime{200};
 /** As many runs as leave room for one on an endpoint with another one. */
 constexpr int kOtherJobs = 7;
 
@@ -47,6 +49,29 @@
   bool are_zones_cut = false;
 };
 
+// Its peers have heard of the job from the former life of its scheduler.
+TEST(AnnouncementTest, JobOfARestartedSchedulerRunsBesideNoRepeat) {
+  for (const int64_t killed_at : {900, 1'000, 1'100, 1'200, 1'280}) {
+    AnnouncedJobFixture fixture;
+    FleetWorld& world = fixture.world;
+    fixture.SubmitFirst();
+    fixture.RunUntilAge({killed_at});
+    ASSERT_EQ(world.CountRuns("job"), 1U) << killed_at;
+    // The new life doesn't find the run.
+    world.is_endpoint_unreachable = [](const DaemonId& daemon,
+                                       const EndpointId&) {
+      return IsInNorth(daemon);
+    };
+    fixture.are_zones_cut = true;
+    world.KillDaemon(fixture.scheduler);
+    world.StartDaemon(fixture.scheduler, "north");
+    fixture.RunUntilAge(kRepeatAt);
+    world.Submit("south0", "job", 1, kRepeatRunTime);
+    world.RunFor({1'500});
+    EXPECT_TRUE(world.overlaps.empty()) << killed_at;
+  }
+}
+
 // The present lease of the endpoint is longer, as another job's run is there.
 TEST(AnnouncementTest, RunEndsWithTheLastConfirmationOfItsJobOnABusyEndpoint) {
   int started = 0;
