Play slow daemons, held-up bytes, three zones, lost heartbeats and late news

The generator of daemon faults delayed messages by at most 40 ms and commands never; its cuts dropped what was sent. New mixes of `scripts/measure daemon_faults`:

- slow: daemons, or all of a zone, read requests, closes and messages and send messages, commands and store calls 20 to 600 ms late for 300 to 2,500 ms, in order. slow-and-faults adds kills and cuts from daemons.
- held-up: cuts hold up frames and deliver them in order when they heal; heartbeats are lost. held-up-requests: also requests of callers of a daemon that is cut off.
- three-zones: two zones don't hear each other and both hear the third.
- lost-datagrams: 1 heartbeat in 20 is lost, outside of cuts too.
- lagging-views: changes of the members reach daemons 100 to 1,500 ms late for 300 to 2,500 ms.

Store calls in cuts fail as before, they are not held up.

--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -48,13 +48,6 @@
   ExpectNoDuplicateRuns(options, {1, 2, 3});
 }
 
-FaultOptions RareFaultsAndRepeats() {
-  FaultOptions options = AllFaults();
-  options.rounds_per_fault = 60;
-  options.has_silent_repeats = true;
-  return options;
-}
-
 // Their first receivers still wait for the jobs.
 TEST(DaemonFaultsTest,
      RepeatsOfConnectedCallersAmongFaultsCauseNoDuplicateRuns) {
@@ -103,5 +96,42 @@
   ExpectNoDuplicateRuns(AllFaults(), {117});
 }
 
+TEST(DaemonFaultsTest, SlowDaemonsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(SlowDaemons(), {1007, 1016, 1052, 1081, 1083, 1095});
+}
+
+TEST(DaemonFaultsTest, SlowDaemonsAmongFaultsCauseNoDuplicateRuns) {
+  FaultOptions options = SlowDaemons();
+  options.faults.insert(options.faults.end(),
+                        {DaemonFault::kKill, DaemonFault::kCutFromDaemons});
+  ExpectNoDuplicateRuns(options, {1, 2, 3});
+}
+
+TEST(DaemonFaultsTest, FramesHeldUpInCutsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(HeldUpFrames(), {1, 2, 3});
+}
+
+FaultOptions HeldUpFramesAndRequests() {
+  FaultOptions options = HeldUpFrames();
+  options.holds_up_requests = true;
+  return options;
+}
+
+TEST(DaemonFaultsTest, FramesAndRequestsHeldUpInCutsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {1, 2, 3});
+}
+
+TEST(DaemonFaultsTest, ZonesThatOnlyHearAThirdOneCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(ThreeZones(), {1, 2, 3});
+}
+
+TEST(DaemonFaultsTest, LostHeartbeatsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(LostHeartbeats(), {1, 2, 3});
+}
+
+TEST(DaemonFaultsTest, LateNewsOfMembersCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(LaggingViews(), {1, 2, 3});
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/support/churn_scenario.cc
+++ b/tests/support/churn_scenario.cc
@@ -13,15 +13,17 @@
 }  // namespace
 
 ChurnScenario::ChurnScenario(uint32_t seed, const ChurnOptions& options)
-    : random(seed) {
+    : additional_message_delay(
+          [](const DaemonId&, const DaemonId&) { return Millis(); }),
+      random(seed) {
   this->world.store_delay = [this](const DaemonId& id) {
     return this->store_delays[id];
   };
   this->world.message_delay = [this](const DaemonId& from, const DaemonId& to) {
     return this->DrawMessageDelay(from, to);
   };
-  this->AddZone("north", options);
-  this->AddZone("south", options);
+  for (const std::string& zone : options.zones)
+    this->AddZone(zone, options);
 }
 
 int64_t ChurnScenario::Draw(int64_t lowest, int64_t highest) {
@@ -122,7 +124,8 @@
                                        const DaemonId& to) {
   const Millis delay{this->Draw(0, 9) == 0 ? this->Draw(0, 40) : 0};
   Millis& arrival = this->last_arrivals[{from, to}];
-  arrival = std::max(arrival, this->world.now + delay);
+  arrival = std::max(arrival, this->world.now + delay +
+                                  this->additional_message_delay(from, to));
   return arrival - this->world.now;
 }
 
--- a/tests/support/churn_scenario.h
+++ b/tests/support/churn_scenario.h
@@ -2,6 +2,7 @@
 #define DOGWOODFALL_TESTS_SUPPORT_CHURN_SCENARIO_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -13,6 +14,7 @@
 namespace dogwoodfall {
 
 struct ChurnOptions {
+  std::vector<std::string> zones = {"north", "south"};
   int daemons_per_zone = 10;
   /** Daemons of each zone that start at once; the others join later. */
   int first_daemons_per_zone = 2;
@@ -42,7 +44,7 @@
   Millis run_time;
 };
 
-/** Two zones whose daemons join one after the other, with late messages and
+/** Zones whose daemons join one after the other, with late messages and
  * callers that leave and send their jobs again. A seed determines all draws.
  */
 class ChurnScenario {
@@ -77,6 +79,9 @@
   std::vector<std::string> UpdateCallers();
 
   FleetWorld world;
+  /** Time by which messages are delayed beyond the usual. */
+  std::function<Millis(const DaemonId&, const DaemonId&)>
+      additional_message_delay;
   /** Running daemons that have had time to join; they receive jobs. */
   std::vector<std::string> ready_daemons;
 
--- a/tests/support/daemon_faults_main.cc
+++ b/tests/support/daemon_faults_main.cc
@@ -23,9 +23,7 @@
   mixes["slow-stops"] = AllFaults();
   mixes["slow-stops"].daemons_per_zone = 5;
   mixes["slow-stops"].stop_duration = {45};
-  mixes["repeats"] = AllFaults();
-  mixes["repeats"].rounds_per_fault = kRareFaults;
-  mixes["repeats"].has_silent_repeats = true;
+  mixes["repeats"] = RareFaultsAndRepeats();
   mixes["zone-cuts"] = AllFaults();
   mixes["zone-cuts"].faults.push_back(DaemonFault::kCutZone);
   mixes["zone-cuts"].rounds_per_fault = kRareFaults;
@@ -41,6 +39,17 @@
   mixes["zone-losses"] = mixes["endpoint-restarts"];
   mixes["zone-losses"].faults = {DaemonFault::kKill, DaemonFault::kKillZone};
   mixes["zone-losses"].rounds_per_endpoint_fault = 4;
+  mixes["slow"] = SlowDaemons();
+  mixes["slow-and-faults"] = SlowDaemons();
+  mixes["slow-and-faults"].faults.insert(
+      mixes["slow-and-faults"].faults.end(),
+      {DaemonFault::kKill, DaemonFault::kCutFromDaemons});
+  mixes["held-up"] = HeldUpFrames();
+  mixes["held-up-requests"] = HeldUpFrames();
+  mixes["held-up-requests"].holds_up_requests = true;
+  mixes["three-zones"] = ThreeZones();
+  mixes["lost-datagrams"] = LostHeartbeats();
+  mixes["lagging-views"] = LaggingViews();
   return mixes;
 }
 
--- a/tests/support/faulty_fleet.cc
+++ b/tests/support/faulty_fleet.cc
@@ -8,12 +8,19 @@
 
 ChurnOptions ChurnOptionsOf(const FaultOptions& options) {
   ChurnOptions churn;
+  churn.zones = options.zones;
   churn.daemons_per_zone = options.daemons_per_zone;
   churn.first_daemons_per_zone = 3;
   churn.stop_duration = options.stop_duration;
   return churn;
 }
 
+/** Returns the delay of an event that comes after all earlier ones. */
+Millis DelayInOrder(Millis now, Millis delay, Millis& last_arrival) {
+  last_arrival = std::max(last_arrival, now + delay);
+  return last_arrival - now;
+}
+
 }  // namespace
 
 FaultOptions AllFaults() {
@@ -34,17 +41,61 @@
   return options;
 }
 
+FaultOptions RareFaultsAndRepeats() {
+  FaultOptions options = AllFaults();
+  options.rounds_per_fault = 60;
+  options.has_silent_repeats = true;
+  return options;
+}
+
+FaultOptions SlowDaemons() {
+  FaultOptions options;
+  options.daemons_per_zone = 5;
+  options.faults = {DaemonFault::kSlow, DaemonFault::kSlow, DaemonFault::kSlow,
+                    DaemonFault::kSlowZone};
+  options.loses_answers = true;
+  options.has_silent_repeats = true;
+  return options;
+}
+
+FaultOptions HeldUpFrames() {
+  FaultOptions options = RareFaultsAndRepeats();
+  options.faults = {DaemonFault::kCutFromDaemons, DaemonFault::kCutFromDaemons,
+                    DaemonFault::kCutFromStore, DaemonFault::kCutZone,
+                    DaemonFault::kKill};
+  options.holds_up_frames = true;
+  return options;
+}
+
+FaultOptions ThreeZones() {
+  FaultOptions options = RareFaultsAndRepeats();
+  options.zones = {"north", "south", "west"};
+  options.daemons_per_zone = 5;
+  options.faults.insert(options.faults.end(), 3,
+                        DaemonFault::kCutZoneFromAnother);
+  return options;
+}
+
+FaultOptions LostHeartbeats() {
+  FaultOptions options = RareFaultsAndRepeats();
+  options.loses_heartbeats = true;
+  return options;
+}
+
+FaultOptions LaggingViews() {
+  FaultOptions options = RareFaultsAndRepeats();
+  options.faults.insert(options.faults.end(), 3, DaemonFault::kLagView);
+  return options;
+}
+
 FaultyFleet::FaultyFleet(uint32_t seed, const FaultOptions& options)
     : options(options),
       scenario(seed, ChurnOptionsOf(options)),
       world(scenario.world),
       start(world.now) {
   this->world.is_partitioned = [this](const DaemonId& a, const DaemonId& b) {
-    const bool is_between_zones = a.value.front() != b.value.front();
-    if (is_between_zones && this->world.now < this->zones_cut_until)
-      return true;
-    return this->world.now < this->cut_from_daemons_until[a] ||
-           this->world.now < this->cut_from_daemons_until[b];
+    return !this->options.holds_up_frames &&
+           this->world.now < this->GetEndOfCut(a, b);
   };
   this->world.is_store_unreachable = [this](const DaemonId& daemon) {
     return this->world.now < this->cut_from_store_until[daemon];
@@ -62,6 +113,7 @@
   this->world.is_renewed_while_paused = [options](const std::string&) {
     return options.renews_leases_in_pauses;
   };
+  this->SetUpDelays();
   if (!options.loses_answers)
     return;
   this->world.is_answer_lost = [this](const EndpointCommand&) {
@@ -69,6 +121,65 @@
   };
 }
 
+void FaultyFleet::SetUpDelays() {
+  this->scenario.additional_message_delay = [this](const DaemonId& from,
+                                                   const DaemonId& to) {
+    const Millis slowness = this->GetSlowness(from) + this->GetSlowness(to);
+    if (!this->options.holds_up_frames)
+      return slowness;
+    return std::max(slowness, this->GetEndOfCut(from, to) - this->world.now);
+  };
+  this->world.is_heartbeat_lost = [this](const DaemonId& from,
+                                         const DaemonId& to) {
+    if (this->world.now < this->GetEndOfCut(from, to))
+      return true;
+    return this->options.loses_heartbeats && this->scenario.Draw(0, 19) == 0;
+  };
+  this->world.caller_delay = [this](const DaemonId& daemon) {
+    Millis delay = this->GetSlowness(daemon);
+    if (this->options.holds_up_requests)
+      delay =
+          std::max(delay, this->GetEndOfCut(daemon, daemon) - this->world.now);
+    return DelayInOrder(this->world.now, delay, this->request_arrivals[daemon]);
+  };
+  this->world.command_delay = [this](const DaemonId& daemon) {
+    return DelayInOrder(this->world.now, this->GetSlowness(daemon),
+                        this->command_arrivals[daemon]);
+  };
+  this->world.store_delay =
+      [this, usual = this->world.store_delay](const DaemonId& daemon) {
+        return usual(daemon) + this->GetSlowness(daemon);
+      };
+  this->world.member_news_delay = [this](const DaemonId& daemon) {
+    const auto lag = this->view_lags.find(daemon);
+    const bool lags =
+        lag != this->view_lags.end() && this->world.now < lag->second.until;
+    return lags ? lag->second.delay : Millis();
+  };
+}
+
+Millis FaultyFleet::GetEndOfCut(const DaemonId& a, const DaemonId& b) const {
+  Millis end;
+  for (const DaemonId& daemon : {a, b}) {
+    const auto cut = this->cut_from_daemons_until.find(daemon);
+    if (cut != this->cut_from_daemons_until.end())
+      end = std::max(end, cut->second);
+  }
+  const auto zones = std::minmax(a.value.front(), b.value.front());
+  if (zones.first != zones.second)
+    end = std::max(end, this->zones_cut_until);
+  const auto pair = this->zone_pairs_cut_until.find(zones);
+  return pair == this->zone_pairs_cut_until.end() ? end
+                                                  : std::max(end, pair->second);
+}
+
+Millis FaultyFleet::GetSlowness(const DaemonId& daemon) const {
+  const auto slowness = this->slownesses.find(daemon);
+  const bool is_slow = slowness != this->slownesses.end() &&
+                       this->world.now < slowness->second.until;
+  return is_slow ? slowness->second.delay : Millis();
+}
+
 std::set<JobTask> FaultyFleet::Play() {
   const Millis end = this->start + Millis{8'000};
   while (this->world.now < end) {
@@ -148,6 +259,19 @@
     case DaemonFault::kKillZone:
       this->KillZone(daemon.front());
       break;
+    case DaemonFault::kCutZoneFromAnother:
+      this->CutZoneFromAnother(daemon.front());
+      break;
+    case DaemonFault::kSlow:
+      this->slownesses[id] = this->DrawSlowness();
+      break;
+    case DaemonFault::kSlowZone:
+      this->SlowDownZone(daemon.front());
+      break;
+    case DaemonFault::kLagView:
+      this->view_lags[id] = {this->DrawTime(300, 2'500),
+                             Millis{this->scenario.Draw(100, 1'500)}};
+      break;
   }
 }
 
@@ -202,6 +326,27 @@
   }
 }
 
+void FaultyFleet::SlowDownZone(char zone) {
+  const Slowness slowness = this->DrawSlowness();
+  for (const std::string& daemon : this->scenario.ready_daemons) {
+    if (daemon.front() == zone)
+      this->slownesses[DaemonId(daemon)] = slowness;
+  }
+}
+
+void FaultyFleet::CutZoneFromAnother(char zone) {
+  std::vector<char> others;
+  for (const std::string& other : this->options.zones) {
+    if (other.front() != zone)
+      others.push_back(other.front());
+  }
+  const auto count = static_cast<int64_t>(others.size());
+  const char other =
+      others[static_cast<size_t>(this->scenario.Draw(0, count - 1))];
+  this->zone_pairs_cut_until[std::minmax(zone, other)] =
+      this->DrawTime(300, 2'500);
+}
+
 void FaultyFleet::Pause(const std::string& daemon) {
   this->world.paused_daemons.insert(daemon);
   constexpr int64_t kLongestPauseMs = 1'200;
@@ -250,6 +395,11 @@
   return shape;
 }
 
+FaultyFleet::Slowness FaultyFleet::DrawSlowness() {
+  const Millis until = this->DrawTime(300, 2'500);
+  return {until, Millis{this->scenario.Draw(20, 600)}};
+}
+
 /** Returns a time after now. */
 Millis FaultyFleet::DrawTime(int64_t shortest, int64_t longest) {
   return this->world.now + Millis{this->scenario.Draw(shortest, longest)};
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -29,12 +29,15 @@
       is_partitioned([](const DaemonId&, const DaemonId&) { return false; }),
       is_frame_sendable([](const PeerFrame&) { return true; }),
       message_delay([](const DaemonId&, const DaemonId&) { return Millis(); }),
+      is_heartbeat_lost([](const DaemonId&, const DaemonId&) { return false; }),
+      caller_delay([](const DaemonId&) { return Millis(); }),
       command_delay([](const DaemonId&) { return Millis(); }),
       command_execution_delay([](const EndpointCommand&) { return Millis(); }),
       is_endpoint_unreachable(
           [](const DaemonId&, const EndpointId&) { return false; }),
       is_answer_lost([](const EndpointCommand&) { return false; }),
       store_delay([](const DaemonId&) { return Millis(); }),
+      member_news_delay([](const DaemonId&) { return Millis(); }),
       store_execution_delay(
           [](const DaemonId&, const KeyValueCall&) { return Millis(); }),
       is_store_unreachable([](const DaemonId&) { return false; }),
@@ -150,9 +153,8 @@
   this->resources_by_job[submitted.id] = step.resources;
   const CallerToken caller(++this->last_caller);
   this->callers[caller] = job;
-  this->DeliverEvent(
-      daemon, this->incarnations.at(daemon),
-      [=, sent_at = this->now](FleetNode& node, Actions& actions) {
+  this->DeliverCallerEvent(
+      daemon, [=, sent_at = this->now](FleetNode& node, Actions& actions) {
         std::optional<Millis> measured_age;
         if (this->measures_request_age)
           measured_age = this->now - sent_at;
@@ -164,11 +166,9 @@
 CallerToken FleetWorld::Cancel(const std::string& daemon,
                                const std::string& job) {
   const CallerToken caller(++this->last_caller);
-  this->DeliverEvent(daemon, this->incarnations.at(daemon),
-                     [=](FleetNode& node, Actions& actions) {
-                       OnCancelJob(node, this->now, caller, SubmissionId(job),
-                                   actions);
-                     });
+  this->DeliverCallerEvent(daemon, [=](FleetNode& node, Actions& actions) {
+    OnCancelJob(node, this->now, caller, SubmissionId(job), actions);
+  });
   return caller;
 }
 
@@ -185,10 +185,9 @@
 void FleetWorld::Disconnect(const std::string& daemon, CallerToken caller) {
   if (!this->IsRunning(daemon))
     return;
-  this->DeliverEvent(daemon, this->incarnations.at(daemon),
-                     [=](FleetNode& node, Actions& actions) {
-                       OnCallerDisconnected(node, this->now, caller, actions);
-                     });
+  this->DeliverCallerEvent(daemon, [=](FleetNode& node, Actions& actions) {
+    OnCallerDisconnected(node, this->now, caller, actions);
+  });
 }
 
 FleetNode& FleetWorld::Node(const std::string& id) {
@@ -250,6 +249,20 @@
   this->RecordOverlaps();
 }
 
+void FleetWorld::DeliverCallerEvent(
+    const std::string& daemon,
+    const std::function<void(FleetNode&, Actions&)>& event) {
+  const uint64_t incarnation = this->incarnations.at(daemon);
+  const Millis delay = this->caller_delay(DaemonId(daemon));
+  if (delay == Millis()) {
+    this->DeliverEvent(daemon, incarnation, event);
+    return;
+  }
+  this->Schedule(delay, [this, daemon, incarnation, event]() {
+    this->DeliverEvent(daemon, incarnation, event);
+  });
+}
+
 void FleetWorld::DeliverEvent(
     const std::string& daemon,
     uint64_t incarnation,
@@ -327,7 +340,8 @@
                                   const Heartbeat& heartbeat) {
   ++this->heartbeat_count;
   const auto incarnation = this->incarnations.find(to.value);
-  if (incarnation == this->incarnations.end() || this->is_partitioned(from, to))
+  if (incarnation == this->incarnations.end() ||
+      this->is_partitioned(from, to) || this->is_heartbeat_lost(from, to))
     return;
   const Millis delay = kNetworkLatency + this->message_delay(from, to);
   this->Schedule(delay, [this, to = to.value, incarnation = incarnation->second,
@@ -575,8 +589,9 @@
       pending.push_back(watch);
       continue;
     }
-    const Millis delay =
-        kStoreLatency + this->store_delay(DaemonId(watch.daemon));
+    Millis delay = kStoreLatency + this->store_delay(DaemonId(watch.daemon));
+    if (watch.request.scope == ItemScope::kDaemons && !reply.changes.empty())
+      delay = delay + this->member_news_delay(DaemonId(watch.daemon));
     this->Schedule(delay, [this, watch, reply]() {
       this->DeliverStoreReply(watch.daemon, watch.incarnation, watch.token,
                               reply);
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -91,6 +91,12 @@
   std::function<bool(const PeerFrame&)> is_frame_sendable;
   /** Time by which messages from one daemon to another are delayed. */
   std::function<Millis(const DaemonId&, const DaemonId&)> message_delay;
+  /** True for heartbeats that are lost. */
+  std::function<bool(const DaemonId&, const DaemonId&)> is_heartbeat_lost;
+  /** Time by which a daemon reads the requests of its callers, and sees their
+   * connections closed, late.
+   */
+  std::function<Millis(const DaemonId&)> caller_delay;
   /** Time by which commands of a daemon to endpoints are delayed. */
   std::function<Millis(const DaemonId&)> command_delay;
   /** Time after which an endpoint executes a command without answering it; zero
@@ -104,6 +110,8 @@
   std::function<bool(const EndpointCommand&)> is_answer_lost;
   /** Additional time that an answer of the store takes to a daemon. */
   std::function<Millis(const DaemonId&)> store_delay;
+  /** Additional time that changes of the members take to a daemon. */
+  std::function<Millis(const DaemonId&)> member_news_delay;
   /** Time after which the store executes a call without answering it; zero for
    * calls that it executes and answers.
    */
@@ -147,6 +155,10 @@
   void Schedule(Millis delay, std::function<void()> callback);
   void Step();
   void ExecuteActions(const std::string& daemon, const Actions& actions);
+  /** Delivers what a caller has sent when the daemon reads it. */
+  void DeliverCallerEvent(
+      const std::string& daemon,
+      const std::function<void(FleetNode&, Actions&)>& event);
   void DeliverEvent(const std::string& daemon,
                     uint64_t incarnation,
                     const std::function<void(FleetNode&, Actions&)>& event);
