Record two runs of held-up requests and of a briefly unlisted zone

Callers saw two runs of a task in two of the new mixes of daemon faults.

held-up-requests 9, 50, 56, 58: a receiver reads a request after its cut and counts its age from then. The first submission and its repeat are read 25 to 965 ms apart, though callers repeat 1,300 ms after sending.

three-zones 44: north1 returns from a cut and evicts north2 to north4, which it has not heard; they are listed again 10 to 29 ms later. The two daemons of north that stay listed are stopping, so that for this time no daemon of north is an owner candidate. west0, cut off from north, has its announcement of that moment acknowledged by all candidates and holds a lease of the job for 870 ms. It starts the job 202 ms after it sees north3 listed again; north3, which never heard of it, starts the repeat 106 ms later.

--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -121,10 +121,19 @@
   ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {1, 2, 3});
 }
 
+// The age of such a request counts from its reading.
+TEST(DaemonFaultsTest, RequestsHeldUpInCutsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {9, 50, 56, 58});
+}
+
 TEST(DaemonFaultsTest, ZonesThatOnlyHearAThirdOneCauseNoDuplicateRuns) {
   ExpectNoDuplicateRuns(ThreeZones(), {1, 2, 3});
 }
 
+TEST(DaemonFaultsTest, ZoneThatIsBrieflyUnlistedCausesNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(ThreeZones(), {44});
+}
+
 TEST(DaemonFaultsTest, LostHeartbeatsCauseNoDuplicateRuns) {
   ExpectNoDuplicateRuns(LostHeartbeats(), {1, 2, 3});
 }
