Record two runs of requests that slow daemons read late

131: south0 reads a request 337 ms after it was sent and counts its age from then. So it announces the job at a true age of 1,100 ms, late by 305 ms more as its zone is slow, and the repeat is started before an announcement arrives. 194: south1 reads a request 563 ms late and starts it at a true age of 1,319 ms, 19 ms after its repeat was sent.

--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -100,11 +100,19 @@
   ExpectNoDuplicateRuns(SlowDaemons(), {1007, 1016, 1052, 1081, 1083, 1095});
 }
 
-TEST(DaemonFaultsTest, SlowDaemonsAmongFaultsCauseNoDuplicateRuns) {
+FaultOptions SlowDaemonsAmongFaults() {
   FaultOptions options = SlowDaemons();
   options.faults.insert(options.faults.end(),
                         {DaemonFault::kKill, DaemonFault::kCutFromDaemons});
-  ExpectNoDuplicateRuns(options, {1, 2, 3});
+  return options;
+}
+
+TEST(DaemonFaultsTest, SlowDaemonsAmongFaultsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(SlowDaemonsAmongFaults(), {1, 2, 3});
+}
+
+TEST(DaemonFaultsTest, RequestsReadLateCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(SlowDaemonsAmongFaults(), {131, 194});
 }
 
 TEST(DaemonFaultsTest, FramesHeldUpInCutsCauseNoDuplicateRuns) {
@@ -123,7 +131,7 @@
 
 // The age of such a request counts from its reading.
 TEST(DaemonFaultsTest, RequestsHeldUpInCutsCauseNoDuplicateRuns) {
-  ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {9, 50, 56, 58});
+  ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {9, 50, 56, 58, 100, 116});
 }
 
 TEST(DaemonFaultsTest, ZonesThatOnlyHearAThirdOneCauseNoDuplicateRuns) {
