Drop an endpoint's clock when it has started anew

Two faults of one cause, found by looking for what outlives an incarnation of an endpoint: - An answer of the former incarnation that arrives after the restart is known replaced the new clock by the former one, so that later leases were times far ahead on the new clock (the endpoint grants its longest lease, 1,000 ms). - The first renewal after an entry with a later start still carried the former number of ended runs, so that the endpoint forgot the ends of its first runs.

Cause: nothing tied clock_offset and acknowledged_ends to an incarnation.

Now both are dropped with an entry of a later start, an answer with another start, a refused connection or 421, and when a start or stop is answered with an earlier time than was read before (such answers don't have to carry `born`; a steady clock never goes back). Answers to commands that were sent before then set no clock and their lists are not used. Only answers that name their incarnation set a clock. Nothing is started on an endpoint whose clock is not known; such a clock is asked for.

--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -47,7 +47,7 @@
   constexpr int64_t kPercent = 100;
   const Millis age = now - endpoint.clock_read_at;
   const Millis max_drift{age.count * kMaxClockDriftPercent / kPercent};
-  return time + endpoint.clock_offset.value_or(Millis()) - max_drift;
+  return time + *endpoint.clock_offset - max_drift;
 }
 
 CommandId SendCommand(Scheduler& scheduler,
@@ -110,6 +110,9 @@
     // to end.
     const Millis wait = endpoint.runs.empty() ? Millis() : kRenewalWait;
     SendRenewal(scheduler, endpoint, wait, now, actions);
+  } else if (!endpoint.clock_offset) {
+    if (now - endpoint.renewal_sent_at >= kRetryBackoff)
+      SendRenewal(scheduler, endpoint, {}, now, actions);
   } else if (!endpoint.runs.empty()) {
     const Millis wait = endpoint.unanswered > 0 ? Millis() : kRenewalWait;
     SendRenewal(scheduler, endpoint, wait, now, actions);
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -118,6 +118,8 @@
       entry.started_at_ms > endpoint.started_at_ms) {
     // Reconciliation finds the runs that were started since the restart.
     endpoint.unanswered = 0;
+    if (entry.started_at_ms != endpoint.entry.started_at_ms)
+      ForgetIncarnation(endpoint, now);
     SetEndpointStatus(endpoint, EndpointStatus::kReconciling,
                       "endpoint_restarted", now, actions);
   }
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -21,11 +21,36 @@
 constexpr Millis kMinUnhealthyBackoff{100};
 constexpr Millis kMaxUnhealthyBackoff{2'000};
 
+/** Returns true when a reply comes from another incarnation than the clock that
+ * was read. A start's answer doesn't have to name its incarnation, but a steady
+ * clock never goes back.
+ */
+bool IsOfOtherIncarnation(const ManagedEndpoint& endpoint,
+                          const EndpointReply& reply,
+                          const PendingCommand& command) {
+  const bool has_other_start = endpoint.started_at_ms != 0 &&
+                               reply.started_at_ms != 0 &&
+                               endpoint.started_at_ms != reply.started_at_ms;
+  return has_other_start ||
+         (endpoint.clock_offset && reply.clock &&
+          command.sent_at >= endpoint.clock_read_at &&
+          *reply.clock < *endpoint.clock_offset + endpoint.clock_read_at);
+}
+
 void RecordAnsweredCommand(ManagedEndpoint& endpoint,
                            const EndpointReply& reply,
+                           const PendingCommand& command,
                            Millis now) {
   endpoint.unanswered = 0;
-  if (!reply.clock)
+  if (command.sent_at < endpoint.incarnation_since)
+    return;
+  if (IsOfOtherIncarnation(endpoint, reply, command))
+    ForgetIncarnation(endpoint, command.sent_at);
+  const bool names_incarnation =
+      command.kind == PendingCommand::Kind::kRenew ||
+      (reply.started_at_ms != 0 &&
+       reply.started_at_ms == endpoint.started_at_ms);
+  if (!reply.clock || !names_incarnation)
     return;
   endpoint.clock_offset = *reply.clock - now;
   endpoint.clock_read_at = now;
@@ -297,6 +322,7 @@
 bool HandleCommonOutcome(Scheduler& scheduler,
                          ManagedEndpoint& endpoint,
                          const EndpointReply& reply,
+                         const PendingCommand& command,
                          Millis now,
                          Actions& actions) {
   switch (reply.outcome) {
@@ -317,13 +343,13 @@
     case CommandOutcome::kOtherIncarnation:
       MarkAllRunsLost(scheduler, endpoint, NameOf(reply.outcome), now, actions);
       endpoint.unanswered = kUnresponsiveThreshold;
-      endpoint.acknowledged_ends = 0;
+      ForgetIncarnation(endpoint, now);
       endpoint.started_at_ms = 0;
       SetEndpointStatus(endpoint, EndpointStatus::kUnresponsive,
                         NameOf(reply.outcome), now, actions);
       return true;
     default:
-      RecordAnsweredCommand(endpoint, reply, now);
+      RecordAnsweredCommand(endpoint, reply, command, now);
       return false;
   }
 }
@@ -357,12 +383,13 @@
   if (endpoint.pending_renewal == reply.id)
     endpoint.pending_renewal = CommandId();
   RemoveUndeliveredStart(scheduler, endpoint, reply, command, now);
-  if (!HandleCommonOutcome(scheduler, endpoint, reply, now, actions)) {
+  if (!HandleCommonOutcome(scheduler, endpoint, reply, command, now, actions)) {
     if (command.kind == PendingCommand::Kind::kStart)
       HandleStartReply(scheduler, endpoint, reply, command, now, actions);
     else if (command.kind == PendingCommand::Kind::kStop)
       HandleStopReply(endpoint, reply, command, now);
-    else if (reply.outcome == CommandOutcome::kDone)
+    else if (reply.outcome == CommandOutcome::kDone &&
+             command.sent_at >= endpoint.incarnation_since)
       HandleRenewalReply(scheduler, endpoint, reply, command, now, actions);
   }
   if (endpoint.runs.empty() && !IsNeededWithoutRuns(endpoint, now))
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void ForgetIncarnation(ManagedEndpoint& endpoint, Millis since) {
+  endpoint.clock_offset.reset();
+  endpoint.incarnation_since = since;
+  endpoint.acknowledged_ends = 0;
+}
+
 void HandleEndpointRestart(ManagedEndpoint& endpoint,
                            int64_t started_at_ms,
                            Actions& actions) {
@@ -103,7 +109,6 @@
                               {"born_ms", std::to_string(started_at_ms)},
                               {"runs", std::to_string(endpoint.runs.size())}}});
   endpoint.started_at_ms = started_at_ms;
-  endpoint.acknowledged_ends = 0;
   endpoint.slowness = 1;
   endpoint.failure_share = 0;
   endpoint.is_ejected = false;
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -49,6 +49,13 @@
                      Millis now,
                      Actions& actions);
 
+/** Drops what is known of the clock and of the ended runs of an endpoint's
+ * incarnation, as the next one counts anew.
+ *
+ * @param since when the first command was sent that the next one may answer
+ */
+void ForgetIncarnation(ManagedEndpoint& endpoint, Millis since);
+
 /** Handles a renewal reply that shows that the endpoint has restarted: resets
  * the end counter and what was learned of the endpoint. Runs from before the
  * restart have ended, but some may have been started since, so the runs in the
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -104,10 +104,16 @@
   std::map<RunKey, Run> runs;
   /** Resources occupied by the runs. */
   TaskResources used;
-  /** Steady clock of the endpoint minus that of this daemon. */
+  /** Steady clock of the endpoint minus that of this daemon; none until the
+   * clock of its current incarnation has been read.
+   */
   std::optional<Millis> clock_offset;
   /** When clock_offset was determined. */
   Millis clock_read_at;
+  /** Commands that were sent earlier may have been answered by a former
+   * incarnation of the endpoint, whose clock is another one.
+   */
+  Millis incarnation_since;
   /** Time on this daemon's clock by which all runs end unless their lease is
    * renewed.
    */
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -204,6 +204,7 @@
 bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now) {
   // It is not known how much of the capacity an unclaimed run occupies.
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
+         endpoint.clock_offset.has_value() &&
          !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
          endpoint.backoff_until <= now && endpoint.unanswered == 0 &&
          HasCurrentEntry(endpoint) && !HasUnclaimedRun(endpoint);
--- a/tests/core/restarted_endpoint_test.cc
+++ b/tests/core/restarted_endpoint_test.cc
@@ -200,5 +200,66 @@
   }
 }
 
+/** Reports the entry of an endpoint that has started anew. */
+void ReportRestart(OneEndpointFixture& fixture) {
+  FakeEndpoint& endpoint = fixture.Endpoint();
+  RestartFakeEndpoint(endpoint, fixture.world.now);
+  endpoint.entry.started_at_ms = endpoint.started_at_ms;
+  fixture.world.ReportCapacity("e1", endpoint.entry.capacity);
+}
+
+TEST(RestartedEndpointTest, LateAnswerOfAFormerIncarnationSetsNoClock) {
+  OneEndpointFixture fixture;
+  EndpointCommand late;
+  fixture.world.is_command_lost = [&late](const EndpointCommand& command) {
+    if (std::holds_alternative<StartRun>(command.command))
+      late = command;
+    return true;
+  };
+  fixture.world.Submit("former", 1, 7, kRunTime);
+  const PendingCommand pending =
+      fixture.world.scheduler.pending_commands.at(late.id);
+  EndpointReply reply;
+  reply.id = late.id;
+  reply.outcome = CommandOutcome::kUnhealthy;
+  reply.clock = ReadClock(fixture.Endpoint(), fixture.world.now);
+  ReportRestart(fixture);
+  fixture.world.is_command_lost = [](const EndpointCommand&) { return false; };
+  fixture.world.Run({290});
+  const ManagedEndpoint& managed =
+      fixture.world.scheduler.endpoints.at(EndpointId("e1"));
+  EXPECT_EQ(managed.status, EndpointStatus::kUsable);
+  fixture.world.scheduler.pending_commands[reply.id] = pending;
+  Actions actions;
+  HandleEndpointReply(fixture.world.scheduler, reply, fixture.world.now,
+                      actions);
+  ASSERT_TRUE(managed.clock_offset);
+  EXPECT_LE(*managed.clock_offset + fixture.world.now,
+            ReadClock(fixture.Endpoint(), fixture.world.now));
+}
+
+// Ends up to the acknowledged number are forgotten.
+TEST(RestartedEndpointTest, RestartedEndpointIsToldToForgetNoEnds) {
+  OneEndpointFixture fixture;
+  fixture.world.Submit("former", 1, 7, {20});
+  fixture.world.Run({60});
+  std::vector<uint64_t> acknowledged;
+  fixture.world.is_command_lost =
+      [&acknowledged](const EndpointCommand& command) {
+        if (const auto* renewal = std::get_if<RenewRuns>(&command.command))
+          acknowledged.push_back(renewal->acknowledged_ends);
+        return false;
+      };
+  fixture.world.Submit("next", 1, 7, {20});
+  fixture.world.Run({60});
+  ASSERT_FALSE(acknowledged.empty());
+  EXPECT_EQ(acknowledged.back(), 1U);
+  acknowledged.clear();
+  ReportRestart(fixture);
+  fixture.world.Run({300});
+  ASSERT_FALSE(acknowledged.empty());
+  EXPECT_EQ(acknowledged.front(), 0U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
