Count the longest lease of runs on an endpoint that started anew

What callers saw: not shown in a record; two runs of a task in a test. A start that reaches a new incarnation unnoticed carries a time on the former clock, so its run has a lease of 1,000 ms from its execution. The scheduler counted with the lease that it had meant to grant: when the endpoint was cut off after its answer, the task was taken for lost and started elsewhere, beside its run.

Now the scheduler counts with kMaxLease once an answer shows the restart while there are runs, and other jobs wait with starts there as for any long lease.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -44,8 +44,12 @@
   endpoint.unanswered = 0;
   if (command.sent_at < endpoint.incarnation_since)
     return;
-  if (IsOfOtherIncarnation(endpoint, reply, command))
+  if (IsOfOtherIncarnation(endpoint, reply, command)) {
     ForgetIncarnation(endpoint, command.sent_at);
+    // A start with a time on the former clock has got the longest lease.
+    if (!endpoint.runs.empty())
+      endpoint.lease_until = std::max(endpoint.lease_until, now + kMaxLease);
+  }
   const bool names_incarnation =
       command.kind == PendingCommand::Kind::kRenew ||
       (reply.started_at_ms != 0 &&
--- a/tests/core/restarted_endpoint_test.cc
+++ b/tests/core/restarted_endpoint_test.cc
@@ -261,5 +261,25 @@
   EXPECT_EQ(acknowledged.front(), 0U);
 }
 
+// Its run has a lease from its execution on, which outlasts the one granted.
+TEST(RestartedEndpointTest, RunOnACutOffRestartedEndpointIsNotRepeatedBeside) {
+  OneEndpointFixture fixture;
+  SchedulerWorld& world = fixture.world;
+  RestartFakeEndpoint(fixture.Endpoint(), world.now);
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, kRunTime, "route");
+  submission.job.time_left = {6'000};
+  submission.job.target_latency = {6'000};
+  world.SubmitJob(submission, kRunTime);
+  world.Run({4});
+  ASSERT_EQ(fixture.Endpoint().running.size(), 1U);
+  world.AddEndpoint("e2", 16, 1);
+  world.is_command_lost = [](const EndpointCommand& command) {
+    return command.endpoint == EndpointId("e1");
+  };
+  world.Run({1'500});
+  EXPECT_TRUE(world.overlaps.empty());
+}
+
 }  // namespace
 }  // namespace dogwoodfall
