Count the time for which a cut may have held a request up

Callers saw two runs of one job: a network cut held a request up, its receiver read it after the cut, its age counted from the reading, and so the job was announced only after its repeat had come elsewhere.

A daemon now keeps since when it hears neither the store nor another zone (nor its peers, if no other zone sends it heartbeats), and when it last read a request. Such a job is assigned with this age, is announced on its acceptance, and starts once the schedulers of its repeats have acknowledged it; for that it now has 200 ms. A part of the age that is only possible (uncertain_age) neither refuses the job as too old or too late nor shortens its caller's wait. A request that is read while the cut lasts waits up to 200 ms for its end; if it lasts, the request has not been held up by it and the job runs as before.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -175,7 +175,7 @@
 void serialize(Archive& archive, TransientJob& job) {
   archive(job.id, job.route, job.service, job.payload, job.steps, job.priority,
           job.max_attempts, job.stretch, job.target_latency, job.age,
-          job.time_left);
+          job.time_left, job.uncertain_age);
   CheckStretch(job.stretch);
 }
 
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/fleet/announcement_flow.h"
+#include "core/fleet/cut_off_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -17,7 +18,8 @@
 constexpr uint32_t kMaxRedirects = 3;
 /** Age from which a job is refused that no scheduler has announced. Its caller
  * may send it again from 1,300 ms on, and by then the heartbeat of its
- * scheduler has to reach the other daemons.
+ * scheduler has to reach the other daemons. A job that only may be that old is
+ * assigned; its scheduler announces it before its first start.
  */
 constexpr Millis kMaxUnannouncedAge{1'000};
 /** Reason of that refusal. */
@@ -60,7 +62,7 @@
  */
 bool MayRunElsewhere(const PendingJob& pending, Millis now) {
   return !pending.may_have_started &&
-         now - pending.received_at >= kMaxUnannouncedAge;
+         now - pending.received_by >= kMaxUnannouncedAge;
 }
 
 void AddHolder(PendingJob& pending, const DaemonRef& holder) {
@@ -124,6 +126,7 @@
   submission.may_forward = !pending.was_spilled_over;
   submission.sent_at = now;
   submission.job.age = now - pending.received_at;
+  submission.job.uncertain_age = pending.received_by - pending.received_at;
   submission.job.time_left = pending.caller_deadline - now;
   submission.may_have_started = pending.may_have_started;
   submission.view_revision = node.view.revision;
@@ -272,6 +275,7 @@
 
 void AssignJobs(FleetNode& node, Millis now, Actions& actions) {
   std::vector<std::pair<SubmissionId, const char*>> ended;
+  std::vector<SubmissionId> kept;
   for (auto& [id, pending] : node.reception.pending) {
     if (pending.caller_deadline <= now) {
       ended.emplace_back(id, kTimeLimit);
@@ -281,6 +285,17 @@
       ended.emplace_back(id, kTooOld);
       continue;
     }
+    if (pending.cut_awaited_until != Millis()) {
+      const bool is_cut_off = IsCutOff(node, now);
+      if (is_cut_off && now < pending.cut_awaited_until)
+        continue;
+      // The cut has not held up what is read so long before its end.
+      if (is_cut_off)
+        pending.received_at = pending.received_by;
+      pending.cut_awaited_until = Millis();
+      kept.push_back(id);
+      continue;
+    }
     if (pending.required_view_revision > node.view.revision)
       continue;
     pending.group = CurrentGroupOfJob(node.view, pending.group, id);
@@ -301,6 +316,8 @@
   }
   for (const auto& [id, reason] : ended)
     AbandonJob(node, now, id, reason, actions);
+  for (const SubmissionId& id : kept)
+    AssignNewJob(node, node.reception.pending.at(id), now, actions);
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -7,6 +7,7 @@
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/confirmation_flow.h"
+#include "core/fleet/cut_off_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -307,6 +308,7 @@
            Actions& actions) {
   HandlePause(node, now, actions);
   node.has_received_job = true;
+  RecordCallerRequest(node, now);
   if (!CanBeAnswered(node, job, now)) {
     actions.push_back(LogEvent{
         "job_refused", {{"job", job.id.value}, {"reason", "stopping"}}});
@@ -316,7 +318,8 @@
   }
   const Millis age = measured_age ? *measured_age : GetMaxRequestAge(node, now);
   ReceiveJob(node, now, caller, job,
-             std::max(age, EstimateReadingDelay(node, now)), actions);
+             std::max(age, EstimateReadingDelay(node, now)),
+             GetMaxHeldUpTime(node, now), actions);
 }
 
 void OnCancelJob(FleetNode& node,
@@ -325,6 +328,7 @@
                  const SubmissionId& job,
                  Actions& actions) {
   HandlePause(node, now, actions);
+  RecordCallerRequest(node, now);
   CancelJobOfCaller(node, now, caller, job, actions);
   PlaceTasks(node.scheduler, now, actions);
 }
@@ -353,6 +357,8 @@
                      const KeyValueReply& reply,
                      Actions& actions) {
   HandlePause(node, now, actions);
+  if (reply.outcome != KeyValueOutcome::kUnanswered)
+    RecordStoreAnswer(node, now, actions);
   const StoreUpdate update =
       HandleKeyValueReply(node.store, token, reply, now, actions);
   ApplyStoreUpdate(node, update, now, actions);
@@ -399,6 +405,7 @@
   HandlePause(node, now, actions);
   if (!HasSession(node.sessions, heartbeat.from))
     return;
+  RecordPeerHeard(node, heartbeat.zone, now, actions);
   PeerStatus& peer_status = node.peers[heartbeat.from.id];
   if (IsAnswer(heartbeat)) {
     peer_status.last_received_at = now;
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -17,6 +17,7 @@
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_clock.h: bounds the age of messages
  * - pause_flow.h: suspends starts after the process was paused
+ * - cut_off_flow.h: requests that a network cut has held up
  * - fleet_events.h: the entry points for events from outside
  */
 
@@ -116,6 +117,12 @@
   Millis received_at;
 };
 
+/** A time in which this daemon was cut off from the store and its peers. */
+struct NetworkCut {
+  Millis began_at;
+  Millis ended_at;
+};
+
 /** The whole state of a daemon on the platform. */
 struct FleetNode {
   DaemonRef self;
@@ -159,6 +166,19 @@
   Millis backlog_began_at;
   /** True when a job was received after the latest tick. */
   bool has_received_job = false;
+  /** True when daemons of other zones send heartbeats to this one. */
+  bool hears_other_zones = false;
+  /** When the store or a peer was last heard (cut_off_flow.h); zero before the
+   * first time.
+   */
+  Millis outside_heard_at;
+  NetworkCut last_cut;
+  /** When the latest request of a caller was read. */
+  Millis last_request_at;
+  /** When the first one was read of those that arrived together with it. */
+  Millis request_burst_began_at;
+  /** When the last request before these was read. */
+  Millis no_request_since;
   Millis next_heartbeat_at;
   Millis next_review_at;
   /** True once a graceful shutdown has begun. */
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -101,12 +101,15 @@
 }
 
 void UpdateExpectedHeartbeats(FleetNode& node, Millis now) {
+  node.hears_other_zones = false;
   for (auto& [id, peer_status] : node.peers) {
     const auto member = node.view.members.find(id);
     if (member == node.view.members.end())
       continue;
     const Millis period =
         GetHeartbeatPeriod(node.view, member->second, node.store.self);
+    node.hears_other_zones |=
+        period > Millis() && member->second.address.zone != node.zone;
     const bool was_expected = peer_status.heartbeat_period > Millis();
     if (period > Millis() && !was_expected)
       peer_status.last_received_at = now;
--- a/modules/core/fleet/pause_flow.cc
+++ b/modules/core/fleet/pause_flow.cc
@@ -40,6 +40,8 @@
   node.scheduler.resumed_at = now;
   for (auto& [id, peer_status] : node.peers)
     peer_status.last_received_at = peer_status.last_received_at + pause;
+  if (node.outside_heard_at != Millis())
+    node.outside_heard_at = node.outside_heard_at + pause;
   // When the store can't confirm the membership, peers that have taken over
   // send their view before this time.
   node.scheduler.starts_blocked_until = now + kMaxLease;
--- a/modules/core/fleet/reception.h
+++ b/modules/core/fleet/reception.h
@@ -20,6 +20,13 @@
   std::vector<CallerToken> callers;
   /** When it was received at the earliest. */
   Millis received_at;
+  /** When it was received at the latest: a network cut may have held its
+   * request up until then.
+   */
+  Millis received_by;
+  /** Time until which it waits for the end of that cut before it is assigned.
+   */
+  Millis cut_awaited_until;
   /** When the last of its callers stops waiting. */
   Millis caller_deadline;
   /** The daemon that schedules it; none while it is not assigned. */
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -8,6 +8,7 @@
 #include "core/fleet/announcement_flow.h"
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/cancellation_flow.h"
+#include "core/fleet/cut_off_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -24,6 +25,11 @@
  * a confirmation has to arrive first.
  */
 constexpr Millis kMaxAgeForStart = kJobLease - kUnconfirmedJobLease;
+/** Time for which a request is kept that may have been held up, and that is
+ * read while this daemon still is cut off: after a cut, peers are heard within
+ * it.
+ */
+constexpr Millis kMaxCutWait{200};
 /** Retry-After of a job that was abandoned or could not be assigned. */
 constexpr Millis kAbandonedRetryAfter{1'000};
 
@@ -91,6 +97,7 @@
                 CallerToken caller,
                 const TransientJob& job,
                 Millis request_age,
+                Millis max_held_up_time,
                 Actions& actions) {
   ++node.reception.counters.jobs;
   if (WasCancelled(node, job.id)) {
@@ -113,10 +120,22 @@
   PendingJob pending;
   pending.job = job;
   pending.callers = {caller};
-  pending.received_at = now - request_age;
+  pending.received_by = now - request_age;
+  pending.received_at = now - std::max(request_age, max_held_up_time);
   pending.caller_deadline = caller_deadline;
   node.reception.pending.emplace(job.id, std::move(pending));
   PendingJob& added = node.reception.pending.at(job.id);
+  if (max_held_up_time > request_age) {
+    actions.push_back(
+        LogEvent{"request_held_up",
+                 {{"job", job.id.value},
+                  {"max_ms", std::to_string(max_held_up_time.count)},
+                  {"cut_off", IsCutOff(node, now) ? "true" : "false"}}});
+    if (IsCutOff(node, now)) {
+      added.cut_awaited_until = now + kMaxCutWait;
+      return;
+    }
+  }
   AssignNewJob(node, added, now, actions);
   ReportFinishedJobs(node, now, actions);
 }
--- a/modules/core/fleet/reception_flow.h
+++ b/modules/core/fleet/reception_flow.h
@@ -10,12 +10,14 @@
  * its caller may have sent it again to another daemon is refused.
  *
  * @param request_age maximum time since the request has arrived
+ * @param max_held_up_time time for which a network cut may have held it up
  */
 void ReceiveJob(FleetNode& node,
                 Millis now,
                 CallerToken caller,
                 const TransientJob& job,
                 Millis request_age,
+                Millis max_held_up_time,
                 Actions& actions);
 
 /** Removes a caller, and cancels its job when no other caller waits for it. */
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -21,10 +21,11 @@
 constexpr Millis kMinRetryAfter{1'000};
 
 Millis ComputeLatestUsefulEnd(const ScheduledJob& job) {
-  const Millis objective = job.objective_deadline - job.received_at;
+  const Millis received_by = ReceivedBy(job);
+  const Millis objective = job.objective_deadline - received_by;
   return std::min(
       job.caller_deadline,
-      job.received_at + Millis{kMaxObjectiveMultiple * objective.count});
+      received_by + Millis{kMaxObjectiveMultiple * objective.count});
 }
 
 /** Which endpoints are searched for ones that can run a job. */
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -371,6 +371,7 @@
           .first->second;
   GrantJobLease(scheduler, job.id, submission.sent_at);
   GrantAnnouncementLease(scheduler, job.id, now - job.age);
+  accepted.accepted_at = now;
   accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -21,8 +21,10 @@
  * Its receiver may only have been paused.
  */
 constexpr Millis kOrphanedJobRetention{500};
-/** Time after a pause of this process in which its jobs are acknowledged. */
-constexpr Millis kAnnouncementTimeAfterPause{200};
+/** Time after a pause of this process, or after the acceptance of an old job,
+ * in which jobs are acknowledged.
+ */
+constexpr Millis kAnnouncementTime{200};
 /** Time after its end for which a lease is known, so that runs of a job that
  * was handed over are stopped.
  */
@@ -72,15 +74,17 @@
 
 /** Ends the jobs whose repeats may be started elsewhere. Progress that a
  * previous scheduler is to send is waited for, as it extends the lease. After a
- * pause of this process the jobs are announced first.
+ * pause of this process the jobs are announced first, and so is a job that was
+ * old when it was accepted.
  */
 void EndUnannouncedJobs(Scheduler& scheduler, Millis now, Actions& actions) {
-  if (now < scheduler.resumed_at + kAnnouncementTimeAfterPause)
+  if (now < scheduler.resumed_at + kAnnouncementTime)
     return;
   std::vector<SubmissionId> unannounced;
   for (const auto& [id, job] : scheduler.jobs) {
     if (GetLeaseEnds(scheduler, id).announced_until <= now &&
-        job.start_blocked_until <= now)
+        job.start_blocked_until <= now &&
+        job.accepted_at + kAnnouncementTime <= now)
       unannounced.push_back(id);
   }
   scheduler.counters.unannounced_jobs += unannounced.size();
--- a/modules/core/scheduling/job_order.cc
+++ b/modules/core/scheduling/job_order.cc
@@ -74,7 +74,7 @@
       job.job.target_latency.count;
   job.received_at = now - job.job.age;
   job.caller_deadline = now + job.job.time_left;
-  job.objective_deadline = job.received_at + Millis{objective_ms};
+  job.objective_deadline = ReceivedBy(job) + Millis{objective_ms};
   uint32_t max_task_count = 1;
   for (const JobStep& step : job.job.steps)
     max_task_count = std::max(max_task_count, step.task_count);
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -155,8 +155,8 @@
                       Millis expected_run_time,
                       Millis now) {
   const auto slack =
-      static_cast<double>((job.latest_start - job.received_at).count);
-  const auto waited = static_cast<double>((now - job.received_at).count);
+      static_cast<double>((job.latest_start - ReceivedBy(job)).count);
+  const auto waited = static_cast<double>((now - ReceivedBy(job)).count);
   if (waited > slack)
     return 1;
   const double risk_limit =
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -58,6 +58,8 @@
   std::vector<DaemonRef> other_receivers;
   /** When the receiver got the job, on this daemon's clock. */
   Millis received_at;
+  /** When this daemon accepted it. */
+  Millis accepted_at;
   /** Answers after this time miss the job's objective. */
   Millis objective_deadline;
   /** Latest start of the job that still meets its objective: the deadline minus
@@ -98,6 +100,13 @@
   uint32_t tasks_queued = 0;
 };
 
+/** Returns when a job was received at the latest, from which its objective
+ * counts: its request may have been held up until then.
+ */
+inline Millis ReceivedBy(const ScheduledJob& job) {
+  return job.received_at + job.job.uncertain_age;
+}
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_MODULES_CORE_SCHEDULING_SCHEDULED_JOB_H_
--- a/modules/model/transient_job.h
+++ b/modules/model/transient_job.h
@@ -54,8 +54,12 @@
    */
   double stretch = 1;
   Millis target_latency;
-  /** Time since the receiver read the request. */
+  /** Maximum time since the request has arrived. */
   Millis age;
+  /** Part of the age for which a network cut may have held the request up, but
+   * need not have.
+   */
+  Millis uncertain_age;
   /** Time until the caller stops waiting. */
   Millis time_left;
 };
--- a/tests/core/held_up_request_test.cc
+++ b/tests/core/held_up_request_test.cc
@@ -91,5 +91,84 @@
   }
 }
 
+// Retransmissions reach the receiver later than its peers do.
+TEST(HeldUpRequestTest, RequestsReadSomeTimeAfterACutRunBesideNoRepeats) {
+  for (const int64_t cut_ms : {700, 850, 1'000}) {
+    for (const int64_t delay_ms : {50, 150, 250}) {
+      for (const char* receiver : {"south0", "south1"}) {
+        CutOffReceiverFixture fixture;
+        FleetWorld& world = fixture.world;
+        fixture.cut_off = {receiver};
+        world.RunFor({cut_ms});
+        fixture.cut_off.clear();
+        world.RunFor({delay_ms});
+        world.Submit(receiver, "first", 1, kRunTime);
+        world.RunFor({20});
+        world.Submit(receiver, "second", 1, kRunTime);
+        world.RunFor(kRetransmitAfter - Millis{cut_ms + delay_ms + 20});
+        world.Submit("north0", "first", 1, kRunTime);
+        world.Submit("north1", "second", 1, kRunTime);
+        world.RunFor({1'800});
+        EXPECT_TRUE(world.overlaps.empty()) << cut_ms << " " << delay_ms;
+        for (const char* job : {"first", "second"}) {
+          EXPECT_EQ(world.results[job], JobResult::kCompleted)
+              << cut_ms << " " << delay_ms << " " << receiver << " " << job;
+        }
+      }
+    }
+  }
+}
+
+/** Time from the sending of a job to its start on a quiet network. */
+constexpr Millis kStartTime{40};
+
+// Later, the other zone takes over the endpoints.
+TEST(HeldUpRequestTest, CallersWhoReachACutOffZoneDoNotWait) {
+  CutOffReceiverFixture fixture;
+  FleetWorld& world = fixture.world;
+  fixture.cut_off = {"south0", "south1"};
+  for (int i = 0; i < 7; ++i) {
+    const std::string job = "job" + std::to_string(i);
+    world.Submit("south0", job, 1, {100});
+    world.RunFor(kStartTime);
+    EXPECT_EQ(world.CountRuns(job), 1U) << i;
+    world.RunFor(Millis{200} - kStartTime);
+    EXPECT_EQ(world.results[job], JobResult::kCompleted) << i;
+  }
+}
+
+TEST(HeldUpRequestTest, RareCallerOfACutOffZoneIsServed) {
+  CutOffReceiverFixture fixture;
+  FleetWorld& world = fixture.world;
+  fixture.cut_off = {"south0", "south1"};
+  world.RunFor({1'200});
+  world.Submit("south0", "job", 1, {300});
+  world.RunFor({600});
+  EXPECT_EQ(world.results["job"], JobResult::kCompleted);
+}
+
+TEST(HeldUpRequestTest, JobOfAQuietDaemonStartsAtOnce) {
+  for (const char* receiver : {"north0", "north1", "south0", "south1"}) {
+    CutOffReceiverFixture fixture;
+    fixture.world.RunFor({5'000});
+    fixture.world.Submit(receiver, "job", 1, kRunTime);
+    fixture.world.RunFor(kStartTime);
+    EXPECT_EQ(fixture.world.CountRuns("job"), 1U) << receiver;
+  }
+}
+
+// It is announced before its start, as it may have been held up.
+TEST(HeldUpRequestTest, RequestReadAfterALongCutIsNotRefused) {
+  for (const char* receiver : {"south0", "south1"}) {
+    CutOffReceiverFixture fixture;
+    fixture.cut_off = {"south0", "south1"};
+    fixture.world.RunFor({1'200});
+    fixture.cut_off.clear();
+    fixture.world.Submit(receiver, "job", 1, {300});
+    fixture.world.RunFor({900});
+    EXPECT_EQ(fixture.world.results["job"], JobResult::kCompleted) << receiver;
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
