--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -260,5 +260,31 @@
   }
 }
 
+// It answers a submission whose caller has left; the repeat is under way.
+TEST(JobHandoverTest, RedirectOfAnEarlierSubmissionMovesNoRepeat) {
+  Handover handover;
+  FleetWorld& world = handover.world;
+  world.message_delay = [&handover](const DaemonId&, const DaemonId& to) {
+    return Millis{to.value == handover.owner ? 400 : 0};
+  };
+  const CallerToken caller = world.Submit(handover.receiver, "job", 1, {400});
+  world.RunFor({10});
+  world.Disconnect(handover.receiver, caller);
+  world.RunFor({10});
+  world.Submit(handover.receiver, "job", 1, {400});
+  world.RunFor({10});
+  JobRedirect redirect;
+  redirect.job = SubmissionId("job");
+  redirect.to = DaemonId(handover.next);
+  redirect.group = {ZoneId("south"), 0};
+  redirect.view_revision = world.Node(handover.owner).view.revision;
+  redirect.is_spillover = true;
+  handover.Deliver(handover.owner, handover.receiver, redirect);
+  const Reception& reception = world.Node(handover.receiver).reception;
+  const auto pending = reception.pending.find(SubmissionId("job"));
+  ASSERT_NE(pending, reception.pending.end());
+  EXPECT_EQ(pending->second.scheduler.id, DaemonId(handover.owner));
+}
+
 }  // namespace
 }  // namespace dogwoodfall
