List requests that are held up in cuts which their receivers don't notice

A receiver of a large fleet hears only some daemons of its own zone, and does not see that a cut held it up.

--- a/tests/core/daemon_faults_test.cc
+++ b/tests/core/daemon_faults_test.cc
@@ -134,6 +134,11 @@
   ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {9, 50, 56, 58, 100, 116});
 }
 
+// Their receivers take them for new ones.
+TEST(DaemonFaultsTest, RequestsHeldUpInUnnoticedCutsCauseNoDuplicateRuns) {
+  ExpectNoDuplicateRuns(HeldUpFramesAndRequests(), {6, 15, 16, 37});
+}
+
 TEST(DaemonFaultsTest, ZonesThatOnlyHearAThirdOneCauseNoDuplicateRuns) {
   ExpectNoDuplicateRuns(ThreeZones(), {1, 2, 3});
 }
