Allow starts on endpoints with a longer lease again

The barred starts are the change that a queue on busy endpoints meets most: a job may start only for some 120 ms after each confirmation. That they are the cause is suspected, not shown.

--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -169,13 +169,10 @@
                       const ManagedEndpoint& endpoint,
                       const SubmissionId& job,
                       Millis now) {
-  const JobLeaseEnds ends = GetLeaseEnds(scheduler, job);
-  // No owner has granted more by now.
-  const Millis granted_until = std::min(endpoint.lease_until, now + kRunLease);
   return now + kMinLeaseForStart + kRunEndMargin <=
              ComputeRunLeaseEnd(scheduler, endpoint, now) &&
-         endpoint.lease_until <= ends.announced_until + kRunEndMargin &&
-         granted_until <= ends.confirmed_until + kRunEndMargin;
+         endpoint.lease_until <=
+             GetLeaseEnds(scheduler, job).announced_until + kRunEndMargin;
 }
 
 bool IsOrphaned(const Scheduler& scheduler,
--- a/modules/core/scheduling/job_lease.h
+++ b/modules/core/scheduling/job_lease.h
@@ -111,8 +111,8 @@
                           Millis now);
 
 /** Returns true while a start on an endpoint gets a lease that lasts until the
- * next renewal, and the endpoint's present lease doesn't let the run outlast
- * the lease of its job by more than kRunEndMargin.
+ * next renewal, and the endpoint's present lease doesn't let the run outlast an
+ * announcement of its job.
  */
 bool HasLeaseForStart(const Scheduler& scheduler,
                       const ManagedEndpoint& endpoint,
