Log on what evidence tasks are given up and which result is repeated

task_given_up and job_given_up_before list the lost endpoints with their starts and the later starts that are known; job_result_repeated gives the result, its reason and its age. No decision changes.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -37,6 +37,43 @@
   return true;
 }
 
+/** Returns the start of the latest known incarnation of an endpoint, in ms
+ * since 1970; 0 if none is known.
+ */
+int64_t FindLatestStart(const Scheduler& scheduler, const EndpointId& id) {
+  int64_t started_at_ms = 0;
+  const auto managed = scheduler.endpoints.find(id);
+  if (managed != scheduler.endpoints.end())
+    started_at_ms = managed->second.started_at_ms;
+  const auto listed = scheduler.endpoint_history.find(id);
+  if (listed != scheduler.endpoint_history.end())
+    started_at_ms =
+        std::max(started_at_ms, listed->second.largest_entry.started_at_ms);
+  return started_at_ms;
+}
+
+/** Returns true when a later incarnation of a lost endpoint is known. */
+bool HasRestarted(const Scheduler& scheduler, const EndpointIncarnation& lost) {
+  return lost.started_at_ms != 0 &&
+         FindLatestStart(scheduler, lost.id) > lost.started_at_ms;
+}
+
+/** Formats lost endpoints as ID@START, with >START of a later incarnation that
+ * is known, for logs.
+ */
+std::string FormatLosses(const Scheduler& scheduler,
+                         const CrashRecord& record) {
+  std::string text;
+  for (const EndpointIncarnation& lost : record.endpoints) {
+    if (!text.empty())
+      text += ",";
+    text += lost.id.value + "@" + std::to_string(lost.started_at_ms);
+    if (HasRestarted(scheduler, lost))
+      text += ">" + std::to_string(FindLatestStart(scheduler, lost.id));
+  }
+  return text;
+}
+
 void GiveUpTask(Scheduler& scheduler,
                 const JobTask& task,
                 CrashRecord& record,
@@ -49,24 +86,12 @@
                {{"job", task.job.value},
                 {"task", FormatTaskPosition(task)},
                 {"endpoints_lost", std::to_string(record.endpoints.size())},
-                {"last", record.endpoints.back().id.value}}});
+                {"last", record.endpoints.back().id.value},
+                {"lost", FormatLosses(scheduler, record)}}});
   EndJob(scheduler, task.job, MakeGivenUpOutcome(scheduler, task.job), now,
          actions);
 }
 
-/** Returns true when a later incarnation of a lost endpoint is known. */
-bool HasRestarted(const Scheduler& scheduler, const EndpointIncarnation& lost) {
-  if (lost.started_at_ms == 0)
-    return false;
-  const auto managed = scheduler.endpoints.find(lost.id);
-  if (managed != scheduler.endpoints.end() &&
-      managed->second.started_at_ms > lost.started_at_ms)
-    return true;
-  const auto listed = scheduler.endpoint_history.find(lost.id);
-  return listed != scheduler.endpoint_history.end() &&
-         listed->second.largest_entry.started_at_ms > lost.started_at_ms;
-}
-
 /** Lists the runs of an endpoint that another daemon has lost, as it may answer
  * this one.
  */
@@ -203,6 +228,22 @@
   return outcome;
 }
 
+std::string DescribeGivenUpTasks(const Scheduler& scheduler,
+                                 const SubmissionId& job) {
+  std::string text;
+  auto record = scheduler.crash_records.lower_bound({job, 0, 0});
+  for (; record != scheduler.crash_records.end() && record->first.job == job;
+       ++record) {
+    if (!record->second.is_given_up)
+      continue;
+    if (!text.empty())
+      text += ";";
+    text += FormatTaskPosition(record->first) + ":" +
+            FormatLosses(scheduler, record->second);
+  }
+  return text;
+}
+
 std::optional<LostEndpointsReport> MakeLostEndpointsReport(
     const Scheduler& scheduler,
     const SubmissionId& job) {
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -2,6 +2,7 @@
 #define DOGWOODFALL_MODULES_CORE_SCHEDULING_CRASH_TRACKING_H_
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/scheduling/scheduler.h"
@@ -55,6 +56,12 @@
 JobOutcome MakeGivenUpOutcome(const Scheduler& scheduler,
                               const SubmissionId& job);
 
+/** Describes the tasks of a job that were given up and the endpoints that were
+ * lost with them, for logs.
+ */
+std::string DescribeGivenUpTasks(const Scheduler& scheduler,
+                                 const SubmissionId& job);
+
 /** Returns what is recorded of a job; none when nothing is. */
 std::optional<LostEndpointsReport> MakeLostEndpointsReport(
     const Scheduler& scheduler,
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -346,20 +346,27 @@
   }
   const auto retained = scheduler.retained_results.find(job.id);
   if (retained != scheduler.retained_results.end()) {
+    const auto& [outcome, ended_at] = retained->second;
     actions.push_back(
         LogEvent{"job_result_repeated",
-                 {{"job", job.id.value}, {"receiver", receiver.id.value}}});
-    scheduler.finished.push_back(
-        FinishedJob::Ended(receiver, job.id, retained->second.outcome));
+                 {{"job", job.id.value},
+                  {"receiver", receiver.id.value},
+                  {"end", std::to_string(static_cast<int>(outcome.result))},
+                  {"reason", outcome.reason},
+                  {"ended_ms_ago", std::to_string((now - ended_at).count)}}});
+    scheduler.finished.push_back(FinishedJob::Ended(receiver, job.id, outcome));
     return;
   }
   RenewCrashRecords(scheduler, job.id, now);
   if (HasGivenUpTask(scheduler, job.id)) {
+    const JobOutcome outcome = MakeGivenUpOutcome(scheduler, job.id);
     actions.push_back(
         LogEvent{"job_given_up_before",
-                 {{"job", job.id.value}, {"receiver", receiver.id.value}}});
-    scheduler.finished.push_back(FinishedJob::Ended(
-        receiver, job.id, MakeGivenUpOutcome(scheduler, job.id)));
+                 {{"job", job.id.value},
+                  {"receiver", receiver.id.value},
+                  {"end", std::to_string(static_cast<int>(outcome.result))},
+                  {"lost", DescribeGivenUpTasks(scheduler, job.id)}}});
+    scheduler.finished.push_back(FinishedJob::Ended(receiver, job.id, outcome));
     return;
   }
   ++scheduler.counters.jobs;
