Refuse a job that fits no endpoint instead of showing it as failed

What callers see: a job of 7 cores is shown as failed while only one endpoint of 4 cores is listed, and so is its repeat after a large one is listed, as the result is retained.

Cause: a final answer for what is known at one moment. Entries come back one by one after an outage of the store or a restart of all daemons, endpoints are added, and this daemon knows only what it has seen since it started.

Fix: such a job is refused at once with a Retry-After of 10 s, in which missing entries are back: nothing of it ran, and nothing final is said. A refusal is not retained.

--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -19,6 +19,10 @@
 constexpr double kBestCaseRunTimeShare = 0.6;
 /** Minimum delay before the caller of a rejected job should retry. */
 constexpr Millis kMinRetryAfter{1'000};
+/** Delay before the caller of a job should retry that no endpoint has had room
+ * for. A larger one may be added, or its entry may not have been read yet.
+ */
+constexpr Millis kLargerEndpointRetryAfter{10'000};
 
 Millis ComputeLatestUsefulEnd(const ScheduledJob& job) {
   const Millis received_by = ReceivedBy(job);
@@ -89,7 +93,8 @@
   if (HasOnceFitted(scheduler, job))
     return JobOutcome{JobResult::kRefused, kMinRetryAfter,
                       "fits_no_endpoint_now"};
-  return JobOutcome{JobResult::kFailed, {}, "fits_no_endpoint"};
+  return JobOutcome{JobResult::kRefused, kLargerEndpointRetryAfter,
+                    "fits_no_endpoint"};
 }
 
 std::optional<JobOutcome> ReviewWaitingJob(const Scheduler& scheduler,
