Try another endpoint when one can't parse a start

What callers see: one answer 400 or 404 of a single endpoint shows a job as failed for good. A replaced process, or another one at the address, answers so.

Cause: a final answer on the evidence of one endpoint. The contract doesn't count such an answer as a failure.

Fix: the task is started elsewhere. Once three endpoints, or all that could run it, have rejected a start of it, its job is abandoned.

--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -11,6 +11,7 @@
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/placement.h"
 
 namespace dogwoodfall {
 namespace {
@@ -20,6 +21,10 @@
  */
 constexpr Millis kMinUnhealthyBackoff{100};
 constexpr Millis kMaxUnhealthyBackoff{2'000};
+/** Number of endpoints that may fail to parse the start of a task before its
+ * job is given up.
+ */
+constexpr size_t kMaxRejectingEndpoints = 3;
 
 /** Returns true when a reply comes from another incarnation than the clock that
  * was read. A start's answer doesn't have to name its incarnation, but a steady
@@ -224,6 +229,23 @@
   }
 }
 
+/** Returns true when an endpoint may be able to parse a start of a task that
+ * others have rejected.
+ */
+bool MayTryAnotherEndpoint(Scheduler& scheduler, const JobTask& id) {
+  const TaskProgress& task = *FindTask(scheduler, id);
+  const ScheduledJob& job = scheduler.jobs.at(id.job);
+  return task.rejected_by.size() < kMaxRejectingEndpoints &&
+         std::any_of(scheduler.endpoints.begin(), scheduler.endpoints.end(),
+                     [&](const auto& entry) {
+                       const ManagedEndpoint& endpoint = entry.second;
+                       return endpoint.group == job.group &&
+                              !HasRejected(endpoint.entry.id, task) &&
+                              CanEverRun(endpoint.entry, job.job,
+                                         job.job.steps[id.step]);
+                     });
+}
+
 void HandleStartReply(Scheduler& scheduler,
                       ManagedEndpoint& endpoint,
                       const EndpointReply& reply,
@@ -262,11 +284,16 @@
   }
   const bool may_requeue = run.may_requeue;
   RemoveRun(endpoint, command.run);
-  if (reply.outcome == CommandOutcome::kMalformed) {
-    EndJob(scheduler, command.run.first.job,
-           {JobResult::kFailed, {}, "endpoint_rejected_malformed_command"}, now,
-           actions);
-    return;
+  if (reply.outcome == CommandOutcome::kMalformed &&
+      IsCurrentRun(scheduler, endpoint.entry.id, command.run)) {
+    FindTask(scheduler, command.run.first)
+        ->rejected_by.push_back(endpoint.entry.id);
+    if (!MayTryAnotherEndpoint(scheduler, command.run.first)) {
+      EndJob(scheduler, command.run.first.job,
+             {JobResult::kAbandoned, {}, "endpoints_rejected_starts"}, now,
+             actions);
+      return;
+    }
   }
   if (reply.outcome == CommandOutcome::kUnhealthy) {
     endpoint.unhealthy_backoff =
@@ -274,8 +301,9 @@
                    kMinUnhealthyBackoff, kMaxUnhealthyBackoff);
     endpoint.backoff_until = now + endpoint.unhealthy_backoff;
   }
-  if (reply.outcome == CommandOutcome::kInsufficientResources) {
-    // An unknown run occupies resources there; the next renewal lists it.
+  if (reply.outcome == CommandOutcome::kInsufficientResources ||
+      reply.outcome == CommandOutcome::kMalformed) {
+    // An unknown run may occupy resources there; the next renewal lists it.
     endpoint.backoff_until = now + kMinUnhealthyBackoff;
   }
   if (may_requeue)
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -210,6 +210,11 @@
          HasCurrentEntry(endpoint) && !HasUnclaimedRun(endpoint);
 }
 
+bool HasRejected(const EndpointId& endpoint, const TaskProgress& task) {
+  return std::find(task.rejected_by.begin(), task.rejected_by.end(),
+                   endpoint) != task.rejected_by.end();
+}
+
 bool CanEverRun(const EndpointEntry& endpoint,
                 const TransientJob& job,
                 const JobStep& step) {
@@ -228,6 +233,7 @@
   const JobStep& step = job.job.steps[step_index];
   return AcceptsWork(endpoint, now) && endpoint.group == job.group &&
          IsEligibleFor(endpoint, task) &&
+         !HasRejected(endpoint.entry.id, task) &&
          CanEverRun(endpoint.entry, job.job, step) &&
          Fits(step.resources,
               endpoint.entry.capacity - endpoint.used - planned_use) &&
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -19,6 +19,9 @@
                 const TransientJob& job,
                 const JobStep& step);
 
+/** Returns true when an endpoint could not parse a start of a task. */
+bool HasRejected(const EndpointId& endpoint, const TaskProgress& task);
+
 /** Returns true when an endpoint may start a task of a job now.
  *
  * @param planned_use resources that are about to be occupied there besides the
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -30,6 +30,8 @@
   /** Attempt number of the latest run. */
   uint32_t attempt = 0;
   uint32_t failures = 0;
+  /** Endpoints that could not parse a start of it. */
+  std::vector<EndpointId> rejected_by;
   /** Duration of the successful run; zero when not known. */
   Millis run_time;
   /** Endpoint of the latest run. */
--- a/tests/core/sound_job_test.cc
+++ b/tests/core/sound_job_test.cc
@@ -42,6 +42,39 @@
   }
 }
 
+// A process that was replaced, or another one at the address, may answer so.
+TEST(SoundJobTest, JobThatOneEndpointCanNotParseIsCompletedElsewhere) {
+  SchedulerWorld world;
+  world.AddEndpoint("e0", 16, 1).rejects_starts = true;
+  world.AddEndpoint("e1", 16, 2);
+  world.Run({20});
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "sound" + std::to_string(i);
+    world.Submit(id, 2, 7, {60});
+    world.Run({500});
+    EXPECT_EQ(world.results[SubmissionId(id)].outcome.result,
+              JobResult::kCompleted)
+        << id;
+  }
+}
+
+// It must not be sent to endpoints until its caller's time limit.
+TEST(SoundJobTest, JobThatNoEndpointCanParseIsAbandonedSoon) {
+  constexpr uint64_t kMaxStarts = 3;
+  for (int endpoints = 1; endpoints <= 5; ++endpoints) {
+    SchedulerWorld world;
+    for (int i = 0; i < endpoints; ++i)
+      world.AddEndpoint("e" + std::to_string(i), 16, 1).rejects_starts = true;
+    world.Run({20});
+    world.Submit("job", 1, 7, {60});
+    world.Run({100});
+    const CallerResult& result = world.results[SubmissionId("job")];
+    EXPECT_EQ(result.outcome.result, JobResult::kAbandoned) << endpoints;
+    EXPECT_EQ(result.outcome.reason, "endpoints_rejected_starts");
+    EXPECT_LE(world.scheduler.counters.starts, kMaxStarts);
+  }
+}
+
 /** Plays jobs of which no run fails, while endpoints crash in groups and start
  * again under their ids. Callers that got no result send their job again.
  */
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -62,6 +62,8 @@
                      const TaskResources& resources,
                      Millis now) {
   const RunKey key{start.task, start.attempt.value};
+  if (endpoint.rejects_starts)
+    return CommandOutcome::kMalformed;
   ExtendLease(endpoint, start.lease_until, now);
   if (endpoint.running.count(key) > 0)
     return CommandOutcome::kDone;
