Send suspected tasks only to endpoints that have just answered

Cause: a start without an answer counted as a loss of the endpoint with the task, though the endpoint may have been down before. A start that crashes its endpoint before it is answered looks the same.

Fix: a task that an endpoint was lost with is sent only to an endpoint that has answered within 200 ms; another one is asked first, which takes a round trip. So the loss after a further start is evidence, and no second one can come from an endpoint that was down. An idle endpoint that has not answered is asked again; it got no work before until its entry changed.

--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -113,7 +113,7 @@
   } else if (!endpoint.clock_offset) {
     if (now - endpoint.renewal_sent_at >= kRetryBackoff)
       SendRenewal(scheduler, endpoint, {}, now, actions);
-  } else if (!endpoint.runs.empty()) {
+  } else if (!endpoint.runs.empty() || endpoint.unanswered > 0) {
     const Millis wait = endpoint.unanswered > 0 ? Millis() : kRenewalWait;
     SendRenewal(scheduler, endpoint, wait, now, actions);
   }
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -31,6 +31,10 @@
  * return.
  */
 constexpr Millis kRemovedEndpointRetention{10'000};
+/** Time since its last answer for which an endpoint counts as up. One with runs
+ * answers a renewal at least every 150 ms.
+ */
+constexpr Millis kMaxContactAge{200};
 /** Age from which the first start of a job is logged. */
 constexpr Millis kLateStart{700};
 
@@ -284,6 +288,23 @@
   actions.push_back(std::move(event));
 }
 
+/** Returns true when an endpoint may get a task now. One that is suspected of
+ * crashing endpoints gets an endpoint that has just answered, so that a loss
+ * after the start shows more than an endpoint that was down before.
+ */
+bool IsUpForTask(Scheduler& scheduler,
+                 ManagedEndpoint& endpoint,
+                 const JobTask& task,
+                 Millis now,
+                 Actions& actions) {
+  if (!IsSuspect(scheduler, task) ||
+      now - endpoint.clock_read_at <= kMaxContactAge)
+    return true;
+  if (endpoint.pending_renewal == CommandId())
+    PollEndpoint(scheduler, endpoint, now, actions);
+  return false;
+}
+
 void PlaceJobTasks(Scheduler& scheduler,
                    ScheduledJob& job,
                    Millis now,
@@ -301,6 +322,9 @@
           ChooseEndpoint(scheduler, job, step, index, expected_run_time, now);
       if (endpoint == nullptr)
         break;  // The other tasks of the step need the same resources.
+      if (!IsUpForTask(scheduler, *endpoint, {job.job.id, step, index}, now,
+                       actions))
+        continue;
       task.phase = TaskPhase::kPlaced;
       task.endpoint = endpoint->entry.id;
       ++task.attempt;
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -638,6 +638,23 @@
   EXPECT_TRUE(world.scheduler.crash_records.empty());
 }
 
+// The loss of an endpoint that was down before the start shows nothing.
+TEST(CrashingTaskTest, SuspectedTaskIsSentOnlyToEndpointsThatAnswer) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.Run({2'000});
+  for (auto& [id, endpoint] : world.endpoints)
+    CrashFakeEndpoint(endpoint, world.now);
+  world.scheduler.crash_records[kSoundTask].endpoints.push_back(
+      {EndpointId("lost"), 1});
+  world.SubmitJob(MakePatientSubmission("sound", 1), {60});
+  world.Run({2'000});
+  EXPECT_EQ(world.scheduler.counters.starts, 0U);
+  world.Run({3'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
 // The endpoints have lost power while they were idle; their entries last a
 // little longer.
 TEST(CrashingTaskTest, TaskSentToEndpointsThatWereDownIsNotGivenUp) {
