Don't give a task up when its endpoint is lost together with others

What callers see: a sound job that stood on two endpoints of groups that crashed is answered 504, also when it is sent again.

Cause: evidence like bad luck's. The second loss of a task was taken for its doing, whatever happened to other endpoints at the same moment. A rack or a switch takes many at once.

Fix: the second loss gives a task up only if fewer than two other endpoints without a suspected job were lost within a second of it. The third gives it up in any case, so a task that really crashes its endpoints crashes one more at most.

Tests: CrashingTaskTest.TaskWhoseEndpointIsLostTogetherWithOthersIsNotGivenUp fails on; CrashingTaskIsGivenUpBesideLossesOfOtherEndpoints holds the limit of three.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -1,6 +1,7 @@
 #include "core/scheduling/crash_tracking.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,14 @@
 constexpr size_t kMaxLossesOfSoleSuspect = 2;
 /** Number of lost endpoints at which a task is given up in any case. */
 constexpr size_t kMaxLosses = 3;
+/** Losses within this time may have one cause: it covers a lease and the time
+ * in which silence is noticed.
+ */
+constexpr Millis kGroupLossWindow{1'000};
+/** Number of other endpoints, lost at the same time without a suspected job,
+ * from which on a loss is no evidence against the tasks that ran there.
+ */
+constexpr size_t kMinGroupLosses = 2;
 /** Time after the last loss for which a record is kept. Callers may send a job
  * again after its failure.
  */
@@ -91,6 +100,41 @@
   EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
 }
 
+/** Returns true when an endpoint has become silent recently, without a run of a
+ * suspected job.
+ */
+bool IsSilentWithoutSuspect(const Scheduler& scheduler,
+                            const ManagedEndpoint& endpoint,
+                            Millis now) {
+  return endpoint.status == EndpointStatus::kUnresponsive &&
+         now - endpoint.status_since <= kGroupLossWindow &&
+         !endpoint.runs.empty() &&
+         std::none_of(endpoint.runs.begin(), endpoint.runs.end(),
+                      [&scheduler](const auto& run) {
+                        return HasSuspect(scheduler, run.first.first.job);
+                      });
+}
+
+/** Returns true when other endpoints are lost at the same time as one, though
+ * they ran no suspected job: a failure that they have in common, as that of a
+ * rack, is likelier than a task that crashes its endpoint.
+ */
+bool IsPartOfGroupLoss(const Scheduler& scheduler,
+                       const EndpointId& lost,
+                       Millis now) {
+  std::set<EndpointId> others;
+  for (const EndpointLoss& loss : scheduler.recent_losses) {
+    if (!loss.has_suspect && now - loss.lost_at <= kGroupLossWindow)
+      others.insert(loss.endpoint.id);
+  }
+  for (const auto& [id, endpoint] : scheduler.endpoints) {
+    if (IsSilentWithoutSuspect(scheduler, endpoint, now))
+      others.insert(id);
+  }
+  others.erase(lost);
+  return others.size() >= kMinGroupLosses;
+}
+
 /** Lists the runs of an endpoint that another daemon has lost, as it may answer
  * this one.
  */
@@ -140,6 +184,13 @@
     if (IsSuspect(scheduler, task))
       suspects.push_back(task);
   }
+  const bool has_suspect_job =
+      std::any_of(tasks.begin(), tasks.end(), [&scheduler](const auto& task) {
+        return HasSuspect(scheduler, task.job);
+      });
+  scheduler.recent_losses.push_back(
+      {{endpoint.id, started_at_ms}, now, has_suspect_job});
+  const bool is_group_loss = IsPartOfGroupLoss(scheduler, endpoint.id, now);
   for (const JobTask& task : tasks) {
     CrashRecord& record = scheduler.crash_records[task];
     if (!AddEndpoint(record, {endpoint.id, started_at_ms}, now) ||
@@ -148,8 +199,8 @@
     const bool is_sole_suspect =
         suspects.size() == 1 && suspects.front() == task;
     const size_t losses = record.endpoints.size();
-    if (losses >= kMaxLosses ||
-        (losses >= kMaxLossesOfSoleSuspect && is_sole_suspect))
+    if (losses >= kMaxLosses || (losses >= kMaxLossesOfSoleSuspect &&
+                                 is_sole_suspect && !is_group_loss))
       GiveUpTask(scheduler, task, record, now, actions);
   }
   for (const JobTask& task : tasks) {
@@ -267,6 +318,12 @@
 }
 
 void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now) {
+  std::vector<EndpointLoss>& losses = scheduler.recent_losses;
+  losses.erase(std::remove_if(losses.begin(), losses.end(),
+                              [now](const EndpointLoss& loss) {
+                                return now - loss.lost_at > kGroupLossWindow;
+                              }),
+               losses.end());
   EraseIf(scheduler.crash_records, [now](const CrashRecord& record) {
     return now - record.updated_at >
            (record.is_given_up ? kGivenUpRetention : kCrashRecordRetention);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -41,6 +41,7 @@
 #include "core/dispatch/run_times.h"
 #include "core/scheduling/crash_record.h"
 #include "core/scheduling/ended_job.h"
+#include "core/scheduling/endpoint_loss.h"
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
@@ -160,6 +161,8 @@
   std::unordered_map<SubmissionId, EarlyProgress> early_progress;
   /** Tasks that may have crashed endpoints. */
   std::map<JobTask, CrashRecord> crash_records;
+  /** Endpoints that were lost here shortly before. */
+  std::vector<EndpointLoss> recent_losses;
   /** Jobs that are not completed, whose tasks may have crashed endpoints, and
    * that the other daemons have not been told about yet.
    */
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -655,6 +655,44 @@
             JobResult::kCompleted);
 }
 
+// A rack that fails takes the endpoints of many sound tasks along.
+TEST(CrashingTaskTest, TaskWhoseEndpointIsLostTogetherWithOthersIsNotGivenUp) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  const auto crash_active_endpoints = [&world] {
+    for (auto& [id, endpoint] : world.endpoints) {
+      if (!endpoint.running.empty())
+        CrashFakeEndpoint(endpoint, world.now);
+    }
+  };
+  world.SubmitJob(MakePatientSubmission("sound", 1), {400});
+  world.Run({100});
+  crash_active_endpoints();
+  while (world.scheduler.counters.starts < 2)
+    world.Run({1});
+  for (int i = 0; i < 3; ++i)
+    world.Submit("other" + std::to_string(i), 1, 14, {400});
+  world.Run({100});
+  crash_active_endpoints();
+  EXPECT_EQ(CountCrashes(world), 5U);
+  world.Run({8'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
+TEST(CrashingTaskTest, CrashingTaskIsGivenUpBesideLossesOfOtherEndpoints) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.SubmitJob(MakePatientSubmission(kCrashingJob, 1), {60});
+  for (int i = 0; i < 10'000; ++i) {
+    world.scheduler.recent_losses = {{{EndpointId("a"), 1}, world.now, false},
+                                     {{EndpointId("b"), 1}, world.now, false}};
+    world.Run({1});
+  }
+  EXPECT_EQ(CountCrashes(world), kMaxCrashes);
+  ExpectGivenUp(world);
+}
+
 // The endpoints have lost power while they were idle; their entries last a
 // little longer.
 TEST(CrashingTaskTest, TaskSentToEndpointsThatWereDownIsNotGivenUp) {
