End the time for which a task is given up, however often it is sent again

What callers see: a job that was given up after two losses of endpoints is answered 504 for as long as its caller sends it again at least every ten minutes.

Cause: each repeat renewed the time for which the task was given up, so that evidence like bad luck's was final.

Fix: the time counts from the last loss. After 20 minutes the task may start again, still as a suspect, so alone where there is room; a further loss gives it up again at once, for twice as long.

JobSentAgainForHoursCrashesFewerAndFewerEndpoints holds the limit that the file has for starts after crashes. JobSentAgainAfterMinutesIsNotStartedAgain is unchanged.

--- a/modules/core/scheduling/crash_record.h
+++ b/modules/core/scheduling/crash_record.h
@@ -13,8 +13,11 @@
  */
 struct CrashRecord {
   std::vector<EndpointIncarnation> endpoints;
-  /** True once the task may not be started any more. */
+  /** True while the task may not be started. */
   bool is_given_up = false;
+  /** When it may be started again; zero if it was never given up. */
+  Millis given_up_until;
+  /** When an endpoint was added, or the job was last sent again. */
   Millis updated_at;
 };
 
--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -30,10 +30,31 @@
  * again after its failure.
  */
 constexpr Millis kCrashRecordRetention{60'000};
-/** Time for which a task stays given up after its last loss, or after its job
+/** Time for which the record of a task that was given up is kept after its job
  * was last sent again. Callers may send a job again much later.
  */
 constexpr Millis kGivenUpRetention{600'000};
+/** Time for which a task stays given up after two losses, however often its job
+ * is sent again. It doubles with each further loss.
+ */
+constexpr Millis kMinGivenUpTime{1'200'000};
+/** Number of losses after which it doubles no more. */
+constexpr size_t kMaxDoublingLosses = 8;
+
+Millis ComputeGivenUpTime(const CrashRecord& record) {
+  const size_t losses = std::clamp(record.endpoints.size(),
+                                   kMaxLossesOfSoleSuspect, kMaxDoublingLosses);
+  return Millis{kMinGivenUpTime.count << (losses - kMaxLossesOfSoleSuspect)};
+}
+
+bool WasGivenUp(const CrashRecord& record) {
+  return record.given_up_until != Millis();
+}
+
+void MarkGivenUp(CrashRecord& record, Millis now) {
+  record.is_given_up = true;
+  record.given_up_until = now + ComputeGivenUpTime(record);
+}
 
 bool AddEndpoint(CrashRecord& record,
                  const EndpointIncarnation& endpoint,
@@ -88,7 +109,7 @@
                 CrashRecord& record,
                 Millis now,
                 Actions& actions) {
-  record.is_given_up = true;
+  MarkGivenUp(record, now);
   ++scheduler.counters.given_up_tasks;
   actions.push_back(
       LogEvent{"task_given_up",
@@ -163,8 +184,10 @@
       continue;
     known.erase(retracted);
     has_changed = true;
-    if (known.size() < kMaxLossesOfSoleSuspect)
+    if (known.size() < kMaxLossesOfSoleSuspect) {
       record.is_given_up = false;
+      record.given_up_until = Millis();
+    }
   }
   return has_changed;
 }
@@ -306,11 +329,15 @@
   for (const TaskEndpointLosses& reported : report.tasks) {
     CrashRecord& record =
         scheduler.crash_records[{report.job, reported.step, reported.index}];
+    bool has_new_loss = false;
     for (const EndpointIncarnation& endpoint : reported.endpoints) {
-      if (AddEndpoint(record, endpoint, now))
-        CheckReportedLoss(scheduler, endpoint, now, actions);
+      if (!AddEndpoint(record, endpoint, now))
+        continue;
+      has_new_loss = true;
+      CheckReportedLoss(scheduler, endpoint, now, actions);
     }
-    record.is_given_up |= reported.is_given_up;
+    if (reported.is_given_up && (has_new_loss || !WasGivenUp(record)))
+      MarkGivenUp(record, now);
     record.updated_at = now;
   }
   if (HasGivenUpTask(scheduler, report.job))
@@ -326,8 +353,10 @@
                losses.end());
   EraseIf(scheduler.crash_records, [now](const CrashRecord& record) {
     return now - record.updated_at >
-           (record.is_given_up ? kGivenUpRetention : kCrashRecordRetention);
+           (WasGivenUp(record) ? kGivenUpRetention : kCrashRecordRetention);
   });
+  for (auto& [task, record] : scheduler.crash_records)
+    record.is_given_up &= now < record.given_up_until;
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -45,7 +45,9 @@
 /** Returns true when a task of the job has been given up. */
 bool HasGivenUpTask(const Scheduler& scheduler, const SubmissionId& job);
 
-/** Keeps the records of a job that was sent again. */
+/** Keeps the records of a job that was sent again. Its tasks stay given up for
+ * no longer.
+ */
 void RenewCrashRecords(Scheduler& scheduler,
                        const SubmissionId& job,
                        Millis now);
@@ -72,7 +74,9 @@
                               Millis now,
                               Actions& actions);
 
-/** Removes the records of tasks whose last endpoint was lost long ago. */
+/** Allows tasks to start again that were given up long enough ago, and removes
+ * the records of tasks whose last endpoint was lost long ago.
+ */
 void RemoveExpiredCrashRecords(Scheduler& scheduler, Millis now);
 
 }  // namespace dogwoodfall
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -190,6 +190,46 @@
   EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
 }
 
+/** Plays a job that is sent again every five minutes. */
+void PlayRepeats(SchedulerWorld& world,
+                 const JobSubmission& submission,
+                 int repeats) {
+  constexpr Millis kActiveTime{6'000};
+  constexpr Millis kInterval{300'000};
+  for (int i = 0; i < repeats; ++i) {
+    world.results.clear();
+    world.SubmitJob(submission, {60});
+    world.Run(kActiveTime);
+    world.now = world.now + kInterval - kActiveTime;
+  }
+}
+
+// It must not crash endpoints for as long as it is sent again.
+TEST(CrashingTaskTest, JobSentAgainForHoursCrashesFewerAndFewerEndpoints) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  const JobSubmission submission = MakePatientSubmission(kCrashingJob, 1);
+  PlayRepeats(world, submission, 32);
+  const uint32_t crashes = CountCrashes(world);
+  EXPECT_LT(crashes, kMaxCrashes + kMaxStartsAfterCrashes);
+  PlayRepeats(world, submission, 30);
+  EXPECT_EQ(CountCrashes(world), crashes);
+}
+
+// Two crashes may be bad luck, and a job that never starts again is lost.
+TEST(CrashingTaskTest, JobSentAgainIsNotGivenUpForEver) {
+  SchedulerWorld world;
+  AddEndpoints(world);
+  const JobSubmission submission = MakePatientSubmission(kCrashingJob, 1);
+  PlayRepeats(world, submission, 1);
+  ASSERT_EQ(CountCrashes(world), kCrashesForFailure);
+  for (auto& [id, endpoint] : world.endpoints)
+    endpoint.crashing_job_prefix.clear();
+  PlayRepeats(world, submission, 5);
+  EXPECT_EQ(world.results[SubmissionId(kCrashingJob)].outcome.result,
+            JobResult::kCompleted);
+}
+
 TEST(CrashingTaskTest, JobAbandonedAfterOneCrashInEachZoneIsGivenUp) {
   FleetWorld world;
   const std::vector<std::string> zones{"a", "b", "c", "d", "e", "f"};
