Give a repeated job the attempts of the newer configuration

What callers see: a job whose repeat comes under a configuration with a larger maxAttempts is shown as failed after the number of the older one.

Cause: a repeat that joins its job kept the limit with which the job was first decoded. Nothing shows that the users saw this.

Fix: the larger of both limits counts.

--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -365,6 +365,9 @@
     }
     known->second.caller_deadline =
         std::max(known->second.caller_deadline, now + job.time_left);
+    // The routes may have changed since the job was first sent.
+    known->second.job.max_attempts =
+        std::max(known->second.job.max_attempts, job.max_attempts);
     actions.push_back(MakeJobEvent("job_joined", known->second, now));
     return;
   }
--- a/tests/core/sound_job_test.cc
+++ b/tests/core/sound_job_test.cc
@@ -75,6 +75,26 @@
   }
 }
 
+// The configuration may raise the limit between two submissions of a job.
+TEST(SoundJobTest, JobThatIsSentAgainHasTheAttemptsOfTheNewerConfiguration) {
+  constexpr uint64_t kAttempts = 3;
+  SchedulerWorld world;
+  for (int i = 0; i < 4; ++i)
+    world.AddEndpoint("e" + std::to_string(i), 16, 1).failing_job_prefix =
+        "job";
+  world.Run({20});
+  JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {60}, "route");
+  submission.job.max_attempts = 1;
+  world.SubmitJob(submission, {60});
+  submission.job.max_attempts = kAttempts;
+  world.SubmitJob(submission, {60});
+  world.Run({1'000});
+  const CallerResult& result = world.results[SubmissionId("job")];
+  EXPECT_EQ(result.outcome.reason, "attempts_used");
+  EXPECT_EQ(world.scheduler.counters.starts, kAttempts);
+}
+
 /** Plays jobs of which no run fails, while endpoints crash in groups and start
  * again under their ids. Callers that got no result send their job again.
  */
