Name in a redirect to another group the submission that it answers

Cause: a redirect doesn't say which submission it answers. A scheduler that passes a job on to a group with more room stays the owner of its own group, so it may accept the next submission.

Fix: such a redirect carries the time at which the submission was sent, on its receiver's clock, as the last field of the message. The receiver ignores one that answers another submission than its latest. Redirects of schedulers that have lost the group are as before: these accept nothing.

Two fixtures that inject such redirects name the submission that they answer; their checks are unchanged.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -239,8 +239,8 @@
 template <class Archive>
 void serialize(Archive& archive, JobRedirect& message) {
   archive(message.job, message.to, message.group, message.may_have_started,
-          message.view_revision, message.is_progress_sent,
-          message.is_spillover);
+          message.view_revision, message.is_progress_sent, message.is_spillover,
+          message.submission_sent_at);
 }
 
 template <class Archive>
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -125,6 +125,7 @@
   submission.group = group;
   submission.may_forward = !pending.was_spilled_over;
   submission.sent_at = now;
+  submission.sent_at_sender = now;
   submission.job.age = now - pending.received_at;
   submission.job.uncertain_age = pending.received_by - pending.received_at;
   submission.job.time_left = pending.caller_deadline - now;
@@ -244,8 +245,11 @@
     return;
   PendingJob& pending = entry->second;
   // A redirect of the latest submission repeats that the job may have started.
+  // The sender of one to another group may still accept the latest submission.
   const bool is_of_earlier_submission =
-      pending.may_have_started && !redirect.may_have_started;
+      (pending.may_have_started && !redirect.may_have_started) ||
+      (redirect.is_spillover &&
+       redirect.submission_sent_at != pending.assigned_at);
   if (is_of_earlier_submission)
     return;
   pending.scheduler = DaemonRef();
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -255,11 +255,12 @@
                          Actions& actions) {
   const std::optional<Millis> delay =
       ComputeMaxAge(node.peers[from.id].clock, submission.sent_at, now);
+  JobSubmission received = submission;
+  received.sent_at_sender = submission.sent_at;
   if (!delay) {
-    KeepJobOfUnknownAge(node, from, submission, now, actions);
+    KeepJobOfUnknownAge(node, from, received, now, actions);
     return;
   }
-  JobSubmission received = submission;
   ApplyDelay(received, *delay, now);
   ScheduleLocally(node, now, from, received, actions);
   if (*delay > kMaxAgeForStart) {
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -79,6 +79,7 @@
       MakeRedirect(node, submission.job.id, *owner, *group,
                    submission.may_have_started || running.has_value());
   redirect.is_spillover = true;
+  redirect.submission_sent_at = submission.sent_at_sender;
   node.scheduler.finished.push_back(FinishedJob::Forwarded(receiver, redirect));
   return true;
 }
@@ -112,6 +113,7 @@
   JobRedirect redirect =
       MakeRedirect(node, submission.job.id, *owner, *chosen, false);
   redirect.is_spillover = true;
+  redirect.submission_sent_at = submission.sent_at_sender;
   actions.push_back(LogEvent{"job_passed_to_room",
                              {{"job", submission.job.id.value},
                               {"tasks", std::to_string(tasks)},
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -134,6 +134,8 @@
    * the receiver.
    */
   Millis sent_at;
+  /** Time of sending, on the sender's clock; set by its receiver. */
+  Millis sent_at_sender;
   /** True when the receiver may forward it to a group with more free capacity.
    */
   bool may_forward = false;
@@ -187,6 +189,10 @@
   bool is_progress_sent = false;
   /** True when the job goes to another group with more free capacity. */
   bool is_spillover = false;
+  /** When the submission was sent that it answers, on its receiver's clock;
+   * only set with is_spillover.
+   */
+  Millis submission_sent_at;
 };
 
 /** An unfinished run of a task on an endpoint. */
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -268,6 +268,7 @@
     return Millis{to.value == handover.owner ? 400 : 0};
   };
   const CallerToken caller = world.Submit(handover.receiver, "job", 1, {400});
+  const Millis sent_at = world.now;
   world.RunFor({10});
   world.Disconnect(handover.receiver, caller);
   world.RunFor({10});
@@ -279,6 +280,7 @@
   redirect.group = {ZoneId("south"), 0};
   redirect.view_revision = world.Node(handover.owner).view.revision;
   redirect.is_spillover = true;
+  redirect.submission_sent_at = sent_at;
   handover.Deliver(handover.owner, handover.receiver, redirect);
   const Reception& reception = world.Node(handover.receiver).reception;
   const auto pending = reception.pending.find(SubmissionId("job"));
--- a/tests/core/lost_receiver_test.cc
+++ b/tests/core/lost_receiver_test.cc
@@ -57,6 +57,9 @@
     redirect.group = this->group;
     redirect.view_revision = node.view.revision;
     redirect.is_spillover = true;
+    redirect.submission_sent_at = this->world.Node(this->receiver)
+                                      .reception.pending.at(redirect.job)
+                                      .assigned_at;
     this->world.SendMessage(this->first_scheduler, this->receiver, redirect);
     this->world.RunFor({10});
   }
--- a/tests/core/restarted_endpoint_test.cc
+++ b/tests/core/restarted_endpoint_test.cc
@@ -98,6 +98,9 @@
     redirect.group = {ZoneId("north"), 0};
     redirect.view_revision = node.view.revision;
     redirect.is_spillover = true;
+    redirect.submission_sent_at = this->world.Node(this->receiver)
+                                      .reception.pending.at(redirect.job)
+                                      .assigned_at;
     this->world.SendMessage(this->owner, this->receiver, redirect);
   }
 
