Count only endpoints of the same rack as lost with another

Evidence of a common failure has to show what is common.

Fix: only endpoints of the lost one's rack count, and none that the task itself was lost with. A loss that is reported again is counted once (found by review; the list grew with each call).

Test: TaskWhoseEndpointIsLostWithItsRackIsNotGivenUp plays one rack.

--- a/modules/core/scheduling/crash_tracking.cc
+++ b/modules/core/scheduling/crash_tracking.cc
@@ -22,8 +22,9 @@
  * in which silence is noticed.
  */
 constexpr Millis kGroupLossWindow{1'000};
-/** Number of other endpoints, lost at the same time without a suspected job,
- * from which on a loss is no evidence against the tasks that ran there.
+/** Number of other endpoints of the rack, lost at the same time without a
+ * suspected job, from which on a loss is no evidence against the tasks that ran
+ * there.
  */
 constexpr size_t kMinGroupLosses = 2;
 /** Time after the last loss for which a record is kept. Callers may send a job
@@ -117,6 +118,7 @@
                 {"task", FormatTaskPosition(task)},
                 {"endpoints_lost", std::to_string(record.endpoints.size())},
                 {"last", record.endpoints.back().id.value},
+                {"for_ms", std::to_string((record.given_up_until - now).count)},
                 {"lost", FormatLosses(scheduler, record)}}});
   EndJob(scheduler, task.job, MakeGivenUpOutcome(), now, actions);
 }
@@ -136,23 +138,39 @@
                       });
 }
 
-/** Returns true when other endpoints are lost at the same time as one, though
- * they ran no suspected job: a failure that they have in common, as that of a
- * rack, is likelier than a task that crashes its endpoint.
+/** Returns the endpoints of a rack that were lost recently, or have become
+ * silent, though they ran no suspected job.
  */
-bool IsPartOfGroupLoss(const Scheduler& scheduler,
-                       const EndpointId& lost,
-                       Millis now) {
+std::set<EndpointId> FindOtherLosses(const Scheduler& scheduler,
+                                     const RackId& rack,
+                                     Millis now) {
   std::set<EndpointId> others;
   for (const EndpointLoss& loss : scheduler.recent_losses) {
-    if (!loss.has_suspect && now - loss.lost_at <= kGroupLossWindow)
+    if (loss.rack == rack && !loss.has_suspect &&
+        now - loss.lost_at <= kGroupLossWindow)
       others.insert(loss.endpoint.id);
   }
   for (const auto& [id, endpoint] : scheduler.endpoints) {
-    if (IsSilentWithoutSuspect(scheduler, endpoint, now))
+    if (endpoint.entry.rack == rack &&
+        IsSilentWithoutSuspect(scheduler, endpoint, now))
       others.insert(id);
   }
-  others.erase(lost);
+  return others;
+}
+
+/** Returns true when the last endpoint of a record was lost together with other
+ * endpoints of its rack: a failure that they have in common is likelier than a
+ * task that crashes its endpoint.
+ */
+bool IsPartOfRackLoss(const Scheduler& scheduler,
+                      const CrashRecord& record,
+                      const RackId& rack,
+                      Millis now) {
+  if (rack.value.empty())
+    return false;
+  std::set<EndpointId> others = FindOtherLosses(scheduler, rack, now);
+  for (const EndpointIncarnation& lost : record.endpoints)
+    others.erase(lost.id);
   return others.size() >= kMinGroupLosses;
 }
 
@@ -211,19 +229,25 @@
       std::any_of(tasks.begin(), tasks.end(), [&scheduler](const auto& task) {
         return HasSuspect(scheduler, task.job);
       });
-  scheduler.recent_losses.push_back(
-      {{endpoint.id, started_at_ms}, now, has_suspect_job});
-  const bool is_group_loss = IsPartOfGroupLoss(scheduler, endpoint.id, now);
+  std::vector<JobTask> newly_hit;
   for (const JobTask& task : tasks) {
+    if (AddEndpoint(scheduler.crash_records[task], {endpoint.id, started_at_ms},
+                    now))
+      newly_hit.push_back(task);
+  }
+  if (!newly_hit.empty())
+    scheduler.recent_losses.push_back(
+        {{endpoint.id, started_at_ms}, endpoint.rack, now, has_suspect_job});
+  for (const JobTask& task : newly_hit) {
     CrashRecord& record = scheduler.crash_records[task];
-    if (!AddEndpoint(record, {endpoint.id, started_at_ms}, now) ||
-        record.is_given_up)
+    if (record.is_given_up)
       continue;
     const bool is_sole_suspect =
         suspects.size() == 1 && suspects.front() == task;
     const size_t losses = record.endpoints.size();
-    if (losses >= kMaxLosses || (losses >= kMaxLossesOfSoleSuspect &&
-                                 is_sole_suspect && !is_group_loss))
+    if (losses >= kMaxLosses ||
+        (losses >= kMaxLossesOfSoleSuspect && is_sole_suspect &&
+         !IsPartOfRackLoss(scheduler, record, endpoint.rack, now)))
       GiveUpTask(scheduler, task, record, now, actions);
   }
   for (const JobTask& task : tasks) {
--- a/modules/core/scheduling/crash_tracking.h
+++ b/modules/core/scheduling/crash_tracking.h
@@ -13,9 +13,9 @@
 /** Records that an endpoint was lost while it ran the given tasks. Gives up a
  * task that has crashed its endpoints, and ends its job: one that three
  * endpoints were lost with, or two when no other task lost with the second one
- * was suspected before, and the second one was not lost together with endpoints
- * that ran no suspected job. Endpoints that are draining may leave with their
- * runs, so they do not count.
+ * was suspected before, and the second one was not lost together with others of
+ * its rack that ran no suspected job. Endpoints that are draining may leave
+ * with their runs, so they do not count.
  */
 void RecordEndpointLoss(Scheduler& scheduler,
                         const EndpointEntry& endpoint,
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -695,10 +695,20 @@
             JobResult::kCompleted);
 }
 
+/** Puts all endpoints into one rack. */
+void JoinInRack(SchedulerWorld& world) {
+  for (auto& [id, endpoint] : world.endpoints) {
+    endpoint.entry.rack = RackId("rack");
+    Actions actions;
+    UpdateEndpoint(world.scheduler, endpoint.entry, world.now, actions);
+  }
+}
+
 // A rack that fails takes the endpoints of many sound tasks along.
-TEST(CrashingTaskTest, TaskWhoseEndpointIsLostTogetherWithOthersIsNotGivenUp) {
+TEST(CrashingTaskTest, TaskWhoseEndpointIsLostWithItsRackIsNotGivenUp) {
   SchedulerWorld world;
   AddEndpoints(world);
+  JoinInRack(world);
   const auto crash_active_endpoints = [&world] {
     for (auto& [id, endpoint] : world.endpoints) {
       if (!endpoint.running.empty())
@@ -720,13 +730,15 @@
             JobResult::kCompleted);
 }
 
-TEST(CrashingTaskTest, CrashingTaskIsGivenUpBesideLossesOfOtherEndpoints) {
+TEST(CrashingTaskTest, CrashingTaskIsGivenUpBesideLossesInItsRack) {
   SchedulerWorld world;
   AddEndpoints(world);
+  JoinInRack(world);
   world.SubmitJob(MakePatientSubmission(kCrashingJob, 1), {60});
   for (int i = 0; i < 10'000; ++i) {
-    world.scheduler.recent_losses = {{{EndpointId("a"), 1}, world.now, false},
-                                     {{EndpointId("b"), 1}, world.now, false}};
+    world.scheduler.recent_losses = {
+        {{EndpointId("a"), 1}, RackId("rack"), world.now, false},
+        {{EndpointId("b"), 1}, RackId("rack"), world.now, false}};
     world.Run({1});
   }
   EXPECT_EQ(CountCrashes(world), kMaxCrashes);
