Back off from endpoints that reject commands

What callers see: a job that an endpoint was lost with waits until its caller's limit, and an endpoint is asked without end, if that endpoint answers 404 or 503 to the list of its runs: it is chosen, asked and chosen again with each answer.

Cause: an answer that rejects a renewal showed neither that the endpoint is up nor that it is not.

Fix: it gets no work for 100 ms after it has rejected a command, doubling to 2 s until it has started a run, as it was for starts that were answered with "unhealthy". Endpoints that drain or are not listed any more don't count as ones that could still parse a start.

Test: CrashingTaskTest.SuspectedTaskPollsNoEndpointThatRejectsItWithoutEnd.

--- a/modules/core/scheduling/endpoint_commands.h
+++ b/modules/core/scheduling/endpoint_commands.h
@@ -38,8 +38,8 @@
                       Actions& actions);
 
 /** Sends a renewal unless one is pending or none is needed. Renewals are needed
- * while an endpoint has runs, is being reconciled or is unresponsive, or while
- * its clock is not known.
+ * while an endpoint has runs, has not answered, is being reconciled or is
+ * unresponsive, or while its clock is not known.
  */
 void EnsureRenewal(Scheduler& scheduler,
                    ManagedEndpoint& endpoint,
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -16,8 +16,8 @@
 namespace dogwoodfall {
 namespace {
 
-/** Bounds of the backoff after an endpoint has reported that it is unhealthy;
- * it doubles with each such reply.
+/** Bounds of the backoff after an endpoint has rejected a command; it doubles
+ * with each such reply.
  */
 constexpr Millis kMinUnhealthyBackoff{100};
 constexpr Millis kMaxUnhealthyBackoff{2'000};
@@ -26,6 +26,21 @@
  */
 constexpr size_t kMaxRejectingEndpoints = 3;
 
+/** Returns true when an endpoint has answered that it can't do what it was
+ * told.
+ */
+bool IsRejection(CommandOutcome outcome) {
+  return outcome == CommandOutcome::kUnhealthy ||
+         outcome == CommandOutcome::kMalformed;
+}
+
+void BackOff(ManagedEndpoint& endpoint, Millis now) {
+  endpoint.unhealthy_backoff =
+      std::clamp(endpoint.unhealthy_backoff + endpoint.unhealthy_backoff,
+                 kMinUnhealthyBackoff, kMaxUnhealthyBackoff);
+  endpoint.backoff_until = now + endpoint.unhealthy_backoff;
+}
+
 /** Returns true when a reply comes from another incarnation than the clock that
  * was read. A start's answer doesn't have to name its incarnation, but a steady
  * clock never goes back.
@@ -240,6 +255,8 @@
                      [&](const auto& entry) {
                        const ManagedEndpoint& endpoint = entry.second;
                        return endpoint.group == job.group &&
+                              endpoint.is_registered &&
+                              !endpoint.entry.draining &&
                               !HasRejected(endpoint.entry.id, task) &&
                               CanEverRun(endpoint.entry, job.job,
                                          job.job.steps[id.step]);
@@ -295,15 +312,10 @@
       return;
     }
   }
-  if (reply.outcome == CommandOutcome::kUnhealthy) {
-    endpoint.unhealthy_backoff =
-        std::clamp(endpoint.unhealthy_backoff + endpoint.unhealthy_backoff,
-                   kMinUnhealthyBackoff, kMaxUnhealthyBackoff);
-    endpoint.backoff_until = now + endpoint.unhealthy_backoff;
-  }
-  if (reply.outcome == CommandOutcome::kInsufficientResources ||
-      reply.outcome == CommandOutcome::kMalformed) {
-    // An unknown run may occupy resources there; the next renewal lists it.
+  if (IsRejection(reply.outcome))
+    BackOff(endpoint, now);
+  if (reply.outcome == CommandOutcome::kInsufficientResources) {
+    // An unknown run occupies resources there; the next renewal lists it.
     endpoint.backoff_until = now + kMinUnhealthyBackoff;
   }
   if (may_requeue)
@@ -423,6 +435,8 @@
     else if (reply.outcome == CommandOutcome::kDone &&
              command.sent_at >= endpoint.incarnation_since)
       HandleRenewalReply(scheduler, endpoint, reply, command, now, actions);
+    else if (IsRejection(reply.outcome))
+      BackOff(endpoint, now);
   }
   if (endpoint.runs.empty() && !IsNeededWithoutRuns(endpoint, now))
     ReleaseEndpoint(scheduler, command.endpoint, now);
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -131,8 +131,8 @@
   bool is_reported_lost = false;
   /** The endpoint gets no new runs before this time. */
   Millis backoff_until;
-  /** Last backoff after the endpoint reported that it is unhealthy; zero after
-   * a successful start.
+  /** Last backoff after the endpoint rejected a command; zero after a
+   * successful start.
    */
   Millis unhealthy_backoff;
   /** True from its ejection until a run succeeds there. */
--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -745,6 +745,27 @@
   ExpectGivenUp(world);
 }
 
+// It answers at once, but not as an endpoint does.
+TEST(CrashingTaskTest, SuspectedTaskPollsNoEndpointThatRejectsItWithoutEnd) {
+  constexpr uint64_t kMaxCommands = 40;
+  SchedulerWorld world;
+  AddEndpoints(world);
+  world.Run({2'000});
+  for (auto& [id, endpoint] : world.endpoints)
+    endpoint.rejects_commands = true;
+  world.scheduler.crash_records[kSoundTask].endpoints.push_back(
+      {EndpointId("lost"), 1});
+  const uint64_t before = world.command_count;
+  world.SubmitJob(MakePatientSubmission("sound", 1), {60});
+  world.Run({500});
+  EXPECT_LE(world.command_count - before, kMaxCommands);
+  for (auto& [id, endpoint] : world.endpoints)
+    endpoint.rejects_commands = id == EndpointId("e0");
+  world.Run({3'000});
+  EXPECT_EQ(world.results[SubmissionId("sound")].outcome.result,
+            JobResult::kCompleted);
+}
+
 // The endpoints have lost power while they were idle; their entries last a
 // little longer.
 TEST(CrashingTaskTest, TaskSentToEndpointsThatWereDownIsNotGivenUp) {
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -190,6 +190,10 @@
   AdvanceFakeEndpoint(endpoint, now);
   EndpointReply reply;
   reply.id = command.id;
+  if (endpoint.rejects_commands) {
+    reply.outcome = CommandOutcome::kMalformed;
+    return reply;
+  }
   reply.clock = ReadClock(endpoint, now);
   reply.started_at_ms = endpoint.started_at_ms;
   reply.outcome = CommandOutcome::kDone;
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -44,6 +44,8 @@
   Millis stop_duration;
   /** True to make every started run fail after 25 ms. */
   bool fails_all = false;
+  /** True for an endpoint that can't parse any command. */
+  bool rejects_commands = false;
   /** True for an endpoint that can't parse any start. */
   bool rejects_starts = false;
   /** Runs of jobs whose id has this prefix fail in the same way; empty for
