Log redirects that answer an earlier submission

No decision changes: the two reasons for which a redirect is ignored get names and the line redirect_outdated; comments on the time for which a task is given up and on removed endpoints say what holds now.

--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -245,13 +245,18 @@
     return;
   PendingJob& pending = entry->second;
   // A redirect of the latest submission repeats that the job may have started.
-  // The sender of one to another group may still accept the latest submission.
-  const bool is_of_earlier_submission =
-      (pending.may_have_started && !redirect.may_have_started) ||
-      (redirect.is_spillover &&
-       redirect.submission_sent_at != pending.assigned_at);
-  if (is_of_earlier_submission)
+  const bool lacks_start =
+      pending.may_have_started && !redirect.may_have_started;
+  // The sender may still accept the latest submission in its own group.
+  const bool answers_earlier_submission =
+      redirect.is_spillover &&
+      redirect.submission_sent_at != pending.assigned_at;
+  if (lacks_start || answers_earlier_submission) {
+    actions.push_back(
+        LogEvent{"redirect_outdated",
+                 {{"job", redirect.job.value}, {"scheduler", from.id.value}}});
     return;
+  }
   pending.scheduler = DaemonRef();
   pending.may_have_started |= redirect.may_have_started;
   if (!pending.may_have_started)
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -26,9 +26,8 @@
  * after a loss.
  */
 constexpr Millis kResultRetention{3'000};
-/** How long jobs that only an endpoint fits whose entry was removed are refused
- * rather than failed. Entries that the store has lost are back 2 s after its
- * return.
+/** How long an endpoint whose entry was removed is expected to come back.
+ * Entries that the store has lost are back 2 s after its return.
  */
 constexpr Millis kRemovedEndpointRetention{10'000};
 /** Time since its last answer for which an endpoint counts as up. One with runs
--- a/modules/model/lost_endpoints_report.h
+++ b/modules/model/lost_endpoints_report.h
@@ -14,7 +14,7 @@
   uint32_t step = 0;
   uint32_t index = 0;
   std::vector<EndpointIncarnation> endpoints;
-  /** True once the task may not be started any more. */
+  /** True while the task may not be started. */
   bool is_given_up = false;
 };
 
