--- a/tests/core/job_cancellation_test.cc
+++ b/tests/core/job_cancellation_test.cc
@@ -88,5 +88,22 @@
   EXPECT_EQ(world.cancellations.at(caller), CancellationResult::kUndecided);
 }
 
+// The new process at the receiver's place knows nothing of the job.
+TEST(JobCancellationTest, JobOfARestartedReceiverIsNotUnknownWhileItRuns) {
+  RunningJobFixture fixture;
+  FleetWorld& world = fixture.world;
+  world.KillDaemon(fixture.receiver);
+  world.StartDaemon(fixture.receiver, "north");
+  world.RunFor({200});
+  ASSERT_EQ(world.CountRuns("job"), 2U);
+  const CallerToken caller = world.Cancel("south0", "job");
+  world.RunFor({50});
+  const auto answer = world.cancellations.find(caller);
+  if (answer != world.cancellations.end() &&
+      answer->second == CancellationResult::kUnknownJob) {
+    EXPECT_EQ(world.CountRuns("job"), 0U);
+  }
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -288,5 +288,27 @@
   EXPECT_EQ(pending->second.scheduler.id, DaemonId(handover.owner));
 }
 
+// Its scheduler may accept the repeat, which it has not read yet.
+TEST(JobHandoverTest, RefusalOfAnEarlierSubmissionEndsNoRepeat) {
+  Handover handover;
+  FleetWorld& world = handover.world;
+  world.message_delay = [&handover](const DaemonId&, const DaemonId& to) {
+    return Millis{to.value == handover.owner ? 400 : 0};
+  };
+  const CallerToken caller = world.Submit(handover.receiver, "job", 1, {400});
+  world.RunFor({10});
+  world.Disconnect(handover.receiver, caller);
+  world.RunFor({10});
+  world.Submit(handover.receiver, "job", 1, {400});
+  world.RunFor({10});
+  JobReport report;
+  report.job = SubmissionId("job");
+  report.outcome = {JobResult::kRefused, {1'000}, "fits_no_endpoint"};
+  handover.Deliver(handover.owner, handover.receiver, report);
+  EXPECT_EQ(world.Node(handover.receiver)
+                .reception.pending.count(SubmissionId("job")),
+            1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
