Keep the sending time of an early job once

The job keeps only whether its age is known. No behaviour changes; an idle endpoint that is asked again gets its reason in a line.

SubmissionAgeTest, JobHandoverTest and SpilloverTest pass.

--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -83,8 +83,8 @@
   DaemonRef receiver;
   JobSubmission submission;
   Millis received_at;
-  /** When it was sent, on its receiver's clock; none once its age is known. */
-  std::optional<Millis> sent_at_receiver;
+  /** False until a round trip with its receiver has shown its age. */
+  bool is_age_known = true;
 };
 
 /** A job that this daemon scheduled or was sent, and that another daemon
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -77,7 +77,7 @@
       {{"job", submission.job.id.value}, {"receiver", receiver.id.value}}});
   if (submission.may_have_started)
     RecordPossibleStart(node, submission.job.id);
-  EarlyJob early{receiver, submission, now, submission.sent_at};
+  EarlyJob early{receiver, submission, now, false};
   early.submission.sent_at = now - kMaxAgeForStart;
   node.early_jobs.push_back(std::move(early));
   SendHeartbeatTo(node, {receiver.id}, now, actions);
@@ -275,15 +275,15 @@
 bool DetermineAgeOfEarlyJobs(FleetNode& node, const DaemonRef& receiver) {
   bool has_found_one = false;
   for (EarlyJob& early : node.early_jobs) {
-    if (!early.sent_at_receiver || early.receiver != receiver)
+    if (early.is_age_known || early.receiver != receiver)
       continue;
     const std::optional<Millis> delay =
-        ComputeMaxAge(node.peers[receiver.id].clock, *early.sent_at_receiver,
-                      early.received_at);
+        ComputeMaxAge(node.peers[receiver.id].clock,
+                      early.submission.sent_at_sender, early.received_at);
     if (!delay)
       continue;
     ApplyDelay(early.submission, *delay, early.received_at);
-    early.sent_at_receiver.reset();
+    early.is_age_known = true;
     has_found_one = true;
   }
   return has_found_one;
@@ -291,7 +291,7 @@
 
 void ScheduleEarlyJobs(FleetNode& node, Millis now, Actions& actions) {
   for (EarlyJob& early : std::exchange(node.early_jobs, {})) {
-    if (early.sent_at_receiver) {
+    if (!early.is_age_known) {
       node.early_jobs.push_back(std::move(early));
       continue;
     }
@@ -321,7 +321,7 @@
                   {"receiver", receiver.id.value},
                   {"needed", std::to_string(submission.view_revision)},
                   {"view", std::to_string(node.view.revision)}}});
-    node.early_jobs.push_back({receiver, submission, now, std::nullopt});
+    node.early_jobs.push_back({receiver, submission, now});
     return;
   }
   const EndpointGroup group =
--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -114,6 +114,7 @@
     if (now - endpoint.renewal_sent_at >= kRetryBackoff)
       SendRenewal(scheduler, endpoint, {}, now, actions);
   } else if (!endpoint.runs.empty() || endpoint.unanswered > 0) {
+    // An idle endpoint gets no work before it answers again.
     const Millis wait = endpoint.unanswered > 0 ? Millis() : kRenewalWait;
     SendRenewal(scheduler, endpoint, wait, now, actions);
   }
