Share the setup of late answers in tests, and hold what is repeated as failed

Two tests of answers to an earlier submission set up the same delay; they share it now, with their checks unchanged. kCrashesForFailure is a number of crashes after which a task is given up, not failed.

SoundJobTest.OnlyAJobThatHasUsedItsAttemptsIsShownAsFailedAgain holds that an abandoned job is not retained and that the result of one that has used its attempts is repeated without another start; no test did.

--- a/tests/core/crashing_task_test.cc
+++ b/tests/core/crashing_task_test.cc
@@ -15,7 +15,7 @@
 constexpr uint32_t kMaxCrashes = 3;
 constexpr uint32_t kMaxStartsAfterCrashes = 3;
 /** Crashes after which a task may be given up. */
-constexpr uint32_t kCrashesForFailure = 2;
+constexpr uint32_t kCrashesForGivingUp = 2;
 
 constexpr const char* kCrashingJob = "crashing";
 
@@ -63,14 +63,14 @@
   AddEndpoints(world);
   world.SubmitJob(MakePatientSubmission(kCrashingJob, 4), {60});
   world.Run({5'000});
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
   ExpectGivenUp(world);
   // Both endpoints have restarted.
   world.results.clear();
   world.SubmitJob(MakePatientSubmission(kCrashingJob, 4), {60});
   ExpectGivenUp(world);
   world.Run({5'000});
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
 }
 
 TEST(CrashingTaskTest, JobsBesideCrashingTaskComplete) {
@@ -97,7 +97,7 @@
     world.SubmitJob(MakePatientSubmission(kCrashingJob, 1), {60});
     world.Run({6'000});
   }
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
   ExpectGivenUp(world);
 }
 
@@ -110,7 +110,7 @@
     world.SubmitJob(submission, {60});
     world.Run({2'000});
   }
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
 }
 
 TEST(CrashingTaskTest, SilentEndpointThatAnswersAgainCountsAsNoCrash) {
@@ -187,7 +187,7 @@
     world.Run({6'000});
     world.now = world.now + Millis{70'000};
   }
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
 }
 
 /** Plays a job that is sent again every five minutes. */
@@ -222,7 +222,7 @@
   AddEndpoints(world);
   const JobSubmission submission = MakePatientSubmission(kCrashingJob, 1);
   PlayRepeats(world, submission, 1);
-  ASSERT_EQ(CountCrashes(world), kCrashesForFailure);
+  ASSERT_EQ(CountCrashes(world), kCrashesForGivingUp);
   for (auto& [id, endpoint] : world.endpoints)
     endpoint.crashing_job_prefix.clear();
   PlayRepeats(world, submission, 5);
@@ -338,7 +338,7 @@
   MakeCrashable(world);
   world.Submit("north0", kCrashingJob, 1, {60});
   world.RunFor({6'000});
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
   EXPECT_EQ(world.results[kCrashingJob], JobResult::kAbandoned);
   for (auto& [id, endpoint] : world.endpoints) {
     endpoint.entry.started_at_ms = endpoint.started_at_ms;
@@ -351,7 +351,7 @@
     world.RunFor({6'000});
     EXPECT_EQ(world.results[kCrashingJob], JobResult::kAbandoned) << daemon;
   }
-  EXPECT_EQ(CountCrashes(world), kCrashesForFailure);
+  EXPECT_EQ(CountCrashes(world), kCrashesForGivingUp);
 }
 
 /** Plays a crashing job that its caller sends again every second, while its
--- a/tests/core/job_handover_test.cc
+++ b/tests/core/job_handover_test.cc
@@ -43,6 +43,25 @@
     return dogwoodfall::Deliver(this->world, from, to, std::move(message));
   }
 
+  /** Sends a job to the receiver twice, while messages to the owner take so
+   * long that it has read neither submission.
+   * @return when the first submission was sent
+   */
+  Millis RepeatBeforeTheOwnerReads() {
+    this->world.message_delay = [this](const DaemonId&, const DaemonId& to) {
+      return Millis{to.value == this->owner ? 400 : 0};
+    };
+    const CallerToken caller =
+        this->world.Submit(this->receiver, "job", 1, {400});
+    const Millis sent_at = this->world.now;
+    this->world.RunFor({10});
+    this->world.Disconnect(this->receiver, caller);
+    this->world.RunFor({10});
+    this->world.Submit(this->receiver, "job", 1, {400});
+    this->world.RunFor({10});
+    return sent_at;
+  }
+
   /** Makes a submission of a job that another scheduler had before. */
   JobSubmission MakeSubmission() {
     JobStep step;
@@ -264,16 +283,7 @@
 TEST(JobHandoverTest, RedirectOfAnEarlierSubmissionMovesNoRepeat) {
   Handover handover;
   FleetWorld& world = handover.world;
-  world.message_delay = [&handover](const DaemonId&, const DaemonId& to) {
-    return Millis{to.value == handover.owner ? 400 : 0};
-  };
-  const CallerToken caller = world.Submit(handover.receiver, "job", 1, {400});
-  const Millis sent_at = world.now;
-  world.RunFor({10});
-  world.Disconnect(handover.receiver, caller);
-  world.RunFor({10});
-  world.Submit(handover.receiver, "job", 1, {400});
-  world.RunFor({10});
+  const Millis sent_at = handover.RepeatBeforeTheOwnerReads();
   JobRedirect redirect;
   redirect.job = SubmissionId("job");
   redirect.to = DaemonId(handover.next);
@@ -291,23 +301,13 @@
 // Its scheduler may accept the repeat, which it has not read yet.
 TEST(JobHandoverTest, RefusalOfAnEarlierSubmissionEndsNoRepeat) {
   Handover handover;
-  FleetWorld& world = handover.world;
-  world.message_delay = [&handover](const DaemonId&, const DaemonId& to) {
-    return Millis{to.value == handover.owner ? 400 : 0};
-  };
-  const CallerToken caller = world.Submit(handover.receiver, "job", 1, {400});
-  world.RunFor({10});
-  world.Disconnect(handover.receiver, caller);
-  world.RunFor({10});
-  world.Submit(handover.receiver, "job", 1, {400});
-  world.RunFor({10});
+  handover.RepeatBeforeTheOwnerReads();
   JobReport report;
   report.job = SubmissionId("job");
   report.outcome = {JobResult::kRefused, {1'000}, "fits_no_endpoint"};
   handover.Deliver(handover.owner, handover.receiver, report);
-  EXPECT_EQ(world.Node(handover.receiver)
-                .reception.pending.count(SubmissionId("job")),
-            1U);
+  const Reception& reception = handover.world.Node(handover.receiver).reception;
+  EXPECT_EQ(reception.pending.count(SubmissionId("job")), 1U);
 }
 
 }  // namespace
--- a/tests/core/sound_job_test.cc
+++ b/tests/core/sound_job_test.cc
@@ -95,6 +95,34 @@
   EXPECT_EQ(world.scheduler.counters.starts, kAttempts);
 }
 
+// A caller that has not got the answer sends its job again.
+TEST(SoundJobTest, OnlyAJobThatHasUsedItsAttemptsIsShownAsFailedAgain) {
+  SchedulerWorld world;
+  FakeEndpoint& endpoint = world.AddEndpoint("e0", 16, 1);
+  world.Run({20});
+  const SubmissionId id("job");
+  const JobSubmission submission =
+      SchedulerWorld::MakeSubmission("job", 1, 7, {60}, "route");
+  endpoint.rejects_starts = true;
+  world.SubmitJob(submission, {60});
+  world.Run({100});
+  EXPECT_EQ(world.results[id].outcome.result, JobResult::kAbandoned);
+  endpoint.rejects_starts = false;
+  endpoint.failing_job_prefix = "job";
+  world.Run({2'000});
+  world.SubmitJob(submission, {60});
+  world.Run({500});
+  EXPECT_EQ(world.results[id].outcome.result, JobResult::kFailed);
+  const uint64_t starts = endpoint.starts;
+  EXPECT_EQ(starts, submission.job.max_attempts);
+  world.results.clear();
+  world.SubmitJob(submission, {60});
+  world.Run({500});
+  EXPECT_EQ(world.results[id].outcome.result, JobResult::kFailed);
+  EXPECT_EQ(world.results[id].outcome.reason, "attempts_used");
+  EXPECT_EQ(endpoint.starts, starts);
+}
+
 /** Plays jobs of which no run fails, while endpoints crash in groups and start
  * again under their ids. Callers that got no result send their job again.
  */
