Review: make room for two graver cases

Peers are reached through one relay for each daemon, at an address that is the same for all of them, as daemons send each other their addresses.

--- a/review/stand_ins_2/fleet.py
+++ b/review/stand_ins_2/fleet.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -158,48 +159,63 @@
             writer.close()
 
 
-class PeerLink:
-    """The traffic from one daemon to another, which can be cut silently."""
+class PeerRelay:
+    """Forwards the daemons' traffic to one of them, at an address that all of
+    them use. Cuts are silent: datagrams are dropped, streams are held back.
+    """
+
+    # Start of the first frame on a connection: its length, a magic number and
+    # a version, which are skipped, and the length of the sender's id.
+    FRAME_START = struct.Struct("<10xI")
 
-    def __init__(self, links, source, target, port):
-        self.links, self.source, self.target = links, source, target
-        self.port = port  # At which the source reaches the target.
-        self.is_cut = False
+    def __init__(self, fleet, name, port, relay_port):
+        self.fleet, self.name = fleet, name
+        self.port = port  # Of the daemon itself.
+        self.relay_port = relay_port
 
     async def open(self):
-        await asyncio.start_server(self.on_connection, "127.0.0.1", self.port)
+        await asyncio.start_server(self.on_connection, "127.0.0.1",
+                                   self.relay_port)
         self.datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.datagrams.setblocking(False)
-        self.datagrams.bind(("127.0.0.1", self.port))
+        self.datagrams.bind(("127.0.0.1", self.relay_port))
         asyncio.get_running_loop().add_reader(self.datagrams, self.on_datagram)
 
     def on_datagram(self):
         try:
-            data, _ = self.datagrams.recvfrom(65536)
-            if not self.is_cut:
-                # The target knows the source by the port of the way back.
-                self.links[(self.target.name, self.source.name)].datagrams \
-                    .sendto(data, ("127.0.0.1", self.target.port + 3))
+            data, (_, port) = self.datagrams.recvfrom(65536)
+            for source in self.fleet.relays.values():
+                if source.port == port and not self.is_cut_from(source.name):
+                    # The daemon knows the sender by its address.
+                    source.datagrams.sendto(data, ("127.0.0.1", self.port))
         except OSError:
             pass
 
+    def is_cut_from(self, source):
+        return frozenset((source, self.name)) in self.fleet.cut_links
+
     async def on_connection(self, reader, writer):
         try:
+            data = await reader.readexactly(self.FRAME_START.size)
+            source = await reader.readexactly(
+                self.FRAME_START.unpack(data)[0])
             far_reader, far_writer = await asyncio.open_connection(
-                "127.0.0.1", self.target.port + 3)
-        except OSError:
+                "127.0.0.1", self.port)
+        except (OSError, asyncio.IncompleteReadError):
             writer.transport.abort()
             return
-        await asyncio.gather(self.forward(reader, far_writer),
-                             self.forward(far_reader, writer))
+        name = source.decode()
+        await asyncio.gather(
+            self.forward(reader, far_writer, name, data + source),
+            self.forward(far_reader, writer, name))
 
-    async def forward(self, reader, writer):
-        """Copies a stream; holds its bytes back while the link is cut."""
+    async def forward(self, reader, writer, source, data=b""):
         try:
-            while data := await reader.read(65536):
-                while self.is_cut:
+            while data := data or await reader.read(65536):
+                while self.is_cut_from(source):
                     await asyncio.sleep(0.02)
                 writer.write(data)
+                data = b""
                 await writer.drain()
         except OSError:
             pass
@@ -207,6 +223,44 @@
             writer.close()
 
 
+class ClientPath:
+    """A client's connection to a daemon, which can break on the client's side
+    while the daemon's side goes silent.
+    """
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+        self.is_broken = asyncio.Event()
+        self.writer = None
+
+    async def call(self, method, path, body, deadline_ms):
+        record = self.daemon.fleet.record
+        record.add("request", daemon=self.daemon.name, method=method, path=path)
+        reader, self.writer = await self.daemon.connect()
+        text = json.dumps(body).encode()
+        self.writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"Deadline-Ms: {deadline_ms}\r\n"
+            f"Content-Length: {len(text)}\r\n\r\n".encode() + text)
+        answer = asyncio.create_task(read_message(reader))
+        broken = asyncio.create_task(self.is_broken.wait())
+        await asyncio.wait({answer, broken},
+                           return_when=asyncio.FIRST_COMPLETED)
+        is_answered = answer.done() and not answer.exception()
+        record.add("answer" if is_answered else "connection_broken",
+                   daemon=self.daemon.name, method=method, path=path)
+        answer.cancel()
+        broken.cancel()
+        return is_answered
+
+    def break_connection(self):
+        self.is_broken.set()
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+
+
 class Store:
     """The platform's store."""
 
@@ -315,6 +369,8 @@
         self.fleet, self.record = fleet, fleet.record
         self.name, self.zone, self.ip, self.port = name, zone, ip, port
         self.guarded = guarded
+        # When above 0, orders get no answer and are carried out so much later.
+        self.order_delay_s = 0.0
         self.capacity = 16000
         self.listener = Listener(ip, port, self.handle)
         self.begin_life()
@@ -361,6 +417,13 @@
     async def handle(self, method, path, query, headers, body):
         if headers.get("expected-instance", self.name) != self.name:
             return 421, {}
+        if self.order_delay_s:
+            self.record.add("order_unanswered", worker=self.name, path=path,
+                            **body)
+            asyncio.get_running_loop().call_later(
+                self.order_delay_s, self.execute_late, path, body)
+            await asyncio.sleep(10)
+            raise NoAnswer()
         answer = self.execute(path, body)
         if path == "/hold" and answer[0] == 200:
             if body.get("waitMs", 0) and not self.ended:
@@ -372,6 +435,20 @@
             return 200, self.lists()
         return answer
 
+    def execute_late(self, path, body):
+        status, answer = self.execute(path, body)
+        self.record.add("order_carried_out_late", worker=self.name, path=path,
+                        status=status, reason=answer.get("reason"))
+
+    def restart(self):
+        """Crashes and starts again under the same id."""
+        for key, run in list(self.running.items()):
+            run["timer"].cancel()
+            self.fleet.on_end(self, key, "crashed")
+        self.begin_life()
+        self.record.add("worker_restarted", worker=self.name)
+        self.fleet.store.put_json("servers/" + self.name, self.entry())
+
     def execute(self, path, body):
         self.lapse()
         if body.get("fenceToken", 0) < self.fence:
@@ -543,7 +620,8 @@
         self.cut_from_store = set()
         self.unlisted = set()  # Workers that write nothing to the store.
         self.net, self.port = self.find_addresses()
-        self.links = {}  # (source, target) -> PeerLink, with open_links().
+        self.relays = {}  # Daemon -> PeerRelay, with open_links().
+        self.cut_links = set()  # Pairs of daemons.
 
     @staticmethod
     def find_addresses():
@@ -640,35 +718,25 @@
                                         worker.entry())
 
     async def open_links(self, names):
-        """Puts links between the daemons. To be called before open(), with
+        """Puts relays between the daemons. To be called before open(), with
         proxy_store=fleet.serve_store.
         """
-        ports = {name: self.port + 10 * (i + 1)
-                 for i, name in enumerate(names)}
-        ends = {name: type("End", (), {"name": name, "port": port})
-                for name, port in ports.items()}
-        port = self.port + 10 * (len(names) + 1)
-        for source in names:
-            for target in names:
-                if source != target:
-                    link = PeerLink(self.links, ends[source], ends[target],
-                                    port)
-                    self.links[(source, target)] = link
-                    await link.open()
-                    port += 1
+        for i, name in enumerate(names):
+            port = self.port + 10 * (i + 1)
+            self.relays[name] = PeerRelay(self, name, port + 3, port + 5)
+            await self.relays[name].open()
 
     async def serve_store(self, name, store):
-        """Opens the store for one daemon, which reads the ports at which it
-        reaches the others. Returns its address.
+        """Opens the store for one daemon, which reads the ports of the relays
+        in place of those of the daemons. Returns the store's address.
         """
         def rewrite(item):
-            key = item.get("key", "")
-            other = key.rsplit("/", 1)[-1]
-            if "value" not in item or (name, other) not in self.links:
+            other = item.get("key", "").rsplit("/", 1)[-1]
+            if "value" not in item or other not in self.relays:
                 return item
             value = json.loads(base64.b64decode(item["value"]))
             value["tcp_port"] = value["udp_port"] = \
-                self.links[(name, other)].port
+                self.relays[other].relay_port
             return dict(item, value=base64.b64encode(
                 json.dumps(value).encode()).decode())
 
@@ -699,11 +767,24 @@
         """
         self.record.add("daemon_cut" if is_cut else "daemon_cut_over",
                         daemon=name)
-        for (source, target), link in self.links.items():
-            if name in (source, target):
-                link.is_cut = is_cut
-        (self.cut_from_store.add if is_cut else
-         self.cut_from_store.discard)(name)
+        self.cut_off({name}, is_cut)
+
+    def cut_zone(self, zone, is_cut):
+        """Cuts the daemons of a zone off from those of the others and from the
+        store, or ends that.
+        """
+        self.record.add("zone_cut" if is_cut else "zone_cut_over", zone=zone)
+        self.cut_off({d.name for d in self.daemons if d.zone == zone}, is_cut)
+
+    def cut_off(self, names, is_cut):
+        pairs = {frozenset((a, b)) for a in names for b in self.relays
+                 if b not in names}
+        if is_cut:
+            self.cut_links |= pairs
+            self.cut_from_store |= names
+        else:
+            self.cut_links -= pairs
+            self.cut_from_store -= names
 
     async def wait_until_ready(self, timeout_s=15):
         end = time.monotonic() + timeout_s
