Read an endpoint's clock anew before a start

Cause: the lease of a start is a time on the endpoint's steady clock, computed from a reading of any age. The clock starts anew with each incarnation, while the id that a command names stays. A time on the former clock lies far ahead on the next one, where it is shortened to the longest lease from the execution on, so that a late start is not refused.

An endpoint that has not answered lately is asked first, by a renewal that grants nothing; its answer comes from the present incarnation, and the starts follow at once.

Tests that expected a start at once now answer the reading first; two that restart an endpoint do it between the reading and the start, so that the start still carries a time on the former clock.

--- a/modules/core/scheduling/endpoint_commands.h
+++ b/modules/core/scheduling/endpoint_commands.h
@@ -12,7 +12,9 @@
  */
 inline constexpr Millis kRunLease{500};
 
-/** Starts a run of a task.
+/** Places a run of a task on an endpoint and starts it as soon as the
+ * endpoint's clock has been read anew. The lease of a start is a time on that
+ * clock.
  *
  * @param expected_run_time expected run time on an endpoint of slowness 1
  */
@@ -24,6 +26,14 @@
                Millis now,
                Actions& actions);
 
+/** Sends the starts that wait until the endpoint's clock is read, or reads it.
+ * Returns tasks to the queue that can't be started there any more.
+ */
+void SendAwaitingStarts(Scheduler& scheduler,
+                        ManagedEndpoint& endpoint,
+                        Millis now,
+                        Actions& actions);
+
 /** Stops a run. Does nothing when the run is already being stopped. */
 void SendStop(Scheduler& scheduler,
               ManagedEndpoint& endpoint,
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -94,6 +94,7 @@
   // Runs started by the previous owner may stay active for this long.
   endpoint.lease_until = std::max(endpoint.lease_until, now + kMaxLease);
   endpoint.pending_renewal = CommandId();
+  endpoint.pending_clock_reading = CommandId();
   endpoint.unanswered = 0;
   // Makes SetEndpointStatus() see a change. It ignores a call with the current
   // status, and new endpoints start with kReconciling.
@@ -211,6 +212,7 @@
     HandleExpiredLease(scheduler, endpoint, now, actions);
     RetryFailedStops(scheduler, endpoint, now, actions);
     StopOverdueRuns(scheduler, endpoint, now, actions);
+    SendAwaitingStarts(scheduler, endpoint, now, actions);
     EnsureRenewal(scheduler, endpoint, now, actions);
   }
   PlaceTasks(scheduler, now, actions);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -66,9 +66,11 @@
     return;
   if (IsOfOtherIncarnation(endpoint, reply, command)) {
     ForgetIncarnation(endpoint, command.sent_at);
-    // A start with a time on the former clock has got the longest lease.
-    if (!endpoint.runs.empty())
+    // A command with a time on the former clock has granted the longest lease.
+    if (HasSentRun(endpoint) || endpoint.lease_until > now) {
+      endpoint.excess_lease_until = now + kMaxLease;
       endpoint.lease_until = std::max(endpoint.lease_until, now + kMaxLease);
+    }
   }
   const bool names_incarnation =
       command.kind == PendingCommand::Kind::kRenew ||
@@ -426,6 +428,8 @@
   ManagedEndpoint& endpoint = owned->second;
   if (endpoint.pending_renewal == reply.id)
     endpoint.pending_renewal = CommandId();
+  if (endpoint.pending_clock_reading == reply.id)
+    endpoint.pending_clock_reading = CommandId();
   RemoveUndeliveredStart(scheduler, endpoint, reply, command, now);
   if (!HandleCommonOutcome(scheduler, endpoint, reply, command, now, actions)) {
     if (command.kind == PendingCommand::Kind::kStart)
@@ -438,6 +442,7 @@
     else if (IsRejection(reply.outcome))
       BackOff(endpoint, now);
   }
+  SendAwaitingStarts(scheduler, endpoint, now, actions);
   if (endpoint.runs.empty() && !IsNeededWithoutRuns(endpoint, now))
     ReleaseEndpoint(scheduler, command.endpoint, now);
   else
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -50,6 +50,13 @@
       [](const auto& entry) { return !entry.second.is_claimed; });
 }
 
+bool HasSentRun(const ManagedEndpoint& endpoint) {
+  return std::any_of(endpoint.runs.begin(), endpoint.runs.end(),
+                     [](const auto& entry) {
+                       return entry.second.state != RunState::kAwaitingClock;
+                     });
+}
+
 void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key) {
   const auto run = endpoint.runs.find(key);
   if (run == endpoint.runs.end())
@@ -74,6 +81,8 @@
   endpoint.used = TaskResources();
   std::vector<JobTask> tasks;
   for (const auto& [key, run] : lost) {
+    if (run.state == RunState::kAwaitingClock)
+      continue;  // It has never started.
     tasks.push_back(key.first);
     ++scheduler.counters.lost_runs;
     actions.push_back(LogEvent{
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -35,6 +35,11 @@
  */
 bool HasUnclaimedRun(const ManagedEndpoint& endpoint);
 
+/** Returns true when a run may be active on the endpoint: its start was sent,
+ * or it was found there.
+ */
+bool HasSentRun(const ManagedEndpoint& endpoint);
+
 /** Removes a run that has ended and frees its resources. */
 void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key);
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -278,15 +278,6 @@
   SendStop(scheduler, endpoint->second, key, now, actions);
 }
 
-void LogLateStart(const ScheduledJob& job, Millis now, Actions& actions) {
-  if (job.has_started || now - job.received_at < kLateStart)
-    return;
-  LogEvent event = MakeJobEvent("job_started_late", job, now);
-  event.fields.emplace_back("may_have_started",
-                            job.may_have_started ? "true" : "false");
-  actions.push_back(std::move(event));
-}
-
 /** Returns true when an endpoint may get a task now. One that is suspected of
  * crashing endpoints gets an endpoint that has just answered, so that a loss
  * after the start shows more than an endpoint that was down before.
@@ -328,9 +319,6 @@
       task.endpoint = endpoint->entry.id;
       ++task.attempt;
       --job.tasks_queued;
-      LogLateStart(job, now, actions);
-      job.has_started = true;
-      RecordRouteActivity(scheduler, job.job.route, now);
       SendStart(scheduler, *endpoint, job, {job.job.id, step, index},
                 expected_run_time, now, actions);
     }
@@ -445,6 +433,20 @@
   PlaceTasks(scheduler, now, actions);
 }
 
+void RecordStart(Scheduler& scheduler,
+                 ScheduledJob& job,
+                 Millis now,
+                 Actions& actions) {
+  if (!job.has_started && now - job.received_at >= kLateStart) {
+    LogEvent event = MakeJobEvent("job_started_late", job, now);
+    event.fields.emplace_back("may_have_started",
+                              job.may_have_started ? "true" : "false");
+    actions.push_back(std::move(event));
+  }
+  job.has_started = true;
+  RecordRouteActivity(scheduler, job.job.route, now);
+}
+
 bool ClaimRun(Scheduler& scheduler,
               ManagedEndpoint& endpoint,
               const RunKey& key) {
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -44,6 +44,12 @@
 std::optional<ScheduledJob> RemoveJob(Scheduler& scheduler,
                                       const SubmissionId& id);
 
+/** Records that a task of a job is started now. */
+void RecordStart(Scheduler& scheduler,
+                 ScheduledJob& job,
+                 Millis now,
+                 Actions& actions);
+
 /** Assigns a run that was found on an endpoint to its task.
  * @return false when no queued task of this daemon matches the run
  */
--- a/modules/core/scheduling/job_lease.cc
+++ b/modules/core/scheduling/job_lease.cc
@@ -171,6 +171,7 @@
                       Millis now) {
   return now + kMinLeaseForStart + kRunEndMargin <=
              ComputeRunLeaseEnd(scheduler, endpoint, now) &&
+         endpoint.excess_lease_until <= now + kRunLease &&
          endpoint.lease_until <=
              GetLeaseEnds(scheduler, job).announced_until + kRunEndMargin;
 }
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -24,6 +24,8 @@
   kStopping = 2,
   /** Found on the endpoint; no job of this daemon has claimed it so far. */
   kUnclaimed = 3,
+  /** The start is sent once the endpoint's clock has been read anew. */
+  kAwaitingClock = 4,
 };
 
 /** A run of a task on an endpoint. */
@@ -41,12 +43,12 @@
    * when not known.
    */
   int64_t endpoint_started_at_ms = 0;
-  /** When the start was sent, or when the run was found on the endpoint. */
-  Millis start_sent_at;
-  /** True when its lease may be short because the endpoint's clock was read
-   * long before the start.
+  /** When the start was sent, or when the run was found on the endpoint. Until
+   * the start is sent, when the run was placed.
    */
-  bool has_short_lease = false;
+  Millis start_sent_at;
+  /** True when the run was stopped before its start was sent. */
+  bool is_start_withdrawn = false;
   /** When its start was found to be unanswered; zero if it was not. */
   Millis start_unanswered_at;
   /** When the endpoint confirmed the start or stop. Only a list that was
@@ -118,6 +120,11 @@
    * renewed.
    */
   Millis lease_until;
+  /** End, on this daemon's clock, of a lease that may be longer than intended,
+   * as it was sent as a time on the clock of a former incarnation; zero without
+   * one.
+   */
+  Millis excess_lease_until;
   /** Number of the last ended run that has been processed. */
   uint64_t acknowledged_ends = 0;
   /** Start of the endpoint process in ms since 1970; 0 when not known. */
@@ -125,6 +132,10 @@
   /** The renewal that has not been answered yet, or 0. */
   CommandId pending_renewal;
   Millis renewal_sent_at;
+  /** The renewal that reads the clock for starts and has not been answered yet,
+   * or 0.
+   */
+  CommandId pending_clock_reading;
   /** Number of commands in a row that were not answered. */
   uint32_t unanswered = 0;
   /** True from a report of another daemon that it was lost until it answers. */
--- a/tests/core/pause_test.cc
+++ b/tests/core/pause_test.cc
@@ -84,7 +84,8 @@
   const Millis resumed_at = world.now + Millis{700};
   Actions actions;
   OnJob(node, resumed_at, CallerToken(1), job, std::nullopt, actions);
-  EXPECT_FALSE(HasEndpointCommand<StartRun>(actions));
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(
+      AnswerClockReadings(world, owner, actions, resumed_at)));
   const CallKeyValue* confirmation =
       FindConfirmation(actions, ItemScope::kDaemons);
   const CallKeyValue* endpoints =
@@ -93,18 +94,21 @@
   ASSERT_NE(endpoints, nullptr);
   Actions tick;
   OnTick(node, resumed_at + Millis{20}, tick);
-  EXPECT_FALSE(HasEndpointCommand<StartRun>(tick));
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(
+      AnswerClockReadings(world, owner, tick, resumed_at + Millis{20})));
 
+  const Millis confirmed_at = resumed_at + Millis{60};
   KeyValueReply reply;
   reply.outcome = KeyValueOutcome::kDone;
   reply.store_revision = node.view.revision;
   Actions confirmed;
-  OnKeyValueReply(node, resumed_at + Millis{30}, confirmation->token, reply,
-                  confirmed);
-  EXPECT_FALSE(HasEndpointCommand<StartRun>(confirmed));
-  OnKeyValueReply(node, resumed_at + Millis{30}, endpoints->token, reply,
-                  confirmed);
-  EXPECT_TRUE(HasEndpointCommand<StartRun>(confirmed));
+  OnKeyValueReply(node, confirmed_at, confirmation->token, reply, confirmed);
+  EXPECT_FALSE(HasEndpointCommand<StartRun>(
+      AnswerClockReadings(world, owner, confirmed, confirmed_at)));
+  confirmed.clear();
+  OnKeyValueReply(node, confirmed_at, endpoints->token, reply, confirmed);
+  EXPECT_TRUE(HasEndpointCommand<StartRun>(
+      AnswerClockReadings(world, owner, confirmed, confirmed_at)));
 }
 
 // The confirmation shows that another daemon has taken over. The resumed one
--- a/tests/core/restarted_endpoint_test.cc
+++ b/tests/core/restarted_endpoint_test.cc
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -29,10 +30,17 @@
     return this->world.endpoints.at(EndpointId("e1"));
   }
 
+  /** Runs until a run is active, at most 100 ms. */
+  void AwaitRun() {
+    for (int ms = 0; ms < 100 && this->Endpoint().running.empty(); ++ms)
+      this->world.Run({1});
+    EXPECT_FALSE(this->Endpoint().running.empty());
+  }
+
   /** Starts a run and loses all later commands of its scheduler. */
   void StartLastRun() {
     this->world.Submit("job", 1, 7, kRunTime);
-    this->world.Run({1});
+    this->AwaitRun();
     this->world.is_command_lost = [](const EndpointCommand&) { return true; };
   }
 
@@ -106,7 +114,7 @@
 
   /** Removes the scheduler of the other zone while the job runs there. */
   void LoseScheduler() {
-    this->world.RunFor({6});
+    this->world.RunFor({10});
     ASSERT_EQ(this->world.CountRuns("job"), 1U);
     this->world.DeregisterDaemon("north0");
     this->world.KillDaemon("north0");
@@ -130,8 +138,14 @@
 TEST(RestartedEndpointTest, JobOfALostZoneRunsBesideNoRunOnARestartedEndpoint) {
   ForwardedJobFixture fixture;
   FleetWorld& world = fixture.world;
-  world.RestartEndpoint("north-e0", world.now + Millis{1},
-                        world.now + Millis{1'500});
+  bool has_restarted = false;
+  // The endpoint restarts after its clock was read for the start.
+  world.command_execution_delay = [&](const EndpointCommand& command) {
+    if (std::holds_alternative<StartRun>(command.command) &&
+        !std::exchange(has_restarted, true))
+      world.RestartEndpoint("north-e0", world.now, world.now + Millis{1'500});
+    return Millis();
+  };
   fixture.ForwardJob();
   fixture.LoseScheduler();
   EXPECT_TRUE(world.overlaps.empty());
@@ -203,6 +217,54 @@
   }
 }
 
+// Renewals were answered until shortly before, by the former incarnation.
+TEST(RestartedEndpointTest,
+     LateStartOnABusyRestartedEndpointOfALostZoneRunsBesideNoRepeat) {
+  for (const int64_t late_ms : {300, 400, 600, 900, 1'300}) {
+    FleetWorld world;
+    SetUpTwoZones(world);
+    world.Submit(world.OwnerOf("north"), "other", 4, {900});
+    world.RunFor({200});
+    for (const auto& [id, endpoint] : world.endpoints)
+      world.RestartEndpoint(id.value, world.now + Millis{1},
+                            world.now + Millis{1'500});
+    world.RunFor({40});
+    PlayLateStartOfALostZone(world, {late_ms});
+    EXPECT_TRUE(world.overlaps.empty()) << late_ms;
+  }
+}
+
+// A task that waits for the clock of an endpoint must not wait with it.
+TEST(RestartedEndpointTest, TaskOfAnEndpointWithoutClockStartsElsewhere) {
+  OneEndpointFixture fixture;
+  SchedulerWorld& world = fixture.world;
+  world.Run({1'000});
+  world.is_command_lost = [](const EndpointCommand& command) {
+    return command.endpoint == EndpointId("e1");
+  };
+  world.Submit("job", 1, 7, {300});
+  world.Run({5});
+  FakeEndpoint& other = world.AddEndpoint("e2", 16, 1);
+  world.Run({200});
+  EXPECT_EQ(fixture.Endpoint().starts, 0U);
+  EXPECT_EQ(other.starts, 1U);
+}
+
+// Its caller may be told that nothing has run.
+TEST(RestartedEndpointTest, JobThatEndsBeforeItsStartWasSentHasNotRun) {
+  OneEndpointFixture fixture;
+  SchedulerWorld& world = fixture.world;
+  world.Run({1'000});
+  world.Submit("job", 1, 7, {300});
+  Actions actions;
+  EndJob(world.scheduler, SubmissionId("job"), {JobResult::kRefused, {}, ""},
+         world.now, actions);
+  world.Run({200});
+  EXPECT_EQ(fixture.Endpoint().starts, 0U);
+  EXPECT_EQ(world.results[SubmissionId("job")].outcome.result,
+            JobResult::kRefused);
+}
+
 /** Reports the entry of an endpoint that has started anew. */
 void ReportRestart(OneEndpointFixture& fixture) {
   FakeEndpoint& endpoint = fixture.Endpoint();
@@ -219,6 +281,8 @@
       late = command;
     return true;
   };
+  fixture.world.scheduler.endpoints.at(EndpointId("e1")).clock_read_at =
+      fixture.world.now;  // It has just answered.
   fixture.world.Submit("former", 1, 7, kRunTime);
   const PendingCommand pending =
       fixture.world.scheduler.pending_commands.at(late.id);
@@ -268,13 +332,20 @@
 TEST(RestartedEndpointTest, RunOnACutOffRestartedEndpointIsNotRepeatedBeside) {
   OneEndpointFixture fixture;
   SchedulerWorld& world = fixture.world;
-  RestartFakeEndpoint(fixture.Endpoint(), world.now);
+  bool has_restarted = false;
+  // The endpoint restarts after its clock was read for the start.
+  world.is_command_lost = [&](const EndpointCommand& command) {
+    if (std::holds_alternative<StartRun>(command.command) &&
+        !std::exchange(has_restarted, true))
+      RestartFakeEndpoint(fixture.Endpoint(), world.now);
+    return false;
+  };
   JobSubmission submission =
       SchedulerWorld::MakeSubmission("job", 1, 7, kRunTime, "route");
   submission.job.time_left = {6'000};
   submission.job.target_latency = {6'000};
   world.SubmitJob(submission, kRunTime);
-  world.Run({4});
+  fixture.AwaitRun();
   ASSERT_EQ(fixture.Endpoint().running.size(), 1U);
   world.AddEndpoint("e2", 16, 1);
   world.is_command_lost = [](const EndpointCommand& command) {
--- a/tests/core/run_identity_test.cc
+++ b/tests/core/run_identity_test.cc
@@ -309,9 +309,11 @@
       SchedulerWorld::MakeSubmission("job", 1, 7, {600}, "route");
   submission.sent_at = world.now;
   Actions actions;
+  ManagedEndpoint& endpoint = world.scheduler.endpoints.at(EndpointId("e1"));
+  endpoint.clock_read_at = world.now;  // It has just answered.
   AcceptJob(world.scheduler, kReceiver, kNorth, submission, world.now, actions);
   const CommandId earlier_start = FindStart(actions);
-  ManagedEndpoint& endpoint = world.scheduler.endpoints.at(EndpointId("e1"));
+  ASSERT_NE(earlier_start, CommandId());
   EndJob(world.scheduler, SubmissionId("job"), {JobResult::kAbandoned, {}, ""},
          world.now, actions);
   endpoint.runs.clear();
--- a/tests/core/scheduling_test.cc
+++ b/tests/core/scheduling_test.cc
@@ -514,18 +514,25 @@
   world.Run({20});
   world.Submit("first", 4, 7, {600});
   world.Run({30});
-  // The restart ends its runs.
-  endpoint.running.clear();
-  endpoint.closed_attempts.clear();
-  endpoint.ended.clear();
-  endpoint.last_end_number = 0;
-  endpoint.started_at_ms = 2;
+  // It restarts right before the start arrives, which ends its runs.
   const uint64_t before = endpoint.starts;
+  world.is_command_lost = [&endpoint](const EndpointCommand& command) {
+    if (std::holds_alternative<StartRun>(command.command) &&
+        endpoint.started_at_ms != 2) {
+      endpoint.running.clear();
+      endpoint.closed_attempts.clear();
+      endpoint.ended.clear();
+      endpoint.last_end_number = 0;
+      endpoint.started_at_ms = 2;
+    }
+    return false;
+  };
   EndpointEntry entry = endpoint.entry;
   entry.started_at_ms = 2;
   Actions actions;
   world.Submit("second", 1, 2, {300});
-  world.Run({10});
+  while (endpoint.starts == before)
+    world.Run({1});
   const uint64_t started = endpoint.starts - before;
   UpdateEndpoint(world.scheduler, entry, world.now, actions);
   world.Run({1'300});
--- a/tests/core/withdrawn_job_test.cc
+++ b/tests/core/withdrawn_job_test.cc
@@ -86,9 +86,15 @@
   CallerToken caller;
 };
 
-size_t CountStartCommands(const Actions& actions) {
+/** Counts the starts among a daemon's actions, and those that follow when the
+ * clocks of the endpoints have been read.
+ */
+size_t CountStartCommands(FleetWorld& world,
+                          const std::string& daemon,
+                          const Actions& actions) {
   size_t count = 0;
-  for (const Action& action : actions) {
+  for (const Action& action :
+       AnswerClockReadings(world, daemon, actions, world.now)) {
     const auto* call = std::get_if<CallEndpoint>(&action);
     if (call != nullptr &&
         std::holds_alternative<StartRun>(call->command.command))
@@ -107,7 +113,7 @@
   world.RunFor({50});
   const Actions actions =
       Deliver(world, receiver, owner, MakeNextView(world.Node(owner)));
-  EXPECT_EQ(CountStartCommands(actions), 2U);
+  EXPECT_EQ(CountStartCommands(world, owner, actions), 2U);
 }
 
 // The caller has left and may have sent the job again to another daemon.
@@ -122,7 +128,7 @@
   world.RunFor({50});
   const Actions actions =
       Deliver(world, receiver, owner, MakeNextView(world.Node(owner)));
-  EXPECT_EQ(CountStartCommands(actions), 0U);
+  EXPECT_EQ(CountStartCommands(world, owner, actions), 0U);
 }
 
 // A job with two receivers goes on for the one that has not cancelled it.
@@ -136,7 +142,7 @@
   Deliver(world, receiver, owner, JobCancellation{SubmissionId("job")});
   const Actions actions =
       Deliver(world, receiver, owner, MakeNextView(world.Node(owner)));
-  EXPECT_EQ(CountStartCommands(actions), 2U);
+  EXPECT_EQ(CountStartCommands(world, owner, actions), 2U);
 }
 
 // The receiver is gone, so that its caller sends the job again elsewhere.
@@ -153,7 +159,7 @@
   ViewNotice notice = MakeNextView(world.Node(owner));
   notice.revision += 10;
   const Actions actions = Deliver(world, "south0", owner, notice);
-  EXPECT_EQ(CountStartCommands(actions), 0U);
+  EXPECT_EQ(CountStartCommands(world, owner, actions), 0U);
 }
 
 // The handover is under way, and neither scheduler knows of it by its view.
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -648,4 +648,21 @@
   return actions;
 }
 
+Actions AnswerClockReadings(FleetWorld& world,
+                            const std::string& daemon,
+                            const Actions& actions,
+                            Millis now) {
+  Actions all = actions;
+  for (const Action& action : actions) {
+    const auto* call = std::get_if<CallEndpoint>(&action);
+    if (call == nullptr ||
+        !std::holds_alternative<RenewRuns>(call->command.command))
+      continue;
+    FakeEndpoint& endpoint = world.endpoints.at(call->command.endpoint);
+    OnEndpointReply(world.Node(daemon), now,
+                    ExecuteCommand(endpoint, call->command, {}, {}, now), all);
+  }
+  return all;
+}
+
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -226,6 +226,16 @@
                 const std::string& to,
                 PeerMessage message);
 
+/** Executes the renewals among a daemon's actions, which read the clocks of
+ * endpoints before starts.
+ *
+ * @return the actions and those that the answers cause
+ */
+Actions AnswerClockReadings(FleetWorld& world,
+                            const std::string& daemon,
+                            const Actions& actions,
+                            Millis now);
+
 }  // namespace dogwoodfall
 
 #endif  // DOGWOODFALL_TESTS_SUPPORT_FLEET_WORLD_H_
