Close idle connections that may have become silent

Connections that are open may go silent together, without a reset, while new ones work.

Where a request gets no answer, the idle connections to its server are closed now that have not answered since it was sent. Those that have answered work.

HttpClientTest.RequestAfterALostOneUsesNoConnectionThatMayBeSilent failed before: the second request was put on the other silent connection and got no answer either.

--- a/modules/adapters/http/http_client.cc
+++ b/modules/adapters/http/http_client.cc
@@ -2,6 +2,8 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
+
 #include "adapters/http/http_client_connection.h"
 
 namespace dogwoodfall {
@@ -39,6 +41,7 @@
   }
   HttpClientConnection* raw = connection.get();
   this->busy.emplace(raw, std::move(connection));
+  raw->SetRequestNumber(++this->requests);
   raw->Send(method, path, body, headers, timeout, std::move(callback));
 }
 
@@ -56,8 +59,11 @@
   this->busy.erase(found);
   const Callback callback = finished->TakeCallback();
   if (response.outcome == HttpOutcome::kAnswered) {
+    finished->SetAnsweredAfter(this->requests);
     this->idle[connection->Address()].push_back(std::move(finished));
   } else {
+    this->CloseSilentConnections(connection->Address(),
+                                 finished->RequestNumber());
     this->failed_connections.push_back(std::move(finished));
     if (!this->is_cleanup_scheduled) {
       this->is_cleanup_scheduled = true;
@@ -73,6 +79,16 @@
   callback(response);
 }
 
+void HttpClient::CloseSilentConnections(const HttpAddress& address,
+                                        uint64_t since) {
+  auto& connections = this->idle[address];
+  connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                   [since](const auto& connection) {
+                                     return connection->AnsweredAfter() < since;
+                                   }),
+                    connections.end());
+}
+
 void HttpClient::FreeFailedConnections() {
   this->is_cleanup_scheduled = false;
   this->failed_connections.clear();
--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -45,7 +45,9 @@
 /** Asynchronous HTTP client with persistent connections (evhttp).
  *
  * Each connection carries one request at a time. Requests are never retried, as
- * a repeated request could start a task twice.
+ * a repeated request could start a task twice. When one gets no answer, the
+ * idle connections to its server are closed that have not answered since it was
+ * sent: they may have become silent together with its connection.
  */
 class HttpClient {
  public:
@@ -92,9 +94,12 @@
 
   void Finish(HttpClientConnection* connection, const HttpResponse& response);
   void FreeFailedConnections();
+  void CloseSilentConnections(const HttpAddress& address, uint64_t since);
 
   event_base* base;
   uint64_t opened_connections = 0;
+  /** Number of requests sent so far. */
+  uint64_t requests = 0;
   std::map<HttpAddress, std::vector<std::unique_ptr<HttpClientConnection>>>
       idle;
   std::map<HttpClientConnection*, std::unique_ptr<HttpClientConnection>> busy;
--- a/modules/adapters/http/http_client_connection.h
+++ b/modules/adapters/http/http_client_connection.h
@@ -2,6 +2,7 @@
 #define DOGWOODFALL_MODULES_ADAPTERS_HTTP_HTTP_CLIENT_CONNECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "adapters/http/http_client.h"
@@ -38,6 +39,14 @@
   /** Address of the server. */
   const HttpAddress& Address() const { return this->address; }
 
+  /** Number of the pending request among all requests of the client. */
+  void SetRequestNumber(uint64_t number) { this->request_number = number; }
+  uint64_t RequestNumber() const { return this->request_number; }
+
+  /** Number of the client's latest request when the last answer came. */
+  void SetAnsweredAfter(uint64_t number) { this->answered_after = number; }
+  uint64_t AnsweredAfter() const { return this->answered_after; }
+
   /** Moves the callback of the finished request out of the connection. */
   HttpClient::Callback TakeCallback() { return std::move(this->callback); }
 
@@ -56,6 +65,8 @@
   event* connect_timer = nullptr;
   HttpClient::Callback callback;
   size_t bytes_written = 0;
+  uint64_t request_number = 0;
+  uint64_t answered_after = 0;
 };
 
 }  // namespace dogwoodfall
--- a/tests/adapters/http_client_test.cc
+++ b/tests/adapters/http_client_test.cc
@@ -47,9 +47,11 @@
   HttpClientTest() : base(event_base_new(), &event_base_free) {}
 
   /** Sends a request and runs the event loop until it finishes. */
-  HttpResponse SendAndWait(HttpClient& client, uint16_t port) {
+  HttpResponse SendAndWait(HttpClient& client,
+                           uint16_t port,
+                           Millis timeout = Millis{3'000}) {
     HttpResponse result;
-    client.Send({"127.0.0.1", port}, "POST", "/", "body", Millis{3'000},
+    client.Send({"127.0.0.1", port}, "POST", "/", "body", timeout,
                 [&](const HttpResponse& response) {
                   result = response;
                   event_base_loopbreak(this->base.get());
@@ -141,5 +143,59 @@
     close(connection);
 }
 
+/** Accepts connections until its listener is shut down, and answers the first
+ * request on each. Further ones get no answer.
+ */
+class SilentServer {
+ public:
+  explicit SilentServer(const Listener& listener)
+      : socket(listener.socket), thread([this] { this->Run(); }) {}
+  ~SilentServer() {
+    shutdown(this->socket, SHUT_RDWR);
+    this->thread.join();
+  }
+
+ private:
+  void Run() const {
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::vector<int> connections;
+    char buffer[4096];
+    for (;;) {
+      const int connection = accept(this->socket, nullptr, nullptr);
+      if (connection < 0)
+        break;
+      connections.push_back(connection);
+      (void)!read(connection, buffer, sizeof(buffer));
+      (void)!write(connection, text.data(), text.size());
+    }
+    for (const int connection : connections)
+      close(connection);
+  }
+
+  int socket;
+  std::thread thread;
+};
+
+// Connections often become silent together, and each would cost a timeout.
+TEST_F(HttpClientTest, RequestAfterALostOneUsesNoConnectionThatMayBeSilent) {
+  const Listener listener(5);
+  HttpClient client(this->base.get());
+  const SilentServer server(listener);
+  int pending = 2;
+  for (int i = 0; i < 2; ++i) {
+    client.Send({"127.0.0.1", listener.port}, "GET", "/", "", Millis{3'000},
+                [&](const HttpResponse&) {
+                  if (--pending == 0)
+                    event_base_loopbreak(this->base.get());
+                });
+  }
+  event_base_dispatch(this->base.get());
+  EXPECT_EQ(client.Connections(), 2U);
+  EXPECT_EQ(this->SendAndWait(client, listener.port, Millis{100}).outcome,
+            HttpOutcome::kLost);
+  EXPECT_EQ(this->SendAndWait(client, listener.port).outcome,
+            HttpOutcome::kAnswered);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
