Replace watches of the store that may be silent

Cause: a watch that waits on a silent connection looks like one without changes. It was given up after 3.3 s and repeated after a delay, although the renewal of the registration, sent each 600 ms, had shown the silence within 1.0 s.

Evidence: the record shows the watch renewed 0.1 s before the silence and the change known 0.3 s too late by all daemons, whose registrations were renewed all the while.

A call without an answer replaces the watches that were sent before it. The first call after a failure follows at once and is answered at once, so that a second silent connection costs 600 ms. And the wait of a watch is limited, so that one on a silent connection is noticed in time by itself: by the setting /store/max_silence_ms, which the deployment takes from the platform's bounds.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -39,7 +39,9 @@
     : settings(settings),
       node(CreateFleetNode(
           settings.self,
-          Incarnation(static_cast<uint64_t>(this->clock.Start().count)))) {}
+          Incarnation(static_cast<uint64_t>(this->clock.Start().count)))) {
+  this->node.store.max_silence = settings.max_store_silence;
+}
 
 Result<std::unique_ptr<FleetDaemon>> FleetDaemon::Create(
     const FleetSettings& settings) {
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -16,12 +16,13 @@
 constexpr Millis kLeaseLength{2'000};
 constexpr Millis kRenewalPeriod{600};
 constexpr Millis kRegistrationTimeout{400};
-/** Time for which the store waits for a change before it answers a watch. It
- * bounds the time until a broken connection is noticed; until then, peers send
- * what this daemon lacks.
+/** Longest time for which the store waits for a change before it answers a
+ * watch. It bounds the time until a broken connection is noticed; until then,
+ * peers send what this daemon lacks.
  */
 constexpr Millis kDaemonsWatchTimeout{2'000};
 constexpr Millis kRoutesWatchTimeout{3'000};
+constexpr Millis kMinWatchTimeout{200};
 /** Time beyond its wait in which the reply to a watch must arrive. */
 constexpr Millis kWatchMargin{300};
 /** Pause between two polls for changes of endpoints. Leaving ones have to be
@@ -32,10 +33,13 @@
  * longer.
  */
 constexpr Millis kCallTimeout{600};
-/** A confirmation of the membership is answered at once, also when there are
- * no changes.
+/** Wait of a watch that is answered at once, also when there are no changes. */
+constexpr Millis kImmediateWait{1};
+/** Time from the timeout of a watch to the answer of the call that replaces it,
+ * if one more call times out in between: that timeout, a retry delay, and the
+ * period in which due calls are sent.
  */
-constexpr Millis kConfirmationWait{1};
+constexpr Millis kMaxReplacementTime{kCallTimeout.count + 150 + 20};
 constexpr Millis kInitialRetryDelay{100};
 constexpr Millis kMaxRetryDelay{1'000};
 /** Number of different extensions of the delay, chosen by a hash of the
@@ -54,14 +58,24 @@
                         static_cast<int64_t>(2 * kJitterSteps)};
 }
 
-void Call(StoreSession& session,
-          StoreCallPurpose purpose,
-          KeyValueCall call,
-          Millis timeout,
-          Actions& actions) {
+StoreToken Call(StoreSession& session,
+                StoreCallPurpose purpose,
+                KeyValueCall call,
+                Millis timeout,
+                Actions& actions) {
   const StoreToken token(++session.last_token);
   session.calls[token] = purpose;
   actions.push_back(CallKeyValue{token, std::move(call), timeout});
+  return token;
+}
+
+/** Returns how long a watch may wait for changes. */
+Millis ComputeWatchWait(const StoreSession& session, ItemScope scope) {
+  const Millis longest =
+      scope == ItemScope::kRoutes ? kRoutesWatchTimeout : kDaemonsWatchTimeout;
+  return std::max(std::min(longest, session.max_silence - kWatchMargin -
+                                        kMaxReplacementTime),
+                  kMinWatchTimeout);
 }
 
 StoreCallPurpose PurposeOf(ItemScope scope) {
@@ -76,19 +90,59 @@
   return StoreCallPurpose::kFollowRoutes;
 }
 
+const char* NameOf(ItemScope scope) {
+  switch (scope) {
+    case ItemScope::kDaemons:
+      return "daemons";
+    case ItemScope::kEndpoints:
+      return "endpoints";
+    case ItemScope::kRoutes:
+      break;
+  }
+  return "routes";
+}
+
 void Follow(StoreSession& session, StoreFollower& follower, Actions& actions) {
   const StoreCallPurpose purpose = PurposeOf(follower.scope);
   follower.is_call_pending = true;
   if (!follower.is_following) {
-    Call(session, purpose, ReadItems{follower.scope, follower.last_page_key},
-         kCallTimeout, actions);
+    follower.last_call = Call(session, purpose,
+                              ReadItems{follower.scope, follower.last_page_key},
+                              kCallTimeout, actions);
     return;
   }
-  const Millis wait = follower.scope == ItemScope::kRoutes
-                          ? kRoutesWatchTimeout
-                          : kDaemonsWatchTimeout;
-  Call(session, purpose, WatchItems{follower.scope, follower.followed_to, wait},
-       wait + kWatchMargin, actions);
+  const Millis wait = follower.is_in_doubt
+                          ? kImmediateWait
+                          : ComputeWatchWait(session, follower.scope);
+  const Millis timeout =
+      follower.is_in_doubt ? kCallTimeout : wait + kWatchMargin;
+  follower.last_call = Call(
+      session, purpose, WatchItems{follower.scope, follower.followed_to, wait},
+      timeout, actions);
+}
+
+/** Replaces the watches that were sent before a call that was not answered. All
+ * connections that were open then may be silent.
+ */
+void ReplaceEarlierWatches(StoreSession& session,
+                           StoreToken unanswered,
+                           Actions& actions) {
+  for (StoreFollower* follower :
+       {&session.daemons, &session.routes, &session.endpoints}) {
+    const bool is_in_doubt = follower->is_call_pending &&
+                             follower->is_following &&
+                             follower->last_call < unanswered;
+    if (!is_in_doubt)
+      continue;
+    session.calls.erase(follower->last_call);
+    follower->is_call_pending = false;
+    follower->is_in_doubt = true;
+    follower->next_call_at = Millis();
+    actions.push_back(
+        LogEvent{"store_watch_replaced",
+                 {{"scope", NameOf(follower->scope)},
+                  {"followed_to", std::to_string(follower->followed_to)}}});
+  }
 }
 
 void Register(StoreSession& session, Actions& actions) {
@@ -147,10 +201,19 @@
     return {};
   }
   if (reply.outcome != KeyValueOutcome::kDone) {
+    // Where a call was not answered, only its connection may be silent.
+    const bool is_retried_at_once =
+        reply.outcome == KeyValueOutcome::kUnanswered && follower.failures == 0;
+    const uint32_t delayed_failures =
+        follower.failures - std::min(follower.failures, 1U);
+    follower.is_in_doubt = true;
     follower.next_call_at =
-        now + ComputeRetryDelay(session, follower.failures++);
+        is_retried_at_once ? now
+                           : now + ComputeRetryDelay(session, delayed_failures);
+    ++follower.failures;
     return {};
   }
+  follower.is_in_doubt = false;
   if (!follower.is_following && IsOlderThanFollowed(follower, reply)) {
     actions.push_back(
         LogEvent{"store_state_older",
@@ -293,6 +356,8 @@
   const StoreCallPurpose purpose = call->second;
   session.calls.erase(call);
   UpdateReachability(session, reply, actions);
+  if (reply.outcome == KeyValueOutcome::kUnanswered)
+    ReplaceEarlierWatches(session, token, actions);
   StoreUpdate update;
   if (purpose == StoreCallPurpose::kFollowDaemons)
     update = HandleFollowReply(session, session.daemons, reply, now, actions);
@@ -339,7 +404,7 @@
     return;
   Call(session, StoreCallPurpose::kConfirmMembership,
        WatchItems{ItemScope::kDaemons, session.daemons.followed_to,
-                  kConfirmationWait},
+                  kImmediateWait},
        kCallTimeout, actions);
   session.confirmation = StoreToken(session.last_token);
   session.endpoints_confirmation = StoreToken();
@@ -347,7 +412,7 @@
     return;
   Call(session, StoreCallPurpose::kConfirmEndpoints,
        WatchItems{ItemScope::kEndpoints, session.endpoints.followed_to,
-                  kConfirmationWait},
+                  kImmediateWait},
        kCallTimeout, actions);
   session.endpoints_confirmation = StoreToken(session.last_token);
 }
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -52,6 +52,12 @@
   Millis next_call_at;
   uint32_t failures = 0;
   bool is_call_pending = false;
+  /** The pending call, or the latest one. */
+  StoreToken last_call;
+  /** True when the next watch has to be answered at once, because its
+   * connection or the one before may be silent.
+   */
+  bool is_in_doubt = false;
 };
 
 /** A daemon's session with the platform's store.
@@ -62,10 +68,19 @@
  * daemons that own endpoints, or may soon, make it. A fourth call keeps the own
  * item. Each is retried after a delay when it fails, so that an outage costs
  * few calls.
+ *
+ * Open connections may become silent while new ones work. A watch on one of
+ * them looks like one without changes. Therefore a call without an answer
+ * replaces the watches that were sent before it, and the wait of a watch is
+ * limited so that a silent one is replaced within max_silence.
  */
 struct StoreSession {
   /** The item to keep; the store sets its revisions. */
   FleetMember self;
+  /** Time within which changes have to be received after connections have
+   * become silent.
+   */
+  Millis max_silence{3'000};
   std::map<StoreToken, StoreCallPurpose> calls;
   uint64_t last_token = 0;
   /** The latest call to confirm the membership; none while none is pending. */
--- a/modules/settings/fleet_settings.cc
+++ b/modules/settings/fleet_settings.cc
@@ -75,6 +75,20 @@
   return 1;
 }
 
+Millis ReadMaxStoreSilence(const Json& json, Errors& errors) {
+  constexpr const char* kPath = "/store/max_silence_ms";
+  constexpr int64_t kDefaultMs = 3'000;
+  constexpr int64_t kMinMs = 1'500;
+  constexpr int64_t kMaxMs = 600'000;
+  const Json* found = Find(json, kPath);
+  if (found == nullptr)
+    return {kDefaultMs};
+  if (found->is_number_integer() && *found >= kMinMs && *found <= kMaxMs)
+    return {found->get<int64_t>()};
+  AddError(errors, kPath, found, "1500 to 600000");
+  return {kDefaultMs};
+}
+
 }  // namespace
 
 bool IsFleetSettings(const std::string& text) {
@@ -100,6 +114,7 @@
   settings.readiness = ReadAddress(json, "/readiness/address", errors);
   settings.operators = ReadAddress(json, "/operators/address", errors);
   settings.store = ReadAddress(json, "/store/address", errors);
+  settings.max_store_silence = ReadMaxStoreSilence(json, errors);
   settings.self.ip = settings.operators.ip;
   settings.self.peer_tcp_port = ReadPort(json, "/peers/port", false, errors);
   settings.self.peer_udp_port = settings.self.peer_tcp_port;
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "adapters/http/http_client.h"
+#include "base/millis.h"
 #include "model/daemon_member.h"
 #include "settings/settings.h"
 
@@ -25,6 +26,10 @@
   HttpAddress metrics;
   /** Address of the platform's store. */
   HttpAddress store;
+  /** Time within which changes have to be received from the store after
+   * connections to it have become silent.
+   */
+  Millis max_store_silence;
   bool is_log_quiet = false;
 };
 
--- a/tests/adapters/fleet_settings_test.cc
+++ b/tests/adapters/fleet_settings_test.cc
@@ -31,6 +31,16 @@
   EXPECT_EQ(settings->self.ip, "10.1.0.13");
   EXPECT_EQ(settings->store.port, 8169);
   EXPECT_EQ(settings->metrics.port, 9464);
+  EXPECT_EQ(settings->max_store_silence, Millis{3'000});
+}
+
+TEST(FleetSettingsTest, MaximumSilenceOfTheStoreIsRead) {
+  std::string text = kValidSettings;
+  text.insert(text.rfind("}}"), ", \"max_silence_ms\": 4000");
+  const auto parsed = ParseFleetSettings(text);
+  const auto* settings = std::get_if<FleetSettings>(&parsed);
+  ASSERT_NE(settings, nullptr);
+  EXPECT_EQ(settings->max_store_silence, Millis{4'000});
 }
 
 // Guards against a parser that stops at the first error or that accepts missing
--- a/tests/core/store_session_test.cc
+++ b/tests/core/store_session_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 #include <variant>
@@ -9,6 +11,7 @@
 
 #include "core/scheduling/endpoint_commands.h"
 #include "fake_endpoint.h"
+#include "fleet_world.h"
 
 namespace dogwoodfall {
 namespace {
@@ -292,5 +295,111 @@
   EXPECT_LE(renewals[2], kStart + Millis{1'900});
 }
 
+/** The daemons of SetUpTwoZones(). */
+constexpr std::array<const char*, 4> kDaemons = {"north0", "north1", "south0",
+                                                 "south1"};
+
+/** Returns how long after its connections have become silent a fleet knows two
+ * changes of the configuration, the first one shortly before.
+ */
+Millis MeasureChange(Millis renewed_before, int idle_connections) {
+  constexpr Millis kGap{330};
+  constexpr Millis kMaxTime{6'000};
+  FleetWorld world;
+  SetUpTwoZones(world);
+  world.ChangeRoutes(4);
+  world.RunFor(renewed_before);
+  world.SilenceStoreConnections(idle_connections);
+  const Millis silent_since = world.now;
+  world.RunFor(kGap - Millis{100});
+  world.ChangeRoutes(5);
+  const auto is_known = [&world] {
+    return std::all_of(kDaemons.begin(), kDaemons.end(),
+                       [&world](const char* daemon) {
+                         return world.Node(daemon).routes.version == 5;
+                       });
+  };
+  while (!is_known() && world.now < silent_since + kMaxTime)
+    world.RunFor({5});
+  return world.now - silent_since;
+}
+
+constexpr Millis kMaxSilence{3'000};
+
+// A watch on a silent connection looks like one without changes.
+TEST(StoreSessionTest, ChangeIsKnownInTimeAfterAllConnectionsBecomeSilent) {
+  for (const int64_t renewed_ms : {5, 100, 700, 1'500, 2'900}) {
+    for (const int idle_connections : {0, 1, 2})
+      EXPECT_LT(MeasureChange({renewed_ms}, idle_connections), kMaxSilence)
+          << renewed_ms << " " << idle_connections;
+  }
+}
+
+/** Answers the calls of a session but for its first watches, which time out,
+ * and as many later calls of the same follower.
+ * @return the time until the change of the routes is known
+ */
+Millis MeasureSilentWatch(Millis max_silence, int silent_calls) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session;
+  session.max_silence = max_silence;
+  session.self.address.id = DaemonId("d1");
+  session.routes.is_following = true;
+  session.routes.followed_to = 5;
+  std::vector<std::pair<Millis, CallKeyValue>> due;
+  for (int64_t ms = 0; ms < 20'000; ms += 10) {
+    const Millis now = kStart + Millis{ms};
+    Actions actions;
+    for (const auto& [at, call] : std::exchange(due, {})) {
+      const auto* watch = std::get_if<WatchItems>(&call.call);
+      const bool is_routes =
+          watch != nullptr && watch->scope == ItemScope::kRoutes;
+      if (at > now) {
+        due.emplace_back(at, call);
+      } else if (is_routes && silent_calls < 0) {
+        return now - kStart;
+      } else {
+        HandleKeyValueReply(session, call.token,
+                            is_routes ? KeyValueReply() : MakeDoneReply(), now,
+                            actions);
+      }
+    }
+    AdvanceStoreSession(session, now, actions);
+    for (const CallKeyValue& call : CollectStoreCalls(actions)) {
+      const auto* watch = std::get_if<WatchItems>(&call.call);
+      const bool is_routes =
+          watch != nullptr && watch->scope == ItemScope::kRoutes;
+      const bool is_silent = is_routes && silent_calls-- > 0;
+      due.emplace_back(now + (is_silent ? call.timeout : Millis{10}), call);
+      if (is_routes && !is_silent)
+        silent_calls = -1;
+    }
+  }
+  return Millis{20'000};
+}
+
+// Its other connections work, so that only its own timeout shows it.
+TEST(StoreSessionTest, WatchOnASilentConnectionIsReplacedInTime) {
+  for (const int64_t max_silence_ms : {1'500, 3'000, 4'000, 5'000}) {
+    for (const int silent_calls : {1, 2})
+      EXPECT_LT(MeasureSilentWatch({max_silence_ms}, silent_calls),
+                Millis{max_silence_ms})
+          << silent_calls;
+  }
+}
+
+// Each outage would otherwise cost further calls while the store is slow.
+TEST(StoreSessionTest, WatchSentAfterAnUnansweredCallIsKept) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = FollowItems(calls);
+  Actions actions;
+  const StoreToken watch = session.routes.last_call;
+  ASSERT_TRUE(session.routes.is_call_pending);
+  session.calls[StoreToken(watch.value - 1)] = StoreCallPurpose::kRegister;
+  HandleKeyValueReply(session, StoreToken(watch.value - 1), KeyValueReply(),
+                      kStart, actions);
+  EXPECT_EQ(session.routes.last_call, watch);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -82,6 +82,21 @@
   this->WriteEntry(endpoint.entry);
 }
 
+void FleetWorld::ChangeRoutes(uint64_t version) {
+  RouteTable routes;
+  routes.version = version;
+  this->history.emplace_back(++this->revision, RoutesChanged{routes});
+}
+
+void FleetWorld::SilenceStoreConnections(int idle_connections) {
+  for (const Watch& watch : std::exchange(this->watches, {})) {
+    this->LeaveStoreCallUnanswered(watch.daemon, watch.incarnation, watch.token,
+                                   watch.timeout_at);
+  }
+  for (const auto& [daemon, incarnation] : this->incarnations)
+    this->silent_connections[daemon] = idle_connections;
+}
+
 void FleetWorld::RemoveAllMembers() {
   const std::map<DaemonId, StoredMember> all = this->members;
   for (const auto& [id, stored] : all)
@@ -434,25 +449,22 @@
 void FleetWorld::CallStore(const std::string& daemon,
                            const CallKeyValue& call) {
   const uint64_t incarnation = this->incarnations.at(daemon);
-  if (this->is_store_unreachable(DaemonId(daemon))) {
-    this->Schedule(
-        call.timeout, [this, daemon, incarnation, token = call.token]() {
-          this->DeliverStoreReply(daemon, incarnation, token, KeyValueReply());
-        });
+  const Millis timeout_at = this->now + call.timeout;
+  int& silent = this->silent_connections[daemon];
+  if (silent > 0 || this->is_store_unreachable(DaemonId(daemon))) {
+    silent = std::max(silent - 1, 0);
+    this->LeaveStoreCallUnanswered(daemon, incarnation, call.token, timeout_at);
     return;
   }
   if (const auto* watch = std::get_if<WatchItems>(&call.call)) {
-    this->watches.push_back(
-        {daemon, incarnation, call.token, *watch, this->now + watch->wait});
+    this->watches.push_back({daemon, incarnation, call.token, *watch,
+                             this->now + watch->wait, timeout_at});
     return;
   }
   const Millis late = this->store_execution_delay(DaemonId(daemon), call.call);
   if (late > Millis()) {
     this->Schedule(late, [this, call]() { this->AnswerStoreCall(call); });
-    this->Schedule(
-        call.timeout, [this, daemon, incarnation, token = call.token]() {
-          this->DeliverStoreReply(daemon, incarnation, token, KeyValueReply());
-        });
+    this->LeaveStoreCallUnanswered(daemon, incarnation, call.token, timeout_at);
     return;
   }
   const Millis delay = kStoreLatency + this->store_delay(DaemonId(daemon));
@@ -462,6 +474,15 @@
   });
 }
 
+void FleetWorld::LeaveStoreCallUnanswered(const std::string& daemon,
+                                          uint64_t incarnation,
+                                          StoreToken token,
+                                          Millis timeout_at) {
+  this->Schedule(timeout_at - this->now, [this, daemon, incarnation, token]() {
+    this->DeliverStoreReply(daemon, incarnation, token, KeyValueReply());
+  });
+}
+
 void FleetWorld::DeliverStoreReply(const std::string& daemon,
                                    uint64_t incarnation,
                                    StoreToken token,
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -25,6 +25,13 @@
   void StopDaemon(const std::string& id);
   bool IsRunning(const std::string& id) const;
   void AddEndpoint(const std::string& id, const std::string& zone);
+  /** Writes a configuration without routes to the store. */
+  void ChangeRoutes(uint64_t version);
+  /** Silences connections to the store: the watches that wait get no answer,
+   * and neither do the given number of later calls of each daemon, which are
+   * sent on idle connections.
+   */
+  void SilenceStoreConnections(int idle_connections);
   /** Removes the items of all daemons from the store, but not their leases. */
   void RemoveAllMembers();
   /** Overwrites a daemon's item in the store. */
@@ -150,6 +157,7 @@
     StoreToken token;
     WatchItems request;
     Millis deadline;
+    Millis timeout_at;
   };
 
   void Schedule(Millis delay, std::function<void()> callback);
@@ -180,6 +188,10 @@
                        const EndpointCommand& command);
   void RenewLeasesOfPausedDaemons();
   void RemoveMember(const DaemonId& id);
+  void LeaveStoreCallUnanswered(const std::string& daemon,
+                                uint64_t incarnation,
+                                StoreToken token,
+                                Millis timeout_at);
   /** Returns the revision of a daemon's item; 0 if there is none. */
   uint64_t RevisionOfMember(const DaemonId& id) const;
   /** Writes an endpoint's item to the store. */
@@ -198,6 +210,8 @@
   std::map<uint64_t, Millis> leases;
   std::map<uint64_t, Millis> lease_lengths;
   std::vector<Watch> watches;
+  /** Idle connections of each daemon to the store that are silent. */
+  std::map<std::string, int> silent_connections;
   std::multiset<Event> events;
   /** The job that each caller has sent. */
   std::map<CallerToken, std::string> callers;
