--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -35,13 +35,17 @@
 constexpr Millis kCallTimeout{600};
 /** Wait of a watch that is answered at once, also when there are no changes. */
 constexpr Millis kImmediateWait{1};
-/** Time from the timeout of a watch to the answer of the call that replaces it,
- * if one more call times out in between: that timeout, a retry delay, and the
- * period in which due calls are sent.
- */
-constexpr Millis kMaxReplacementTime{kCallTimeout.count + 150 + 20};
 constexpr Millis kInitialRetryDelay{100};
 constexpr Millis kMaxRetryDelay{1'000};
+/** The initial delay with its longest extension. */
+constexpr Millis kMaxInitialRetryDelay{150};
+/** Period in which calls that are due are sent. */
+constexpr Millis kMaxSendDelay{20};
+/** Time from the timeout of a watch to the call that replaces it, if one more
+ * call times out in between.
+ */
+constexpr Millis kMaxReplacementTime =
+    kCallTimeout + kMaxInitialRetryDelay + kMaxSendDelay;
 /** Number of different extensions of the delay, chosen by a hash of the
  * daemon's id, so that the daemons do not all retry at the same time.
  */
