--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -41,6 +41,7 @@
           settings.self,
           Incarnation(static_cast<uint64_t>(this->clock.Start().count)))) {
   this->node.store.max_silence = settings.max_store_silence;
+  this->node.scheduler.options = settings.scheduling;
 }
 
 Result<std::unique_ptr<FleetDaemon>> FleetDaemon::Create(
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -47,6 +47,7 @@
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/scheduled_job.h"
 #include "core/scheduling/scheduling_counters.h"
+#include "core/scheduling/scheduling_options.h"
 #include "model/peer_message.h"
 #include "ports/action.h"
 
@@ -121,6 +122,7 @@
 
 /** The scheduling state of a daemon. */
 struct Scheduler {
+  SchedulingOptions options;
   std::map<EndpointId, ManagedEndpoint> endpoints;
   /** Endpoints that are listed in the store, or were until recently. */
   std::map<EndpointId, EndpointHistory> endpoint_history;
--- a/modules/settings/fleet_settings.cc
+++ b/modules/settings/fleet_settings.cc
@@ -89,6 +89,29 @@
   return {kDefaultMs};
 }
 
+/** Reads a flag; false if it is missing. */
+bool ReadFlag(const Json& json, const char* path, Errors& errors) {
+  const Json* found = Find(json, path);
+  if (found == nullptr)
+    return false;
+  if (found->is_boolean())
+    return found->get<bool>();
+  AddError(errors, path, found, "true or false");
+  return false;
+}
+
+SchedulingOptions ReadSchedulingOptions(const Json& json, Errors& errors) {
+  SchedulingOptions options;
+  options.long_jobs = ReadFlag(json, "/scheduling/long_jobs", errors);
+  options.endpoint_kinds = ReadFlag(json, "/scheduling/endpoint_kinds", errors);
+  options.packing = ReadFlag(json, "/scheduling/packing", errors);
+  options.admission_forecast =
+      ReadFlag(json, "/scheduling/admission_forecast", errors);
+  options.interference = ReadFlag(json, "/scheduling/interference", errors);
+  options.warm_up = ReadFlag(json, "/scheduling/warm_up", errors);
+  return options;
+}
+
 }  // namespace
 
 bool IsFleetSettings(const std::string& text) {
@@ -120,11 +143,8 @@
   settings.self.peer_udp_port = settings.self.peer_tcp_port;
   settings.metrics = {settings.operators.ip,
                       ReadPort(json, "/metrics/port", true, errors)};
-  const Json* quiet = Find(json, "/log/quiet");
-  if (quiet != nullptr && !quiet->is_boolean())
-    AddError(errors, "/log/quiet", quiet, "true or false");
-  else
-    settings.is_log_quiet = quiet != nullptr && quiet->get<bool>();
+  settings.scheduling = ReadSchedulingOptions(json, errors);
+  settings.is_log_quiet = ReadFlag(json, "/log/quiet", errors);
   if (!errors.empty())
     return errors;
   return settings;
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -7,6 +7,7 @@
 
 #include "adapters/http/http_client.h"
 #include "base/millis.h"
+#include "core/scheduling/scheduling_options.h"
 #include "model/daemon_member.h"
 #include "settings/settings.h"
 
@@ -30,6 +31,7 @@
    * connections to it have become silent.
    */
   Millis max_store_silence;
+  SchedulingOptions scheduling;
   bool is_log_quiet = false;
 };
 
--- a/tests/adapters/fleet_settings_test.cc
+++ b/tests/adapters/fleet_settings_test.cc
@@ -34,6 +34,18 @@
   EXPECT_EQ(settings->max_store_silence, Millis{3'000});
 }
 
+// A part that a deployment's settings don't name must stay off there.
+TEST(FleetSettingsTest, PartsOfTheSchedulingAreOffUnlessSwitchedOn) {
+  std::string text = kValidSettings;
+  text.insert(text.rfind('}'), R"(, "scheduling": {"long_jobs": true})");
+  const auto parsed = ParseFleetSettings(text);
+  const auto* settings = std::get_if<FleetSettings>(&parsed);
+  ASSERT_NE(settings, nullptr);
+  EXPECT_TRUE(settings->scheduling.long_jobs);
+  EXPECT_FALSE(settings->scheduling.packing);
+  EXPECT_FALSE(settings->scheduling.interference);
+}
+
 TEST(FleetSettingsTest, MaximumSilenceOfTheStoreIsRead) {
   std::string text = kValidSettings;
   text.insert(text.rfind("}}"), ", \"max_silence_ms\": 4000");
