Tell long jobs apart from slow endpoints

Jobs that can't be in time were recognised by 15 % of their work, after up to 800 ms. Change: where /scheduling/long_jobs is set, a histogram of run times by route predicts a job's run time from the declared one; a run is stopped as overdue only if its job does not explain it; the least run time that the first reports allow ends jobs that are too long; jobs with a chance below 5 % are refused at once. The tests have not been run on this commit yet.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -72,6 +72,10 @@
   AddCounter(families, "runs_overdue_total",
              "Runs stopped because they far exceeded the expected run time", "",
              {{"", counters.overdue_runs}});
+  AddCounter(families, "runs_of_long_jobs_total",
+             "Runs that far exceeded the expected run time as their jobs are "
+             "long",
+             "", {{"", counters.runs_of_long_jobs}});
   AddCounter(families, "runs_relocated_total",
              "Runs stopped to start their tasks on a faster endpoint", "",
              {{"", counters.relocated_runs}});
--- a/modules/core/dispatch/run_times.h
+++ b/modules/core/dispatch/run_times.h
@@ -7,6 +7,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "core/dispatch/run_time_distribution.h"
 #include "model/task_spec.h"
 
 namespace dogwoodfall {
@@ -21,6 +22,8 @@
 /** Run time estimates by customer and kind, for an endpoint of slowness 1. */
 struct RunTimes {
   std::map<std::pair<CustomerId, std::string>, RunTimeEstimate> by_kind;
+  /** Only kept where SchedulingOptions::long_jobs is set; empty otherwise. */
+  RunTimeDistributions distributions;
 };
 
 /** Maximum number of estimates. Further kinds are not recorded. */
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -24,6 +24,11 @@
  */
 constexpr Millis kLargerEndpointRetryAfter{10'000};
 
+/** Minimum probability of being in time for a job to be accepted, where the
+ * distribution of run times is known.
+ */
+constexpr double kMinChance = 0.05;
+
 Millis ComputeLatestUsefulEnd(const ScheduledJob& job) {
   const Millis received_by = ReceivedBy(job);
   const Millis objective = job.objective_deadline - received_by;
@@ -66,6 +71,23 @@
       });
 }
 
+/** Returns the probability that a job which starts now is in time on a fast
+ * endpoint; none when the distribution of its run times is not known.
+ */
+std::optional<double> EstimateChance(const Scheduler& scheduler,
+                                     const ScheduledJob& job,
+                                     Millis now) {
+  const RunTimeDistribution* distribution =
+      FindDistribution(scheduler.run_times.distributions, job.job.route);
+  if (distribution == nullptr || job.job.steps.size() != 1)
+    return std::nullopt;
+  const auto time_left_ms =
+      static_cast<double>((ComputeLatestUsefulEnd(job) - now).count);
+  const Millis limit{std::llround(time_left_ms / scheduler.fast_slowness)};
+  return ProbabilityOfAtMost(
+      PredictRunTime(*distribution, job.job.steps[0].declared_run_time), limit);
+}
+
 bool HasEndpoints(const Scheduler& scheduler, const EndpointGroup& group) {
   return std::any_of(
       scheduler.endpoints.begin(), scheduler.endpoints.end(),
@@ -106,6 +128,12 @@
       !HasFittingEndpoint(scheduler, job, FitScope::kGroup))
     return JobOutcome{JobResult::kRefused, kMinRetryAfter,
                       "fits_no_endpoint_now"};
+  if (const std::optional<double> chance =
+          EstimateChance(scheduler, job, now)) {
+    if (*chance >= kMinChance)
+      return std::nullopt;
+    return JobOutcome{JobResult::kRefused, kMinRetryAfter, "too_late"};
+  }
   const Millis expected_run_time =
       EstimateJobRunTime(scheduler.run_times, job.job);
   const Millis best_case_run_time{
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -573,6 +573,8 @@
   if (outcome.result == JobResult::kRefused &&
       (job.has_started || job.may_have_started))
     outcome.result = JobResult::kAbandoned;
+  if (outcome.result == JobResult::kAbandoned)
+    LearnFromAbandonedJob(scheduler, job);
   StopRuns(scheduler, id, now, actions);
   RecordEndedJob(scheduler, job, now);
   ++scheduler.counters.job_results[static_cast<size_t>(outcome.result)];
--- a/modules/core/scheduling/job_order.cc
+++ b/modules/core/scheduling/job_order.cc
@@ -29,6 +29,11 @@
 Millis EstimateTaskRunTime(const RunTimes& times,
                            const TransientJob& job,
                            const JobStep& step) {
+  const RunTimeDistribution* distribution =
+      FindDistribution(times.distributions, job.route);
+  if (distribution != nullptr)
+    return GetExpectedRunTime(
+        PredictRunTime(*distribution, step.declared_run_time));
   const auto declared_ms =
       static_cast<double>(std::max<int64_t>(step.declared_run_time.count, 1));
   const RunTimeEstimate* estimate =
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -61,6 +61,9 @@
   int percent = 0;
   Millis percent_updated_at;
 
+  /** True once it was found to take long because its job is long. */
+  bool is_of_long_job = false;
+
   Millis stop_sent_at;
   /** True when the last stop has failed or was not answered. */
   bool has_failed_stop = false;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
@@ -46,6 +47,10 @@
  * time: 0.28 between jobs combined with 0.15 between the tasks of a job.
  */
 constexpr double kRunTimeLogDeviation = 0.32;
+/** Minimum probability of being in time for the start of a task, where the
+ * distribution of run times is known.
+ */
+constexpr double kMinChance = 0.05;
 /** Maximum risk in excess of the risk on a fast endpoint, while there is time
  * to wait for a fast endpoint.
  */
@@ -89,6 +94,19 @@
       std::llround(slowness * static_cast<double>(expected_run_time.count))};
 }
 
+/** Returns the probability that a log-normally distributed run time exceeds a
+ * limit.
+ */
+double ProbabilityOfMore(double run_time_ms,
+                         double limit_ms,
+                         double log_deviation) {
+  if (limit_ms <= 0)
+    return 1;
+  const double deviations =
+      std::log(limit_ms / std::max(run_time_ms, 1.0)) / log_deviation;
+  return std::erfc(deviations / std::sqrt(2.0)) / 2;
+}
+
 /** Estimates the probability that a run started now ends after the caller's
  * deadline. Run times are assumed to be log-normally distributed.
  */
@@ -100,12 +118,56 @@
       static_cast<double>((job.caller_deadline - now).count);
   const auto run_time_ms =
       static_cast<double>(ScaleRunTime(slowness, expected_run_time).count);
-  if (remaining_ms <= 0)
-    return 1;
-  const double deviations =
-      std::log(remaining_ms / std::max(run_time_ms, 1.0)) /
-      kRunTimeLogDeviation;
-  return std::erfc(deviations / std::sqrt(2.0)) / 2;
+  return ProbabilityOfMore(run_time_ms, remaining_ms, kRunTimeLogDeviation);
+}
+
+/** Predicts whether the tasks of a step that start now end in time. */
+struct StepPrediction {
+  const ScheduledJob& job;
+  Millis now;
+  /** Expected run time on an endpoint of slowness 1. */
+  Millis expected_run_time;
+  /** The same for the slowest of all tasks of the step. */
+  Millis slowest_run_time;
+  /** Run times of the job by their distribution on the route; none when it is
+   * not known, or when runs of the job show more.
+   */
+  std::optional<RunTimeProbabilities> probabilities;
+};
+
+StepPrediction PredictStep(const Scheduler& scheduler,
+                           const ScheduledJob& job,
+                           uint32_t step_index,
+                           Millis expected_run_time,
+                           Millis now) {
+  const JobStep& step = job.job.steps[step_index];
+  StepPrediction prediction{
+      job, now, expected_run_time,
+      ScaleRunTime(SlowestTaskFactor(step.task_count), expected_run_time),
+      std::nullopt};
+  const RunTimeDistribution* distribution =
+      FindDistribution(scheduler.run_times.distributions, job.job.route);
+  if (distribution != nullptr && !job.has_started)
+    prediction.probabilities =
+        PredictRunTime(*distribution, step.declared_run_time);
+  return prediction;
+}
+
+/** Estimates the probability that a job ends after its caller's deadline. */
+double EstimateMissRisk(const StepPrediction& prediction, double slowness) {
+  if (!prediction.probabilities)
+    return EstimateMissRisk(slowness, prediction.job,
+                            prediction.slowest_run_time, prediction.now);
+  const auto remaining_ms = static_cast<double>(
+      (prediction.job.caller_deadline - prediction.now).count);
+  const double slowest_factor =
+      static_cast<double>(prediction.slowest_run_time.count) /
+      static_cast<double>(
+          std::max<int64_t>(prediction.expected_run_time.count, 1));
+  return 1 -
+         ProbabilityOfAtMost(
+             *prediction.probabilities,
+             Millis{std::llround(remaining_ms / (slowness * slowest_factor))});
 }
 
 /** Returns the cost of running a task beside those on an endpoint when some of
@@ -151,17 +213,16 @@
  * for another endpoint.
  */
 double ComputeMaxRisk(const Scheduler& scheduler,
-                      const ScheduledJob& job,
-                      Millis expected_run_time,
-                      Millis now) {
+                      const StepPrediction& prediction) {
+  const ScheduledJob& job = prediction.job;
+  const Millis now = prediction.now;
   const auto slack =
       static_cast<double>((job.latest_start - ReceivedBy(job)).count);
   const auto waited = static_cast<double>((now - ReceivedBy(job)).count);
   if (waited > slack)
     return 1;
   const double risk_limit =
-      EstimateMissRisk(scheduler.fast_slowness, job, expected_run_time, now) +
-      kMaxExtraRisk;
+      EstimateMissRisk(prediction, scheduler.fast_slowness) + kMaxExtraRisk;
   return waited > kFastEndpointWaitShare * slack
              ? std::max(risk_limit, kMaxRiskAfterWait)
              : risk_limit;
@@ -176,6 +237,21 @@
              : job.caller_deadline;
 }
 
+/** Returns true when a task that starts on an endpoint may end in time: by its
+ * expected run time, or for a job that can only be in time if it is shorter
+ * than expected, by the probability of that.
+ */
+bool MayEndInTime(const StepPrediction& prediction,
+                  const ManagedEndpoint& endpoint,
+                  double risk) {
+  const bool is_late = prediction.now > prediction.job.latest_start;
+  if (prediction.probabilities && is_late)
+    return 1 - risk >= kMinChance;
+  return prediction.now +
+             ScaleRunTime(endpoint.slowness, prediction.expected_run_time) <=
+         ComputeTargetEnd(prediction.job, prediction.now);
+}
+
 }  // namespace
 
 bool NeedsFastEndpoints(const Scheduler& scheduler,
@@ -251,20 +327,16 @@
   const TaskProgress& task = job.tasks[step_index][task_index];
   ManagedEndpoint* best = nullptr;
   double best_cost = 0;
-  const Millis target_end = ComputeTargetEnd(job, now);
   // All tasks of the step have to end in time, so the slowest one counts.
-  const Millis slowest_run_time =
-      ScaleRunTime(SlowestTaskFactor(job.job.steps[step_index].task_count),
-                   expected_run_time);
-  const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
+  const StepPrediction prediction =
+      PredictStep(scheduler, job, step_index, expected_run_time, now);
+  const double max_risk = ComputeMaxRisk(scheduler, prediction);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
-        !HasLeaseForStart(scheduler, endpoint, job.job.id, now) ||
-        now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
+        !HasLeaseForStart(scheduler, endpoint, job.job.id, now))
       continue;
-    const double risk =
-        EstimateMissRisk(endpoint.slowness, job, slowest_run_time, now);
-    if (risk > max_risk)
+    const double risk = EstimateMissRisk(prediction, endpoint.slowness);
+    if (risk > max_risk || !MayEndInTime(prediction, endpoint, risk))
       continue;
     const double cost =
         risk +
--- a/modules/core/scheduling/run_relocation.cc
+++ b/modules/core/scheduling/run_relocation.cc
@@ -38,7 +38,7 @@
   for (auto& [id, endpoint] : scheduler.endpoints) {
     for (const auto& [key, run] : endpoint.runs) {
       if (run.state != RunState::kRunning ||
-          run.percent < kMinProjectionPercent)
+          run.percent < GetMinProjectionPercent(scheduler))
         continue;
       const auto job = scheduler.jobs.find(key.first.job);
       if (job == scheduler.jobs.end())
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -6,6 +6,7 @@
 
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/slow_run_cause.h"
 #include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
@@ -79,10 +80,11 @@
   return timing;
 }
 
-LogEvent MakeOverdueEvent(const ManagedEndpoint& endpoint,
-                          const RunKey& key,
-                          const RunTiming& timing) {
-  return {"run_overdue",
+LogEvent MakeTimingEvent(const char* name,
+                         const ManagedEndpoint& endpoint,
+                         const RunKey& key,
+                         const RunTiming& timing) {
+  return {name,
           {{"job", key.first.job.value},
            {"task", FormatTaskPosition(key.first)},
            {"attempt", std::to_string(key.second)},
@@ -92,6 +94,37 @@
            {"usual_ms", std::to_string(std::llround(timing.expected_ms))}}};
 }
 
+/** Time after which the first reports of a run are a usable basis for its least
+ * run time. Until then, the time that its start took counts too much.
+ */
+constexpr Millis kMinReportTime{60};
+
+/** Returns true when the first reports of a run already show that its job can't
+ * end before its caller stops waiting: even the least run time that they allow
+ * is too long, the endpoint is not the cause, and a fast endpoint would not
+ * help.
+ */
+bool IsJobTooLong(const Scheduler& scheduler,
+                  const ManagedEndpoint& endpoint,
+                  const RunKey& key,
+                  const Run& run,
+                  Millis now) {
+  const auto job = scheduler.jobs.find(key.first.job);
+  if (!scheduler.options.long_jobs || job == scheduler.jobs.end() ||
+      run.percent_updated_at - run.start_sent_at < kMinReportTime)
+    return false;
+  const double min_run_time_ms = kProjectionLowerBound * ProjectMinRunTime(run);
+  const auto time_left_ms =
+      static_cast<double>((job->second.caller_deadline - now).count);
+  const double on_fast_endpoint_ms =
+      min_run_time_ms * scheduler.fast_slowness / endpoint.slowness;
+  const auto elapsed_ms = static_cast<double>((now - run.start_sent_at).count);
+  if (min_run_time_ms - elapsed_ms <= time_left_ms ||
+      on_fast_endpoint_ms <= time_left_ms)
+    return false;
+  return IsLongJob(scheduler, endpoint, key, min_run_time_ms);
+}
+
 /** Returns true when a run can no longer end before its caller stops waiting,
  * neither on its endpoint nor by a new start on a fast endpoint.
  */
@@ -124,7 +157,8 @@
   for (const auto& [id, endpoint] : scheduler.endpoints) {
     for (const auto& [key, run] : endpoint.runs) {
       if (run.state == RunState::kRunning &&
-          IsInfeasible(scheduler, key, run, now))
+          (IsInfeasible(scheduler, key, run, now) ||
+           IsJobTooLong(scheduler, endpoint, key, run, now)))
         infeasible.push_back(key.first.job);
     }
   }
@@ -138,19 +172,29 @@
                      Millis now,
                      Actions& actions) {
   std::vector<std::pair<RunKey, RunTiming>> overdue;
-  for (const auto& [key, run] : endpoint.runs) {
+  for (auto& [key, run] : endpoint.runs) {
     // Until its progress is reported, nothing shows that a run is slow. Its
     // endpoint may only be silent.
     const bool is_reported = run.percent_updated_at > run.start_sent_at;
     if (run.state != RunState::kRunning || !is_reported)
       continue;
     const RunTiming timing = ComputeTiming(scheduler, endpoint, key, run, now);
-    if (IsOverdue(timing))
-      overdue.emplace_back(key, timing);
+    if (!IsOverdue(timing))
+      continue;
+    if (scheduler.options.long_jobs &&
+        IsLongJob(scheduler, endpoint, key, timing.projected_ms)) {
+      if (!run.is_of_long_job)
+        actions.push_back(
+            MakeTimingEvent("run_of_long_job", endpoint, key, timing));
+      scheduler.counters.runs_of_long_jobs += run.is_of_long_job ? 0 : 1;
+      run.is_of_long_job = true;
+      continue;
+    }
+    overdue.emplace_back(key, timing);
   }
   for (const auto& [key, timing] : overdue) {
     ++scheduler.counters.overdue_runs;
-    actions.push_back(MakeOverdueEvent(endpoint, key, timing));
+    actions.push_back(MakeTimingEvent("run_overdue", endpoint, key, timing));
     LearnFromStraggler(endpoint, timing.projected_ms / timing.expected_ms);
     SendStop(scheduler, endpoint, key, now, actions);
   }
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -21,6 +21,8 @@
   std::array<uint64_t, 8> job_results = {};
   /** Runs that were stopped because they took far longer than expected. */
   uint64_t overdue_runs = 0;
+  /** Runs that took as long but were not stopped, as their jobs are long. */
+  uint64_t runs_of_long_jobs = 0;
   /** Runs that were stopped to start their tasks on a faster endpoint. */
   uint64_t relocated_runs = 0;
   /** Runs that were lost with their endpoints. */
--- a/modules/core/scheduling/speed_learning.cc
+++ b/modules/core/scheduling/speed_learning.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "core/scheduling/job_order.h"
+#include "core/scheduling/slow_run_cause.h"
 
 namespace dogwoodfall {
 namespace {
@@ -56,6 +57,7 @@
                       const ScheduledJob& job,
                       uint32_t step,
                       const RunKey* excluded_run) {
+  const int min_percent = GetMinProjectionPercent(scheduler);
   LogSum log_sum;
   for (uint32_t index = 0; index < job.tasks[step].size(); ++index) {
     const TaskProgress& task = job.tasks[step][index];
@@ -71,7 +73,7 @@
     const RunKey key{{job.job.id, step, index}, task.attempt};
     const auto run = endpoint->second.runs.find(key);
     const bool is_counted = run != endpoint->second.runs.end() &&
-                            run->second.percent >= kMinProjectionPercent &&
+                            run->second.percent >= min_percent &&
                             (excluded_run == nullptr || *excluded_run != key);
     if (is_counted) {
       AddSample(log_sum,
@@ -106,6 +108,10 @@
          std::max(run.percent, 1);
 }
 
+int GetMinProjectionPercent(const Scheduler& scheduler) {
+  return scheduler.options.long_jobs ? kMinSpeedPercent : kMinProjectionPercent;
+}
+
 Millis EstimateStepRunTime(const Scheduler& scheduler,
                            const ScheduledJob& job,
                            uint32_t step,
@@ -135,6 +141,22 @@
     }
     RecordRunTime(scheduler.run_times, CustomerId(job.job.service),
                   job.job.route, expected_run_time, 1);
+    if (scheduler.options.long_jobs)
+      AddRunTime(scheduler.run_times.distributions, job.job.route,
+                 expected_run_time);
+  }
+}
+
+void LearnFromAbandonedJob(Scheduler& scheduler, const ScheduledJob& job) {
+  if (!scheduler.options.long_jobs)
+    return;
+  for (uint32_t step = 0; step < job.tasks.size(); ++step) {
+    const LogSum log_sum = SumLogRunTimes(scheduler, job, step, nullptr);
+    if (log_sum.count == 0)
+      continue;
+    AddRunTime(
+        scheduler.run_times.distributions, job.job.route,
+        CombineWithPrior(log_sum, job.job.steps[step].declared_run_time));
   }
 }
 
@@ -156,6 +178,7 @@
     return false;
   active_at = now;
   scheduler.run_times.by_kind.erase({CustomerId(job.service), job.route});
+  scheduler.run_times.distributions.by_route.erase(job.route);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (endpoint.runs.empty())
       endpoint.slowness = std::min(endpoint.slowness, 1.0);
--- a/modules/core/scheduling/speed_learning.h
+++ b/modules/core/scheduling/speed_learning.h
@@ -17,6 +17,12 @@
 /** Minimum percentage of the work for projecting the run time. */
 inline constexpr int kMinProjectionPercent = 15;
 
+/** Returns the minimum percentage of the work for projecting a run time: less
+ * than kMinProjectionPercent where long jobs are told apart, as they have to be
+ * recognised early.
+ */
+int GetMinProjectionPercent(const Scheduler& scheduler);
+
 /** Estimates the run time of a step's tasks on an endpoint of slowness 1. The
  * estimate for the route is corrected by the tasks of the step that have ended
  * or have made enough progress.
@@ -34,6 +40,11 @@
  */
 void LearnFromJob(Scheduler& scheduler, const ScheduledJob& job, Millis now);
 
+/** Adds the projected run time of a job that was abandoned to the distribution
+ * of its route. Does nothing when no run of it shows its speed.
+ */
+void LearnFromAbandonedJob(Scheduler& scheduler, const ScheduledJob& job);
+
 /** Records that a task of a route was started or that a job of it ended. */
 void RecordRouteActivity(Scheduler& scheduler,
                          const std::string& route,
