Bound what the connections of a listener hold together

Cause: libevhtp kept every header line as an allocated pair, parsed queries and bodies of forms into pairs, and took a buffer for every received part of a body. Heads had no limit, and the only bound on the sum was max_connections times max_body_bytes. A JSON body of 1 MB took up to 90 MB in parsed form.

Change: HttpServer counts the bytes of each connection (head, body until it is answered, output that is not sent, buffer of the parser) and closes connections when their sum exceeds max_held_bytes: first stalled requests, then idle connections, then the slowest incomplete requests, then unread output, and never one whose request was passed on. It limits size, lines and time of a head, empty lines before a request, the rate of a body, and descriptors. Header lines that nothing reads, parsed queries and the content type, which starts the parsing of forms, are not kept; small parts of a body are joined. JSON of more than 64 kB with less than 6 bytes a value is refused. The operators' listeners get the same limits; the peers' listener and the HTTP client bound the sum of incomplete frames and responses, and the client bounds heads of responses. Refusals are counted and logged once a second for each kind.

--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -62,7 +62,8 @@
 
 Result<bool> Daemon::Open() {
   this->base = event_base_new();
-  this->http = std::make_unique<HttpClient>(this->base);
+  this->http = std::make_unique<HttpClient>(this->base,
+                                            this->settings.http_client_limits);
   this->endpoints = std::make_unique<EndpointClient>(
       *this->http, [this](const EndpointEvent& event) {
         this->CallCore([&](Millis now, Actions& actions) {
@@ -101,7 +102,7 @@
   this->caller_server = caller_server.Take();
   auto operator_server = HttpServer::Create(
       this->base, this->settings.operators.ip, this->settings.operators.port,
-      HttpServerLimits(),
+      this->settings.operator_connections,
       [this](HttpToken token, const HttpRequest& request) {
         this->HandleOperatorRequest(token, request);
       },
@@ -201,10 +202,13 @@
     server.Reply(token, ready ? kStatusOk : kStatusUnavailable,
                  ready ? R"({"ready":true})" : R"({"ready":false})");
   } else if (request.path == "/metrics") {
-    server.ReplyAs(token, kStatusOk,
-                   FormatMetrics(this->node, this->peers->Counters(),
-                                 this->store->Calls(), now),
-                   "text/plain; version=0.0.4");
+    HttpRefusalCounts refusals = this->caller_server->Refusals();
+    AddTo(refusals, server.Refusals());
+    server.ReplyAs(
+        token, kStatusOk,
+        FormatMetrics(this->node, this->peers->Counters(), this->store->Calls(),
+                      refusals, this->http->ResponsesGivenUp(), now),
+        "text/plain; version=0.0.4");
   } else if (request.path == "/state") {
     server.Reply(token, kStatusOk, DumpState(this->node, "", now));
   } else if (request.path.compare(0, 7, "/state/") == 0) {
--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -70,7 +70,8 @@
 
 Result<bool> FleetDaemon::Open() {
   this->base = event_base_new();
-  this->http = std::make_unique<HttpClient>(this->base);
+  this->http = std::make_unique<HttpClient>(this->base,
+                                            this->settings.http_client_limits);
   this->endpoints = std::make_unique<EndpointGateway>(
       *this->http, [this](const EndpointReply& reply) {
         this->CallCore([&](Millis now, Actions& actions) {
@@ -120,7 +121,7 @@
 }
 
 Result<bool> FleetDaemon::OpenListeners() {
-  HttpServerLimits caller_limits;
+  HttpServerLimits caller_limits = this->settings.caller_connections;
   caller_limits.captured_headers = CallerHeaders();
   caller_limits.on_caller_disconnected = [this](HttpToken token) {
     this->CallCore([&](Millis now, Actions& actions) {
@@ -139,18 +140,18 @@
   if (!caller_server.ok())
     return caller_server.error();
   this->caller_server = caller_server.Take();
-  auto readiness_server =
-      this->Listen(this->settings.readiness, HttpServerLimits(),
-                   [this](HttpToken token, const HttpRequest&) {
-                     const bool ready = IsReady(this->node);
-                     this->readiness_server->Reply(
-                         token, ready ? kStatusOk : kStatusUnavailable, "{}");
-                   });
+  auto readiness_server = this->Listen(
+      this->settings.readiness, this->settings.operator_connections,
+      [this](HttpToken token, const HttpRequest&) {
+        const bool ready = IsReady(this->node);
+        this->readiness_server->Reply(
+            token, ready ? kStatusOk : kStatusUnavailable, "{}");
+      });
   if (!readiness_server.ok())
     return readiness_server.error();
   this->readiness_server = readiness_server.Take();
   auto operator_server = this->Listen(
-      this->settings.operators, HttpServerLimits(),
+      this->settings.operators, this->settings.operator_connections,
       [this](HttpToken token, const HttpRequest& request) {
         this->AnswerOperator(*this->operator_server, token, [&]() {
           this->HandleOperatorRequest(*this->operator_server, token, request);
@@ -161,7 +162,7 @@
   this->operator_server = operator_server.Take();
   if (this->settings.metrics.port != 0) {
     auto metrics_server = this->Listen(
-        this->settings.metrics, HttpServerLimits(),
+        this->settings.metrics, this->settings.operator_connections,
         [this](HttpToken token, const HttpRequest& request) {
           this->AnswerOperator(*this->metrics_server, token, [&]() {
             this->HandleMetricsRequest(*this->metrics_server, token, request);
@@ -177,7 +178,7 @@
 Result<bool> FleetDaemon::OpenPeers() {
   auto peers = PeerNetwork::Create(
       this->base, this->settings.self.ip, this->settings.self.peer_tcp_port,
-      this->settings.self.peer_udp_port, PeerNetworkLimits(),
+      this->settings.self.peer_udp_port, this->settings.peer_limits,
       [this](const PeerFrame& frame) {
         this->CallCore([&](Millis now, Actions& actions) {
           OnPeerFrame(this->node, now, frame, actions);
@@ -241,10 +242,18 @@
                  FormatRefusal(ResultCode::kUnknownPath, request.path));
     return;
   }
+  HttpRefusalCounts refusals = {};
+  for (const HttpServer* each :
+       {this->caller_server.get(), this->readiness_server.get(),
+        this->operator_server.get(), this->metrics_server.get()}) {
+    if (each != nullptr)
+      AddTo(refusals, each->Refusals());
+  }
   server.ReplyAs(token, kStatusOk,
                  FormatFleetMetrics(
                      this->node, this->peers->Counters(), this->store->Calls(),
-                     this->http->OpenedConnections(), DroppedLogLines()),
+                     this->http->OpenedConnections(), DroppedLogLines(),
+                     refusals, this->http->ResponsesGivenUp()),
                  "text/plain; version=0.0.4");
 }
 
--- a/modules/adapters/callers/caller_json.cc
+++ b/modules/adapters/callers/caller_json.cc
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "adapters/callers/json_density.h"
+
 namespace dogwoodfall {
 namespace {
 
@@ -24,6 +26,9 @@
 
 /** Parses a JSON object. Nesting deeper than kMaxNestingDepth is an error. */
 Result<Json> ParseObject(const std::string& body) {
+  if (IsTooDense(body))
+    return MakeError(ResultCode::kMalformedRequest, "/",
+                     "too many values for its size");
   bool is_too_deep = false;
   const auto check_depth = [&is_too_deep](int depth, Json::parse_event_t,
                                           Json&) {
--- a/modules/adapters/http/http_client.cc
+++ b/modules/adapters/http/http_client.cc
@@ -8,7 +8,8 @@
 
 namespace dogwoodfall {
 
-HttpClient::HttpClient(event_base* base) : base(base) {}
+HttpClient::HttpClient(event_base* base, const HttpClientLimits& limits)
+    : base(base), limits(limits) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -33,8 +34,8 @@
   std::unique_ptr<HttpClientConnection> connection;
   if (idle_connections.empty()) {
     ++this->opened_connections;
-    connection =
-        std::make_unique<HttpClientConnection>(this->base, *this, address);
+    connection = std::make_unique<HttpClientConnection>(this->base, *this,
+                                                        address, this->limits);
   } else {
     connection = std::move(idle_connections.back());
     idle_connections.pop_back();
@@ -57,6 +58,7 @@
   const auto found = this->busy.find(connection);
   std::unique_ptr<HttpClientConnection> finished = std::move(found->second);
   this->busy.erase(found);
+  this->ForgetReceived(finished->TakeReceivedBytes());
   const Callback callback = finished->TakeCallback();
   if (response.outcome == HttpOutcome::kAnswered) {
     finished->SetAnsweredAfter(this->requests);
@@ -79,6 +81,42 @@
   callback(response);
 }
 
+void HttpClient::HandleReceived(HttpClientConnection* connection,
+                                size_t bytes) {
+  // What a server sends without a request is not kept.
+  if (this->busy.count(connection) == 0)
+    return;
+  this->held_bytes += bytes;
+  connection->AddReceivedBytes(bytes);
+  if (this->limits.max_held_bytes == 0 || this->is_giving_up_scheduled ||
+      this->held_bytes <= this->limits.max_held_bytes)
+    return;
+  // evhttp still uses the connection while it receives.
+  this->is_giving_up_scheduled = true;
+  const timeval no_delay = {0, 0};
+  event_base_once(
+      this->base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* self) {
+        static_cast<HttpClient*>(self)->GiveUpLargestResponses();
+      },
+      this, &no_delay);
+}
+
+void HttpClient::GiveUpLargestResponses() {
+  this->is_giving_up_scheduled = false;
+  while (this->held_bytes > this->limits.max_held_bytes &&
+         !this->busy.empty()) {
+    HttpClientConnection* largest = this->busy.begin()->first;
+    for (const auto& [connection, owned] : this->busy) {
+      if (connection->ReceivedBytes() > largest->ReceivedBytes())
+        largest = connection;
+    }
+    ++this->responses_given_up;
+    largest->Cancel();
+    this->Finish(largest, {HttpOutcome::kLost, 0, {}, false});
+  }
+}
+
 void HttpClient::CloseSilentConnections(const HttpAddress& address,
                                         uint64_t since) {
   auto& connections = this->idle[address];
--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "adapters/http/http_address.h"
+#include "adapters/http/http_client_limits.h"
 #include "base/millis.h"
 
 struct event_base;
@@ -57,7 +58,7 @@
   using Callback = std::function<void(const HttpResponse&)>;
 
   /** @param base the event loop; must outlive the client */
-  explicit HttpClient(event_base* base);
+  explicit HttpClient(event_base* base, const HttpClientLimits& limits = {});
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
   ~HttpClient();
@@ -89,14 +90,27 @@
   /** Number of connections opened since the client was created. */
   uint64_t OpenedConnections() const { return this->opened_connections; }
 
+  /** Number of responses given up because together they exceeded
+   * max_held_bytes.
+   */
+  uint64_t ResponsesGivenUp() const { return this->responses_given_up; }
+
  private:
   friend class HttpClientConnection;
 
   void Finish(HttpClientConnection* connection, const HttpResponse& response);
+  void HandleReceived(HttpClientConnection* connection, size_t bytes);
+  void ForgetReceived(size_t bytes) { this->held_bytes -= bytes; }
+  void GiveUpLargestResponses();
   void FreeFailedConnections();
   void CloseSilentConnections(const HttpAddress& address, uint64_t since);
 
   event_base* base;
+  HttpClientLimits limits;
+  /** Bytes received of responses that are not complete yet. */
+  size_t held_bytes = 0;
+  uint64_t responses_given_up = 0;
+  bool is_giving_up_scheduled = false;
   uint64_t opened_connections = 0;
   /** Number of requests sent so far. */
   uint64_t requests = 0;
--- a/modules/adapters/http/http_client_connection.cc
+++ b/modules/adapters/http/http_client_connection.cc
@@ -16,7 +16,6 @@
 constexpr int64_t kMicrosPerMilli = 1000;
 /** Time limit for connecting and writing the first byte of a request. */
 constexpr timeval kConnectTimeout = {1, 0};
-constexpr ev_ssize_t kMaxResponseBytes = 16'000'000;
 
 evhttp_cmd_type ParseMethod(const std::string& method) {
   if (method == "DELETE")
@@ -36,17 +35,23 @@
 
 HttpClientConnection::HttpClientConnection(event_base* base,
                                            HttpClient& client,
-                                           const HttpAddress& address)
+                                           const HttpAddress& address,
+                                           const HttpClientLimits& limits)
     : client(client), address(address) {
   this->connection = evhttp_connection_base_new(
       base, nullptr, address.ip.c_str(), address.port);
   assert(this->connection != nullptr);
   // A request that evhttp repeats by itself could start a task twice.
   evhttp_connection_set_retries(this->connection, 0);
-  evhttp_connection_set_max_body_size(this->connection, kMaxResponseBytes);
+  evhttp_connection_set_max_headers_size(
+      this->connection, static_cast<ev_ssize_t>(limits.max_head_bytes));
+  evhttp_connection_set_max_body_size(
+      this->connection, static_cast<ev_ssize_t>(limits.max_body_bytes));
   bufferevent* stream = evhttp_connection_get_bufferevent(this->connection);
   evbuffer_add_cb(bufferevent_get_output(stream),
                   &HttpClientConnection::OnWritten, this);
+  evbuffer_add_cb(bufferevent_get_input(stream),
+                  &HttpClientConnection::OnReceived, this);
   this->connect_timer =
       evtimer_new(base, &HttpClientConnection::OnConnectTimeout, this);
 }
@@ -123,6 +128,19 @@
   self->client.Finish(self, response);
 }
 
+void HttpClientConnection::Cancel() {
+  evtimer_del(this->connect_timer);
+  evhttp_cancel_request(this->request);
+}
+
+void HttpClientConnection::OnReceived(evbuffer*,
+                                      const evbuffer_cb_info* info,
+                                      void* argument) {
+  auto* self = static_cast<HttpClientConnection*>(argument);
+  if (info->n_added > 0)
+    self->client.HandleReceived(self, info->n_added);
+}
+
 void HttpClientConnection::OnWritten(evbuffer*,
                                      const evbuffer_cb_info* info,
                                      void* argument) {
--- a/modules/adapters/http/http_client_connection.h
+++ b/modules/adapters/http/http_client_connection.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "adapters/http/http_client.h"
 #include "base/millis.h"
@@ -23,7 +24,8 @@
   /** @param client must outlive the connection */
   HttpClientConnection(event_base* base,
                        HttpClient& client,
-                       const HttpAddress& address);
+                       const HttpAddress& address,
+                       const HttpClientLimits& limits);
   HttpClientConnection(const HttpClientConnection&) = delete;
   HttpClientConnection& operator=(const HttpClientConnection&) = delete;
   ~HttpClientConnection();
@@ -47,12 +49,24 @@
   void SetAnsweredAfter(uint64_t number) { this->answered_after = number; }
   uint64_t AnsweredAfter() const { return this->answered_after; }
 
+  /** Bytes received of the response to the pending request. */
+  void AddReceivedBytes(size_t bytes) { this->received_bytes += bytes; }
+  size_t ReceivedBytes() const { return this->received_bytes; }
+  /** Returns ReceivedBytes() and sets it to 0. */
+  size_t TakeReceivedBytes() { return std::exchange(this->received_bytes, 0); }
+
+  /** Cancels the pending request, which closes the connection. */
+  void Cancel();
+
   /** Moves the callback of the finished request out of the connection. */
   HttpClient::Callback TakeCallback() { return std::move(this->callback); }
 
  private:
   static void OnResponse(evhttp_request* request, void* self);
   static void OnConnectTimeout(int, short what, void* self);
+  static void OnReceived(evbuffer* buffer,
+                         const evbuffer_cb_info* info,
+                         void* self);
   static void OnWritten(evbuffer* buffer,
                         const evbuffer_cb_info* info,
                         void* self);
@@ -65,6 +79,7 @@
   event* connect_timer = nullptr;
   HttpClient::Callback callback;
   size_t bytes_written = 0;
+  size_t received_bytes = 0;
   uint64_t request_number = 0;
   uint64_t answered_after = 0;
 };
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -11,20 +11,26 @@
 #include <utility>
 #include <vector>
 
+#include "adapters/http/http_connection_state.h"
+#include "adapters/http/http_refusal.h"
+#include "adapters/http/http_server_limits.h"
 #include "base/millis.h"
+#include "base/process_clock.h"
 #include "base/result.h"
 
+struct event;
 struct event_base;
 struct evbuffer;
+struct evbuffer_cb_info;
 struct evhtp;
 struct evhtp_connection;
+struct evhtp_kv;
+struct evhtp_kvs;
+struct evhtp_path;
 struct evhtp_request;
 
 namespace dogwoodfall {
 
-/** Identifies a request that has not been answered yet. */
-using HttpToken = uint64_t;
-
 /** A received request. */
 struct HttpRequest {
   std::string method;
@@ -40,29 +46,15 @@
   std::optional<Millis> age;
 };
 
-/** Limits and options of a listener. */
-struct HttpServerLimits {
-  size_t max_body_bytes = 1'000'000;
-  /** Max number of open connections. While more are open, every request is
-   * refused with kTooManyConnections. From twice this number on, new
-   * connections are closed without a response.
-   */
-  uint32_t max_connections = 1'000;
-  /** Connections without progress for this time are closed. */
-  int64_t read_timeout_ms = 30'000;
-  /** Lower-case names of the headers that are passed to the handler. */
-  std::vector<std::string> captured_headers;
-  /** Called when a caller closes its connection before its request is
-   * answered. With this callback connections are read while a request is
-   * pending, and a connection that sends a second request meanwhile is closed.
-   */
-  std::function<void(HttpToken)> on_caller_disconnected;
-};
-
 /** Headers of a response besides Content-Type. */
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
-/** HTTP server on an event loop (libevhtp). */
+/** HTTP server on an event loop (libevhtp).
+ *
+ * Bounds what all its connections hold together. At the bound, connections
+ * whose requests have not been passed on to the handler are closed, the idle
+ * and the slowest ones first. See docs/design/UNTRUSTED-CLIENTS.md.
+ */
 class HttpServer {
  public:
   /** Called for each request. Reply() answers it, during the call or later. */
@@ -109,6 +101,12 @@
   /** Number of open connections. */
   uint32_t Connections() const { return this->connections; }
 
+  /** Bytes that all connections hold, as counted against max_held_bytes. */
+  size_t HeldBytes() const;
+
+  /** Refusals since the server was created. */
+  const HttpRefusalCounts& Refusals() const { return this->refusals; }
+
  private:
   HttpServer(const HttpServerLimits& limits,
              Handler handler,
@@ -116,13 +114,43 @@
 
   static uint16_t OnPreAccept(evhtp_connection* connection, void* self);
   static uint16_t OnPostAccept(evhtp_connection* connection, void* self);
-  static uint16_t OnConnectionEnd(evhtp_connection* connection, void* self);
-  static uint16_t OnRead(evhtp_request* request, evbuffer* data, void* self);
+  static uint16_t OnConnectionEnd(evhtp_connection* connection, void* state);
+  static uint16_t OnPath(evhtp_request* request, evhtp_path* path, void* state);
+  static uint16_t OnHeadersStart(evhtp_request* request, void* state);
+  static uint16_t OnHeader(evhtp_request* request,
+                           evhtp_kv* header,
+                           void* state);
+  static uint16_t OnHeaders(evhtp_request* request,
+                            evhtp_kvs* headers,
+                            void* state);
+  static uint16_t OnRead(evhtp_request* request, evbuffer* data, void* state);
   static uint16_t OnRequestEnd(evhtp_request* request, void* self);
   static void OnRequest(evhtp_request* request, void* self);
+  static void OnInput(evbuffer* input,
+                      const evbuffer_cb_info* info,
+                      void* state);
+  static void OnOutput(evbuffer* output,
+                       const evbuffer_cb_info* info,
+                       void* state);
+  static void OnSweepTimer(int, short, void* self);
+  static void OnCloseEvent(int, short, void* self);
 
   void HandleRequest(evhtp_request* request);
   void ReplyError(evhtp_request* request, ResultCode code);
+  void HandleInput(HttpConnectionState& state,
+                   evbuffer* input,
+                   const evbuffer_cb_info& info);
+  void BeginHead(HttpConnectionState& state);
+  void FinishRequest(evhtp_connection* connection);
+  bool IsKept(const evhtp_request* request, const evhtp_kv& header) const;
+  void ChargeParser(HttpConnectionState& state, size_t token_bytes);
+  void SetCharge(HttpConnectionState& state, size_t bytes);
+  void EnforceMemoryLimit(HttpConnectionState* current);
+  HttpConnectionState* FindConnectionToClose(
+      const HttpConnectionState* current) const;
+  void Refuse(HttpConnectionState& state, HttpRefusal refusal);
+  void Sweep();
+  void LogRefusals();
 
   HttpServerLimits limits;
   Handler handler;
@@ -136,6 +164,21 @@
   /** The request whose handler is running; 0 for none. */
   HttpToken handled_token = 0;
   uint32_t connections = 0;
+  std::unordered_map<evhtp_connection*, std::unique_ptr<HttpConnectionState>>
+      states;
+  /** Connections to be closed from the event loop: libevhtp still uses them
+   * while it calls hooks.
+   */
+  std::vector<evhtp_connection*> closing;
+  /** Sums over all connections, see HttpConnectionState. */
+  size_t charged_bytes = 0;
+  size_t output_bytes = 0;
+  size_t parser_bytes = 0;
+  HttpRefusalCounts refusals = {};
+  HttpRefusalCounts logged_refusals = {};
+  event* sweep_timer = nullptr;
+  event* close_event = nullptr;
+  ProcessClock clock;
   bool closes_connections_after_reply = false;
 };
 
--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -103,7 +103,9 @@
                                const PeerNetworkCounters& network,
                                uint64_t store_calls,
                                uint64_t connections,
-                               uint64_t dropped_log_lines) {
+                               uint64_t dropped_log_lines,
+                               const HttpRefusalCounts& refusals,
+                               uint64_t responses_given_up) {
   MetricFamilies families;
   AddReception(families, node.reception);
   AddScheduler(families, node.scheduler);
@@ -129,6 +131,8 @@
       families, "peer_bytes_total",
       "Bytes sent to and received from other daemons", "way",
       {{"sent", network.bytes_sent}, {"received", network.bytes_received}});
+  AddRefusedClients(families, refusals, network.closed_memory_full,
+                    responses_given_up);
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/modules/adapters/metrics/fleet_metrics.h
+++ b/modules/adapters/metrics/fleet_metrics.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 
+#include "adapters/http/http_refusal.h"
 #include "adapters/peers/peer_network.h"
 #include "core/fleet/fleet_node.h"
 
@@ -15,12 +16,16 @@
  * @param connections connections to endpoints and the store that were opened
  * since the process started
  * @param dropped_log_lines log lines that were not written
+ * @param refusals refusals of all HTTP listeners
+ * @param responses_given_up see HttpClient::ResponsesGivenUp
  */
 std::string FormatFleetMetrics(const FleetNode& node,
                                const PeerNetworkCounters& network,
                                uint64_t store_calls,
                                uint64_t connections,
-                               uint64_t dropped_log_lines);
+                               uint64_t dropped_log_lines,
+                               const HttpRefusalCounts& refusals,
+                               uint64_t responses_given_up);
 
 }  // namespace dogwoodfall
 
--- a/modules/adapters/metrics/metric_families.cc
+++ b/modules/adapters/metrics/metric_families.cc
@@ -69,6 +69,20 @@
             values);
 }
 
+void AddRefusedClients(MetricFamilies& families,
+                       const HttpRefusalCounts& refusals,
+                       uint64_t peer_connections_closed,
+                       uint64_t responses_given_up) {
+  std::map<std::string, uint64_t> counts = {
+      {"peer_memory_full", peer_connections_closed},
+      {"response_memory_full", responses_given_up}};
+  for (size_t i = 0; i < kHttpRefusalCount; ++i)
+    counts[NameOf(static_cast<HttpRefusal>(i))] = refusals[i];
+  AddCounter(families, "clients_refused_total",
+             "Clients refused or connections closed at a limit, by cause",
+             "cause", counts);
+}
+
 void AddLatency(MetricFamilies& families,
                 const std::string& name,
                 const std::string& help,
--- a/modules/adapters/metrics/metric_families.h
+++ b/modules/adapters/metrics/metric_families.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "adapters/http/http_refusal.h"
+
 namespace dogwoodfall {
 
 using MetricFamilies = std::vector<prometheus::MetricFamily>;
@@ -36,6 +38,14 @@
                 const std::string& label,
                 const std::map<std::string, uint64_t>& counts);
 
+/** Adds the counter of refused clients of the HTTP listeners and of the peers'
+ * listener, by cause.
+ */
+void AddRefusedClients(MetricFamilies& families,
+                       const HttpRefusalCounts& refusals,
+                       uint64_t peer_connections_closed,
+                       uint64_t responses_given_up);
+
 /** Adds a latency histogram in ms with one label.
  *
  * @param bounds upper bounds of all buckets except the last, which is unbounded
--- a/modules/adapters/metrics/metrics.cc
+++ b/modules/adapters/metrics/metrics.cc
@@ -65,10 +65,14 @@
 std::string FormatMetrics(const Node& node,
                           const PeerNetworkCounters& network,
                           const std::map<StorePurpose, uint64_t>& store_calls,
+                          const HttpRefusalCounts& refusals,
+                          uint64_t responses_given_up,
                           Millis now) {
   MetricFamilies families;
   AddNode(families, node, now);
   AddNetwork(families, network);
+  AddRefusedClients(families, refusals, network.closed_memory_full,
+                    responses_given_up);
   std::map<std::string, uint64_t> calls;
   for (const auto& [purpose, count] : store_calls)
     calls[NameOf(purpose)] = count;
--- a/modules/adapters/peers/peer_network.cc
+++ b/modules/adapters/peers/peer_network.cc
@@ -10,11 +10,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <utility>
 
 #include "adapters/logging/guard.h"
+#include "adapters/logging/logging.h"
 #include "adapters/peers/peer_codec.h"
 
 namespace dogwoodfall {
@@ -22,6 +24,10 @@
 
 constexpr size_t kLengthPrefixBytes = 4;
 constexpr size_t kMaxDatagramBytes = 60'000;
+/** Queues of peers up to this size are not checked against the bound on all
+ * queues.
+ */
+constexpr size_t kSmallQueueBytes = 64'000;
 constexpr int kListenBacklog = 128;
 /** Time without write progress after which an outbound connection is closed.
  * The next frame opens a new one.
@@ -179,8 +185,13 @@
   if (stream == nullptr)
     return true;
   evbuffer* output = bufferevent_get_output(stream);
+  const bool is_large =
+      evbuffer_get_length(output) + bytes.size() > kSmallQueueBytes;
   if (evbuffer_get_length(output) + bytes.size() >
-      this->limits.max_queued_bytes) {
+          this->limits.max_queued_bytes ||
+      (is_large && this->limits.max_queued_bytes_in_all > 0 &&
+       this->QueuedBytes() + bytes.size() >
+           this->limits.max_queued_bytes_in_all)) {
     ++this->counters.dropped_queue_full;
     return true;
   }
@@ -332,6 +343,37 @@
   auto* self = static_cast<PeerNetwork*>(argument);
   while (self->ReadFrame(stream)) {
   }
+  if (self->inbound.count(stream) > 0 &&
+      evbuffer_get_length(bufferevent_get_input(stream)) > 0)
+    self->EnforceMemoryLimit();
+}
+
+void PeerNetwork::EnforceMemoryLimit() {
+  if (this->limits.max_held_bytes == 0)
+    return;
+  const auto held = [](bufferevent* stream) {
+    return evbuffer_get_length(bufferevent_get_input(stream));
+  };
+  size_t sum = 0;
+  for (bufferevent* stream : this->inbound)
+    sum += held(stream);
+  while (sum > this->limits.max_held_bytes) {
+    bufferevent* largest = *std::max_element(
+        this->inbound.begin(), this->inbound.end(),
+        [&held](bufferevent* a, bufferevent* b) { return held(a) < held(b); });
+    sum -= held(largest);
+    ++this->counters.closed_memory_full;
+    WriteLog(
+        {"client_refused", {{"listener", "peers"}, {"cause", "memory_full"}}});
+    this->CloseInbound(largest);
+  }
+}
+
+size_t PeerNetwork::QueuedBytes() const {
+  size_t sum = 0;
+  for (const auto& [id, stream] : this->outbound)
+    sum += evbuffer_get_length(bufferevent_get_output(stream));
+  return sum;
 }
 
 void PeerNetwork::OnInboundEvent(bufferevent* stream,
--- a/modules/adapters/peers/peer_network.h
+++ b/modules/adapters/peers/peer_network.h
@@ -33,6 +33,15 @@
   size_t max_queued_bytes = 16'000'000;
   /** Max number of inbound connections. */
   size_t max_connections = 400;
+  /** Max bytes of incomplete frames of all inbound connections. Beyond it, the
+   * connection with the largest incomplete frame is closed; its peer sends the
+   * frame again. 0 for no bound.
+   */
+  size_t max_held_bytes = 0;
+  /** Max bytes queued for all peers. Further frames are dropped. 0 for no
+   * bound.
+   */
+  size_t max_queued_bytes_in_all = 0;
 };
 
 /** Counters of sent, received and dropped messages. */
@@ -53,6 +62,10 @@
   uint64_t dropped_too_large = 0;
   /** Frames not sent because the queue of the peer was full. */
   uint64_t dropped_queue_full = 0;
+  /** Inbound connections closed because incomplete frames exceeded
+   * max_held_bytes.
+   */
+  uint64_t closed_memory_full = 0;
 };
 
 /** Network transport between daemons (libevent): frames over TCP, heartbeats
@@ -128,6 +141,8 @@
   void CloseInbound(bufferevent* stream);
   bool IsMemberAddress(const sockaddr* address, bool check_port) const;
   bool ReadFrame(bufferevent* stream);
+  void EnforceMemoryLimit();
+  size_t QueuedBytes() const;
 
   event_base* base;
   PeerNetworkLimits limits;
--- a/modules/settings/fleet_settings.cc
+++ b/modules/settings/fleet_settings.cc
@@ -100,6 +100,69 @@
   return false;
 }
 
+/** Reads a number into a setting; keeps its default if it is missing. */
+template <typename Number>
+void ReadCount(const Json& json,
+               const char* path,
+               int64_t min,
+               int64_t max,
+               Number& target,
+               Errors& errors) {
+  const Json* found = Find(json, path);
+  if (found == nullptr)
+    return;
+  if (found->is_number_integer() && *found >= min && *found <= max) {
+    target = static_cast<Number>(found->get<int64_t>());
+    return;
+  }
+  const std::string range = std::to_string(min) + " to " + std::to_string(max);
+  AddError(errors, path, found, range.c_str());
+}
+
+/** Reads the memory of the instance; a fraction is dropped. */
+void ReadMemory(const Json& json, uint32_t& memory_mb, Errors& errors) {
+  constexpr const char* kPath = "/limits/memory_mb";
+  constexpr double kMinMb = 16;
+  constexpr double kMaxMb = 10'000'000;
+  const Json* found = Find(json, kPath);
+  if (found == nullptr)
+    return;
+  if (found->is_number() && *found >= kMinMb && *found <= kMaxMb)
+    memory_mb = static_cast<uint32_t>(found->get<double>());
+  else
+    AddError(errors, kPath, found, "16 to 10000000");
+}
+
+void ReadConnectionLimits(const Json& json,
+                          FleetSettings& settings,
+                          Errors& errors) {
+  constexpr int64_t kMaxCount = 10'000'000;
+  constexpr int64_t kMaxBytes = 4'000'000'000;
+  HttpServerLimits& limits = settings.caller_connections;
+  ReadMemory(json, settings.memory_mb, errors);
+  ReadCount(json, "/callers/max_body_bytes", 1'000, kMaxBytes,
+            limits.max_body_bytes, errors);
+  ReadCount(json, "/callers/max_connections", 1, kMaxCount,
+            limits.max_connections, errors);
+  ReadCount(json, "/callers/read_timeout_ms", 100, kMaxCount,
+            limits.read_timeout_ms, errors);
+  ReadCount(json, "/callers/max_head_bytes", 1'000, kMaxBytes,
+            limits.max_head_bytes, errors);
+  ReadCount(json, "/callers/max_header_lines", 10, kMaxCount,
+            limits.max_header_lines, errors);
+  ReadCount(json, "/callers/max_empty_lines", 1, kMaxCount,
+            limits.max_empty_lines, errors);
+  ReadCount(json, "/callers/head_timeout_ms", 100, kMaxCount,
+            limits.head_timeout_ms, errors);
+  ReadCount(json, "/callers/min_body_rate", 0, kMaxBytes, limits.min_body_rate,
+            errors);
+  ReadCount(json, "/callers/max_held_bytes", 0, kMaxBytes,
+            limits.max_held_bytes, errors);
+  ShareMemory(settings.memory_mb,
+              {limits, settings.operator_connections,
+               settings.http_client_limits, settings.peer_limits});
+}
+
 SchedulingOptions ReadSchedulingOptions(const Json& json, Errors& errors) {
   SchedulingOptions options;
   options.long_jobs = ReadFlag(json, "/scheduling/long_jobs", errors);
@@ -143,6 +206,7 @@
   settings.self.peer_udp_port = settings.self.peer_tcp_port;
   settings.metrics = {settings.operators.ip,
                       ReadPort(json, "/metrics/port", true, errors)};
+  ReadConnectionLimits(json, settings, errors);
   settings.scheduling = ReadSchedulingOptions(json, errors);
   settings.is_log_quiet = ReadFlag(json, "/log/quiet", errors);
   if (!errors.empty())
--- a/modules/settings/fleet_settings.h
+++ b/modules/settings/fleet_settings.h
@@ -17,8 +17,15 @@
 struct FleetSettings {
   /** Id, zone, weight, and the addresses that peers use. */
   DaemonMember self;
+  /** Memory of the instance in MB, of which bounds are derived. */
+  uint32_t memory_mb = kDefaultMemoryMb;
   /** Address of the callers' listener. */
   HttpAddress callers;
+  HttpServerLimits caller_connections;
+  /** Limits of each of the other listeners. */
+  HttpServerLimits operator_connections;
+  HttpClientLimits http_client_limits;
+  PeerNetworkLimits peer_limits;
   /** Address of the listener for readiness checks. */
   HttpAddress readiness;
   /** Address of the operators' listener. */
--- a/modules/settings/settings.cc
+++ b/modules/settings/settings.cc
@@ -161,6 +161,29 @@
   list.AddCount("/callers/read_timeout_ms", "ms", 100,
                 "Maximum pause while a request is read",
                 settings.caller_connections.read_timeout_ms);
+  list.AddCount("/callers/max_head_bytes", "bytes", 1'000,
+                "Maximum size of a request line with its header lines",
+                settings.caller_connections.max_head_bytes);
+  list.AddCount("/callers/max_header_lines", "", 10,
+                "Maximum number of header lines of a request",
+                settings.caller_connections.max_header_lines);
+  list.AddCount("/callers/max_empty_lines", "", 1,
+                "Maximum number of empty lines before a request",
+                settings.caller_connections.max_empty_lines);
+  list.AddCount("/callers/head_timeout_ms", "ms", 100,
+                "Maximum time from the first byte of a head to its end",
+                settings.caller_connections.head_timeout_ms);
+  list.AddCount("/callers/min_body_rate", "bytes/s", 0,
+                "Minimum mean rate of a body after 20 s; 0 for none",
+                settings.caller_connections.min_body_rate);
+  list.AddCount("/callers/max_held_bytes", "bytes", 0,
+                "Maximum of what all callers' connections hold together; 0 for "
+                "an eighth of /limits/memory_mb",
+                settings.caller_connections.max_held_bytes);
+  list.AddCount("/limits/memory_mb", "MB", 16,
+                "Memory of the instance, of which listeners and clients get "
+                "fixed shares",
+                settings.memory_mb);
   list.AddCount("/callers/max_tasks_per_job", "", 1,
                 "Maximum number of tasks in one job",
                 settings.caller_limits.max_tasks);
@@ -354,6 +377,9 @@
   if (!errors.empty())
     return errors;
   settings.node.claims.window = settings.node.ledger.window;
+  ShareMemory(settings.memory_mb,
+              {settings.caller_connections, settings.operator_connections,
+               settings.http_client_limits, settings.peer_limits});
   return settings;
 }
 
--- a/modules/settings/settings.h
+++ b/modules/settings/settings.h
@@ -13,9 +13,11 @@
 
 #include "adapters/callers/caller_json.h"
 #include "adapters/http/http_client.h"
-#include "adapters/http/http_server.h"
+#include "adapters/http/http_client_limits.h"
+#include "adapters/http/http_server_limits.h"
 #include "adapters/peers/peer_network.h"
 #include "core/node/node_settings.h"
+#include "settings/memory_shares.h"
 
 namespace dogwoodfall {
 
@@ -28,10 +30,14 @@
   NodeSettings node;
   /** Address of the callers' listener. */
   HttpAddress callers;
+  /** Memory of the instance in MB, of which bounds are derived. */
+  uint32_t memory_mb = kDefaultMemoryMb;
   HttpServerLimits caller_connections;
   CallerLimits caller_limits;
   /** Address of the operators' listener. */
   HttpAddress operators;
+  HttpServerLimits operator_connections;
+  HttpClientLimits http_client_limits;
   std::string peers_ip;
   uint16_t peer_tcp_port = 0;
   uint16_t peer_udp_port = 0;
