Add a seeded fuzz test of the request parser

Cause: fuzz_listeners.py mutates bodies and sends each request whole; header lines, chunks and the places where bytes are cut were not varied.

--- a/tests/process/listener_fuzz.sh
+++ b/tests/process/listener_fuzz.sh
@@ -19,6 +19,8 @@
 # The ports are the peer ports of d1 and the UDP port of d9, which doesn't run.
 python3 tests/process/fuzz_listeners.py "$2" "$3" "$(callers_port 1)" \
   $((first_port + 51)) $((first_port + 71)) $((first_port + 79))
+python3 tests/process/fuzz_requests.py "$2" "$3" "$(callers_port 1)"
+python3 tests/process/fuzz_requests.py "$2" "$(($3 / 4))" "$(operators_port 1)"
 
 jq -n '{customer: "wharf", deadline_ms: 20000, tasks: [range(20) |
   {id: "t\(.)", kind: "check", run_ms: 10, memory_mb: 1, payload: "10"}]}' >"$work/job.json"
--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -1,6 +1,9 @@
 """Clients that are not controlled, against one running daemon.
 
-Usage: untrusted_clients.py own|fleet lines|heads|bodies PID CALLERS OPERATORS
+Usage: untrusted_clients.py own|fleet lines|heads|bodies|fuzz PID CALLERS
+                            OPERATORS
+
+With `fuzz`, only checks the daemon, after fuzz_requests.py.
 
 Fails if the process has ended, if its peak resident memory or its number of
 open descriptors has exceeded a bound, or if an ordinary request is not answered
@@ -190,7 +193,8 @@
         sys.exit("the daemon answers no request before the attack")
     before = peak_memory_kb(pid)
     requests = {"lines": lines_requests, "heads": heads_requests,
-                "bodies": bodies_requests}[attack](rng)
+                "bodies": bodies_requests,
+                "fuzz": lambda _: []}[attack](rng)
     clients = run_clients(requests, callers, operators)
     descriptors = 0
     try:
--- a/tests/process/untrusted_clients.sh
+++ b/tests/process/untrusted_clients.sh
@@ -2,7 +2,9 @@
 # Attacks the listeners of a daemon with clients that are not controlled. The
 # process must live, its memory and descriptors stay under a bound, and an
 # ordinary request must be answered afterwards. No times are checked.
+# With `fuzz`, sends malformed requests instead, which depend on the seed only.
 # Usage: untrusted_clients.sh BUILD own|fleet lines|heads|bodies
+#        untrusted_clients.sh BUILD own|fleet fuzz SEED ROUNDS
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 kind="$2" attack="$3"
@@ -43,6 +45,11 @@
   add_memory_limit
   start_daemon 1
 fi
+if [ "$attack" = fuzz ]; then
+  wait_until 20 curl -s "http://127.0.0.1:$(operators_port 1)/metrics"
+  python3 tests/process/fuzz_requests.py "$4" "$5" "$(callers_port 1)"
+  python3 tests/process/fuzz_requests.py "$4" "$(($5 / 4))" "$(operators_port 1)"
+fi
 python3 tests/process/untrusted_clients.py "$kind" "$attack" "${daemon_pid[1]}" \
   "$(callers_port 1)" "$(operators_port 1)" || {
   tail -20 "$work/d1.log" | cut -c1-300
