Endpoint kinds: start unknown endpoints from the speed of their kind

Cause: an endpoint's learned slowness starts at 1 and moves by a fifth of the logarithmic difference per run. It takes some ten runs to learn that an endpoint takes 1.7 times as long, and a new owner knows nothing of its endpoints.

Change: with /scheduling/endpoint_kinds, an owner learns the mean and spread of the logarithm of slowness by kind. Where kinds differ clearly, endpoints with few or no runs start from their kind. First runs count 1/2, 1/3 and 1/4, down to 0.2. Owners report the kinds in a field at the end of the heartbeat, and send the speeds of endpoints that they release in EndpointSpeedsNotice, at the end of PeerMessage. A restart or another kind begins anew.

The heartbeat has one more field, so daemons with and without it don't understand each other's heartbeats. The version of the protocol is not raised.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <cmath>
 #include <iterator>
 #include <map>
 #include <vector>
@@ -42,6 +43,15 @@
              latencies);
 }
 
+void AddKinds(MetricFamilies& families, const KindEstimates& kinds) {
+  std::map<std::string, double> slowness;
+  for (const KindSpeed& kind : kinds.learned)
+    slowness[kind.kind] = std::exp(kind.log_slowness);
+  AddGauges(families, "endpoint_kind_slowness",
+            "Learned slowness of the kinds of endpoints, if they differ",
+            "kind", slowness);
+}
+
 void AddScheduler(MetricFamilies& families, const Scheduler& scheduler) {
   const SchedulingCounters& counters = scheduler.counters;
   AddGauge(families, "endpoints_owned", "Endpoints owned by this daemon",
@@ -107,6 +117,7 @@
   MetricFamilies families;
   AddReception(families, node.reception);
   AddScheduler(families, node.scheduler);
+  AddKinds(families, node.scheduler.kinds);
   AddGauge(families, "routes_version", "Version of the active routes",
            node.routes.version);
   AddGauge(families, "view_revision", "Revision of the membership view",
--- a/modules/adapters/metrics/metric_families.cc
+++ b/modules/adapters/metrics/metric_families.cc
@@ -57,6 +57,14 @@
             {{"", static_cast<double>(value)}});
 }
 
+void AddGauges(MetricFamilies& families,
+               const std::string& name,
+               const std::string& help,
+               const std::string& label,
+               const std::map<std::string, double>& values) {
+  AddFamily(families, prometheus::MetricType::Gauge, name, help, label, values);
+}
+
 void AddCounter(MetricFamilies& families,
                 const std::string& name,
                 const std::string& help,
--- a/modules/adapters/operators/fleet_state_dump.cc
+++ b/modules/adapters/operators/fleet_state_dump.cc
@@ -1,5 +1,6 @@
 #include "adapters/operators/fleet_state_dump.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace dogwoodfall {
@@ -35,12 +36,25 @@
                     {"millicores", endpoint.entry.capacity.cpu_millicores},
                     {"draining", endpoint.entry.draining},
                     {"unanswered", endpoint.unanswered},
+                    {"kind", endpoint.entry.kind},
                     {"slowness", endpoint.slowness},
+                    {"observed_runs", endpoint.observed_runs},
                     {"failure_share", endpoint.failure_share}});
   }
   return rows;
 }
 
+Json DumpKinds(const std::vector<KindSpeed>& kinds) {
+  Json rows = Json::array();
+  for (const KindSpeed& kind : kinds) {
+    rows.push_back({{"kind", kind.kind},
+                    {"slowness", std::exp(kind.log_slowness)},
+                    {"log_spread", kind.log_spread},
+                    {"endpoints", kind.endpoints}});
+  }
+  return rows;
+}
+
 Json DumpJobs(const Scheduler& scheduler, Millis now) {
   Json rows = Json::array();
   for (const auto& [id, job] : scheduler.jobs) {
@@ -65,6 +79,9 @@
                      {"stopping", node.is_stopping},
                      {"view", DumpView(node, now)},
                      {"endpoints", DumpEndpoints(node.scheduler, now)},
+                     {"endpoint_kinds",
+                      {{"learned", DumpKinds(node.scheduler.kinds.learned)},
+                       {"reported", DumpKinds(node.scheduler.kinds.reported)}}},
                      {"jobs", DumpJobs(node.scheduler, now)}};
   return json.dump(-1, ' ', true, Json::error_handler_t::replace);
 }
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -17,6 +17,12 @@
  */
 constexpr int64_t kMaxMillis = 1'000'000'000'000'000;
 
+/** Learned slowness is between 0.2 and 20. Other values are rejected well
+ * beyond these bounds, and so are those that are no numbers.
+ */
+constexpr double kMaxSlowness = 1'000;
+constexpr double kMaxLogSlowness = 7;
+
 void CheckStretch(double stretch) {
   if (!(std::abs(stretch) <= kMaxStretch))
     throw cereal::Exception("stretch out of range");
@@ -295,6 +301,27 @@
   archive(message.job, message.tasks, message.answered_again);
 }
 
+template <class Archive>
+void serialize(Archive& archive, EndpointSpeed& speed) {
+  archive(speed.endpoint, speed.slowness, speed.observed_runs,
+          speed.starts_from_kind);
+  if (!(speed.slowness > 0 && speed.slowness <= kMaxSlowness))
+    throw cereal::Exception("slowness out of range");
+}
+
+template <class Archive>
+void serialize(Archive& archive, EndpointSpeedsNotice& message) {
+  archive(message.speeds);
+}
+
+template <class Archive>
+void serialize(Archive& archive, KindSpeed& speed) {
+  archive(speed.kind, speed.log_slowness, speed.log_spread, speed.endpoints);
+  if (!(std::abs(speed.log_slowness) <= kMaxLogSlowness &&
+        std::abs(speed.log_spread) <= kMaxLogSlowness))
+    throw cereal::Exception("speed of a kind out of range");
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
@@ -315,7 +342,7 @@
           heartbeat.leaving_endpoints, heartbeat.demands,
           heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at,
           heartbeat.confirmed_jobs, heartbeat.answered_sent_at,
-          heartbeat.acknowledged_jobs);
+          heartbeat.acknowledged_jobs, heartbeat.kind_speeds);
 }
 
 namespace {
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -8,6 +8,7 @@
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/confirmation_flow.h"
 #include "core/fleet/cut_off_flow.h"
+#include "core/fleet/endpoint_speed_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -15,6 +16,7 @@
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/endpoint_replies.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_order.h"
@@ -279,6 +281,8 @@
     HandleCancelAnswer(node, from, *answer, actions);
   } else if (const auto* losses = std::get_if<LostEndpointsReport>(&message)) {
     ApplyLostEndpointsReport(node.scheduler, *losses, now, actions);
+  } else if (const auto* speeds = std::get_if<EndpointSpeedsNotice>(&message)) {
+    ReceiveEndpointSpeeds(node.scheduler, *speeds, now);
   }
   ReportFinishedJobs(node, now, actions);
 }
@@ -436,6 +440,7 @@
   RecordHeartbeatAge(peer_status, heartbeat, now);
   peer_status.last_heartbeat = heartbeat;
   peer_status.is_eviction_requested = false;
+  ApplyKindReports(node, heartbeat, actions);
   ReportJobsScheduledTwice(node, heartbeat, now, actions);
   ConfirmJobs(node, heartbeat, now, actions);
   SendMissingUpdates(node, peer_status, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -14,6 +14,7 @@
  * - announcement_flow.h: schedulers announce jobs that may be sent again
  * - cancellation_flow.h: callers' requests to cancel jobs
  * - handover_flow.h: transfers a job's progress to its next scheduler
+ * - endpoint_speed_flow.h: shares the learned speeds of endpoints
  * - spillover_flow.h: forwards jobs to less loaded groups
  * - peer_clock.h: bounds the age of messages
  * - pause_flow.h: suspends starts after the process was paused
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -7,6 +7,7 @@
 
 #include "core/fleet/announcement_flow.h"
 #include "core/fleet/spillover_flow.h"
+#include "core/scheduling/endpoint_kinds.h"
 
 namespace dogwoodfall {
 namespace {
@@ -22,6 +23,7 @@
   heartbeat.draining = node.is_stopping;
   heartbeat.jobs_in_progress = ListAnnouncedJobs(node, now);
   heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
+  heartbeat.kind_speeds = ListLearnedKinds(node.scheduler);
   return heartbeat;
 }
 
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/endpoint_speed_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -254,6 +255,7 @@
     if (OtherOwnerOf(node, endpoint.group) != nullptr)
       to_release.push_back(id);
   }
+  SendEndpointSpeeds(node, to_release, now, actions);
   for (const EndpointId& id : to_release)
     ReleaseEndpoint(node.scheduler, id, now);
   for (const auto& [id, entry] : node.entries) {
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -5,6 +5,7 @@
 
 #include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
+#include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
@@ -101,6 +102,7 @@
   endpoint.status = EndpointStatus::kUsable;
   SetEndpointStatus(endpoint, EndpointStatus::kReconciling, "taken_over", now,
                     actions);
+  InitializeSpeed(scheduler, endpoint);
   EnsureRenewal(scheduler, endpoint, now, actions);
 }
 
@@ -124,6 +126,7 @@
     SetEndpointStatus(endpoint, EndpointStatus::kReconciling,
                       "endpoint_restarted", now, actions);
   }
+  HandleKindChange(scheduler, endpoint, entry);
   endpoint.entry = entry;
   endpoint.is_registered = true;
   EnsureRenewal(scheduler, endpoint, now, actions);
@@ -195,6 +198,7 @@
 
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
   ReviewJobLeases(scheduler, now, actions);
+  UpdateEndpointKinds(scheduler, now, actions);
   UpdateSpeeds(scheduler, now);
   RelocateRuns(scheduler, now, actions);
   EndInfeasibleJobs(scheduler, now, actions);
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -9,6 +9,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_flow.h"
+#include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/placement.h"
@@ -225,8 +226,10 @@
                         Millis now,
                         Actions& actions) {
   if (endpoint.started_at_ms != 0 && reply.started_at_ms != 0 &&
-      endpoint.started_at_ms != reply.started_at_ms)
+      endpoint.started_at_ms != reply.started_at_ms) {
     HandleEndpointRestart(endpoint, reply.started_at_ms, actions);
+    InitializeSpeed(scheduler, endpoint);
+  }
   endpoint.started_at_ms = reply.started_at_ms;
   if (endpoint.status != EndpointStatus::kUsable || endpoint.is_reported_lost)
     RetractEndpointLoss(scheduler, {endpoint.entry.id, endpoint.started_at_ms});
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -119,6 +119,9 @@
                               {"runs", std::to_string(endpoint.runs.size())}}});
   endpoint.started_at_ms = started_at_ms;
   endpoint.slowness = 1;
+  endpoint.observed_runs = 0;
+  endpoint.starts_from_kind = false;
+  endpoint.speed_started_at_ms = 0;
   endpoint.failure_share = 0;
   endpoint.is_ejected = false;
   endpoint.ejection_duration = Millis();
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -152,6 +152,14 @@
   Millis ejection_duration;
   /** Learned ratio of run times on this endpoint to the declared ones. */
   double slowness = 1;
+  /** Number of runs of this incarnation that its slowness was learned from. */
+  uint32_t observed_runs = 0;
+  /** True when its slowness has started from that of its kind. */
+  bool starts_from_kind = false;
+  /** Start in ms since 1970 of the incarnation whose slowness its previous
+   * owner has sent, until the endpoint confirms it; 0 otherwise.
+   */
+  int64_t speed_started_at_ms = 0;
   /** Learned share of runs that failed, 0 to 1. */
   double failure_share = 0;
 };
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -17,6 +17,7 @@
  * - run_review.h stops overdue runs and ends infeasible jobs
  * - run_relocation.h moves runs that would end too late to faster endpoints
  * - speed_learning.h estimates run times and the speeds of endpoints
+ * - endpoint_kinds.h derives the speeds of unknown endpoints from their kinds
  * - crash_tracking.h gives up tasks that crash their endpoints
  *
  * Endpoints:
@@ -44,6 +45,7 @@
 #include "core/scheduling/endpoint_loss.h"
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
+#include "core/scheduling/kind_estimates.h"
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/scheduled_job.h"
 #include "core/scheduling/scheduling_counters.h"
@@ -157,6 +159,8 @@
   /** Share of the processors of all usable endpoints that is in use, 0 to 1. */
   double load = 0;
   Millis speeds_updated_at;
+  /** Learned speeds of the kinds of endpoints. */
+  KindEstimates kinds;
   /** Results of jobs that completed or failed shortly before. */
   std::unordered_map<SubmissionId, RetainedResult> retained_results;
   /** Progress of jobs that have not been received yet. */
--- a/modules/core/scheduling/speed_learning.cc
+++ b/modules/core/scheduling/speed_learning.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <vector>
 
+#include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/job_order.h"
 
 namespace dogwoodfall {
@@ -131,7 +132,9 @@
       const double slowdown = static_cast<double>(task.run_time.count) /
                               (endpoint->second.slowness *
                                static_cast<double>(expected_run_time.count));
-      UpdateSlowness(endpoint->second, slowdown, kSpeedSmoothing);
+      const double weight = CountObservedRun(scheduler.options,
+                                             endpoint->second, kSpeedSmoothing);
+      UpdateSlowness(endpoint->second, slowdown, weight);
     }
     RecordRunTime(scheduler.run_times, CustomerId(job.job.service),
                   job.job.route, expected_run_time, 1);
@@ -158,7 +161,8 @@
   scheduler.run_times.by_kind.erase({CustomerId(job.service), job.route});
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (endpoint.runs.empty())
-      endpoint.slowness = std::min(endpoint.slowness, 1.0);
+      endpoint.slowness = std::min(
+          endpoint.slowness, GetInitialSlowness(scheduler, endpoint.entry));
   }
   actions.push_back(
       LogEvent{"learned_times_forgotten", {{"route", job.route}}});
@@ -168,6 +172,7 @@
 void LearnFromStraggler(ManagedEndpoint& endpoint, double slowdown) {
   UpdateSlowness(endpoint, std::min(slowdown, kMaxSlowness),
                  kStragglerSmoothing);
+  ++endpoint.observed_runs;
 }
 
 void LearnFromFailure(ManagedEndpoint& endpoint) {
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -9,6 +9,7 @@
 #include "model/daemon_ref.h"
 #include "model/group_load.h"
 #include "model/job_in_progress.h"
+#include "model/kind_speed.h"
 
 namespace dogwoodfall {
 
@@ -69,6 +70,10 @@
    * sender will not take for new ones for a while. Part of such an answer.
    */
   std::vector<SubmissionId> acknowledged_jobs;
+  /** Speeds of the kinds of endpoints, learned from those that the sender owns;
+   * at most 16.
+   */
+  std::vector<KindSpeed> kind_speeds;
 };
 
 /** Returns true for a heartbeat that answers another one. */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -13,6 +13,7 @@
 #include "model/daemon_ref.h"
 #include "model/endpoint_entry.h"
 #include "model/endpoint_group.h"
+#include "model/endpoint_speeds_notice.h"
 #include "model/fleet_member.h"
 #include "model/lost_endpoints_report.h"
 #include "model/route_table.h"
@@ -257,7 +258,8 @@
                                  JobProgress,
                                  ViewNotice,
                                  RoutesNotice,
-                                 LostEndpointsReport>;
+                                 LostEndpointsReport,
+                                 EndpointSpeedsNotice>;
 
 }  // namespace dogwoodfall
 
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -66,6 +67,26 @@
   EXPECT_TRUE(report.tasks[0].is_given_up);
 }
 
+TEST(PeerCodecTest, SpeedsRoundTripAndAreNumbers) {
+  PeerFrame frame = MakeSampleFrame();
+  EndpointSpeedsNotice notice;
+  notice.speeds = {{{EndpointId("e1"), 5}, 1.7, 9, true}};
+  frame.message = notice;
+  const std::string bytes = EncodeFrame(frame);
+  const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeFrame(*decoded), bytes);
+  Heartbeat heartbeat;
+  heartbeat.kind_speeds = {{"b", 0.5, 0.1, 20}};
+  const std::optional<Heartbeat> received =
+      DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+  ASSERT_TRUE(received.has_value());
+  EXPECT_EQ(received->kind_speeds[0].log_slowness, 0.5);
+  // A slowness that is no number would spread to all estimates.
+  heartbeat.kind_speeds[0].log_slowness = std::nan("");
+  EXPECT_ANY_THROW(EncodeHeartbeat(heartbeat));
+}
+
 // Whatever stretch the store may hold, messages with it can be sent.
 TEST(PeerCodecTest, RoutesOfTheStoreCanBeSentToPeers) {
   for (const char* stretch : {"2000", "1000000", "-0.5", "-1000000"}) {
