--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <cmath>
 #include <iterator>
 #include <map>
 #include <vector>
@@ -42,6 +43,15 @@
              latencies);
 }
 
+void AddKinds(MetricFamilies& families, const KindEstimates& kinds) {
+  std::map<std::string, double> slowness;
+  for (const KindSpeed& kind : kinds.learned)
+    slowness[kind.kind] = std::exp(kind.log_slowness);
+  AddGauges(families, "endpoint_kind_slowness",
+            "Learned slowness of the kinds of endpoints, if they differ",
+            "kind", slowness);
+}
+
 void AddScheduler(MetricFamilies& families, const Scheduler& scheduler) {
   const SchedulingCounters& counters = scheduler.counters;
   AddGauge(families, "endpoints_owned", "Endpoints owned by this daemon",
@@ -102,15 +112,15 @@
 }
 
 void AddEvacuation(MetricFamilies& families, const FleetNode& node) {
-  std::map<std::string, uint64_t> zones;
+  std::map<std::string, double> zones;
   for (const auto& [zone, groups] : node.view.group_counts)
     zones[zone.value] = 0;
   for (const auto& [zone, revision] : node.evacuation.zones)
     zones[zone.value] = 1;
-  AddLabelledGauge(families, "zone_evacuated",
-                   "1 for each zone that operators have evacuated, 0 for "
-                   "other zones with daemons",
-                   "zone", zones);
+  AddGauges(families, "zone_evacuated",
+            "1 for each zone that operators have evacuated, 0 for "
+            "other zones with daemons",
+            "zone", zones);
   AddGauge(families, "evacuation_revision",
            "Revision of the evacuated zones that are known; 0 for none",
            node.evacuation.revision);
@@ -136,6 +146,7 @@
   AddReception(families, node.reception);
   AddScheduler(families, node.scheduler);
   AddEvacuation(families, node);
+  AddKinds(families, node.scheduler.kinds);
   AddGauge(families, "routes_version", "Version of the active routes",
            node.routes.version);
   AddGauge(families, "view_revision", "Revision of the membership view",
--- a/modules/adapters/metrics/metric_families.h
+++ b/modules/adapters/metrics/metric_families.h
@@ -32,11 +32,11 @@
  *
  * @param values value of the gauge by label value
  */
-void AddLabelledGauge(MetricFamilies& families,
-                      const std::string& name,
-                      const std::string& help,
-                      const std::string& label,
-                      const std::map<std::string, uint64_t>& values);
+void AddGauges(MetricFamilies& families,
+               const std::string& name,
+               const std::string& help,
+               const std::string& label,
+               const std::map<std::string, double>& values);
 
 /** Adds a counter with one label, or without labels when the label is empty.
  *
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -9,6 +9,7 @@
 #include "model/daemon_ref.h"
 #include "model/group_load.h"
 #include "model/job_in_progress.h"
+#include "model/kind_speed.h"
 
 namespace dogwoodfall {
 
@@ -73,6 +74,10 @@
    * them.
    */
   uint64_t evacuation_revision = 0;
+  /** Speeds of the kinds of endpoints, learned from those that the sender owns;
+   * at most 16.
+   */
+  std::vector<KindSpeed> kind_speeds;
 };
 
 /** Returns true for a heartbeat that answers another one. */
