Keep kinds of tasks apart that slow each other down

Tasks of some routes slow each other down when they share an endpoint. The scheduler could not see this: it learned longer run times for the routes and a lower speed for the endpoints, and packed the tasks together again.

The scheduler now counts for how long each run has had neighbours of each kind (neighbour_times.h) and learns from completed jobs how run times differ beside them (interference.h). A kind is a route. ChooseEndpoint() adds a cost for an endpoint with such a neighbour; nothing waits for another one.

--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/placement.h"
@@ -160,7 +161,7 @@
   }
   for (const RunKey& key : obsolete) {
     const bool may_requeue = endpoint.runs.at(key).may_requeue;
-    RemoveRun(endpoint, key);
+    RemoveRun(endpoint, key, now);
     if (may_requeue)
       RequeueTask(scheduler, endpoint.entry.id, key, now);
   }
@@ -177,6 +178,7 @@
   run.state = RunState::kStarting;
   run.endpoint_started_at_ms = endpoint.started_at_ms;
   run.start_sent_at = now;
+  RecordNeighboursAtStart(endpoint, run, now);
   const Millis lease_until = ComputeRunLeaseEnd(scheduler, endpoint, now);
   endpoint.lease_until = std::max(endpoint.lease_until, lease_until);
   ++scheduler.counters.starts;
@@ -248,6 +250,7 @@
   run.confirmed_at = kUnconfirmed;
   run.expected_run_time = expected_run_time;
   endpoint.used = endpoint.used + run.resources;
+  CountPlacedRun(scheduler, endpoint, job, run, now);
   const uint32_t attempt = job.tasks[task.step][task.index].attempt;
   endpoint.runs.emplace(RunKey{task, attempt}, run);
   SendAwaitingStarts(scheduler, endpoint, now, actions);
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -6,6 +6,7 @@
 #include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/run_relocation.h"
@@ -196,6 +197,7 @@
 void ReviewEndpoints(Scheduler& scheduler, Millis now, Actions& actions) {
   ReviewJobLeases(scheduler, now, actions);
   UpdateSpeeds(scheduler, now);
+  ReviewInterference(scheduler, now, actions);
   RelocateRuns(scheduler, now, actions);
   EndInfeasibleJobs(scheduler, now, actions);
   for (auto& [id, endpoint] : scheduler.endpoints) {
--- a/modules/core/scheduling/endpoint_replies.cc
+++ b/modules/core/scheduling/endpoint_replies.cc
@@ -10,6 +10,7 @@
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/placement.h"
 
@@ -108,7 +109,9 @@
     const bool is_known = found != endpoint.runs.end();
     const bool is_current = IsCurrentRun(scheduler, endpoint.entry.id, key);
     const Run run = is_known ? found->second : Run();
-    RemoveRun(endpoint, key);
+    if (ended_run.result == RunResult::kDone && is_current && is_known)
+      RecordRunSample(scheduler, endpoint, key.first, run, now);
+    RemoveRun(endpoint, key, now);
     if (ended_run.result != RunResult::kDone) {
       actions.push_back(LogEvent{
           "run_ended",
@@ -171,7 +174,7 @@
   std::map<int64_t, std::vector<JobTask>> lost;
   for (const RunKey& key : missing) {
     const Run run = endpoint.runs.at(key);
-    RemoveRun(endpoint, key);
+    RemoveRun(endpoint, key, now);
     if (run.endpoint_started_at_ms != 0 &&
         run.endpoint_started_at_ms != endpoint.started_at_ms)
       lost[run.endpoint_started_at_ms].push_back(key.first);
@@ -209,6 +212,7 @@
     unclaimed.start_sent_at = now;
     unclaimed.confirmed_at = now;
     unclaimed.percent = percent;
+    CountFoundRun(scheduler, endpoint, unclaimed, now);
     endpoint.runs.emplace(key, unclaimed);
     if (endpoint.status == EndpointStatus::kReconciling &&
         (FindTask(scheduler, key.first) == nullptr ||
@@ -302,7 +306,7 @@
     return;
   }
   const bool may_requeue = run.may_requeue;
-  RemoveRun(endpoint, command.run);
+  RemoveRun(endpoint, command.run, now);
   if (reply.outcome == CommandOutcome::kMalformed &&
       IsCurrentRun(scheduler, endpoint.entry.id, command.run)) {
     FindTask(scheduler, command.run.first)
@@ -357,7 +361,7 @@
       run == endpoint.runs.end() || run->second.start_command != reply.id)
     return;
   const bool may_requeue = run->second.may_requeue;
-  RemoveRun(endpoint, command.run);
+  RemoveRun(endpoint, command.run, now);
   if (may_requeue)
     RequeueTask(scheduler, endpoint.entry.id, command.run, now);
 }
--- a/modules/core/scheduling/endpoint_runs.cc
+++ b/modules/core/scheduling/endpoint_runs.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/scheduling/crash_tracking.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 
 namespace dogwoodfall {
@@ -57,11 +58,12 @@
                      });
 }
 
-void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key) {
+void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key, Millis now) {
   const auto run = endpoint.runs.find(key);
   if (run == endpoint.runs.end())
     return;
   endpoint.used = endpoint.used - run->second.resources;
+  UncountRun(endpoint, run->second, now);
   endpoint.runs.erase(run);
 }
 
@@ -79,6 +81,7 @@
   const std::map<RunKey, Run> lost = std::move(endpoint.runs);
   endpoint.runs.clear();
   endpoint.used = TaskResources();
+  endpoint.neighbour_times = NeighbourTimes();
   std::vector<JobTask> tasks;
   for (const auto& [key, run] : lost) {
     if (run.state == RunState::kAwaitingClock)
@@ -120,6 +123,7 @@
   endpoint.started_at_ms = started_at_ms;
   endpoint.slowness = 1;
   endpoint.failure_share = 0;
+  endpoint.neighbour_times.successes = 0;
   endpoint.is_ejected = false;
   endpoint.ejection_duration = Millis();
 }
--- a/modules/core/scheduling/endpoint_runs.h
+++ b/modules/core/scheduling/endpoint_runs.h
@@ -41,7 +41,7 @@
 bool HasSentRun(const ManagedEndpoint& endpoint);
 
 /** Removes a run that has ended and frees its resources. */
-void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key);
+void RemoveRun(ManagedEndpoint& endpoint, const RunKey& key, Millis now);
 
 /** Removes all runs of an endpoint and requeues their tasks. Called when the
  * runs have certainly ended although the endpoint has not reported it.
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -10,6 +10,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
@@ -741,6 +742,7 @@
   progress->run_time = run_time;
   --job.tasks_left;
   if (job.tasks_left == 0) {
+    LearnInterference(scheduler, job);
     LearnFromJob(scheduler, job, now);
     EndJob(scheduler, task.job, {JobResult::kCompleted, {}, "all_done"}, now,
            actions);
--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/millis.h"
+#include "core/scheduling/neighbour_times.h"
 #include "model/endpoint_entry.h"
 #include "model/endpoint_group.h"
 #include "model/transient_job.h"
@@ -67,6 +68,8 @@
   /** True when the task goes back to the queue if the run ends without success.
    */
   bool may_requeue = true;
+  /** Set while interference is learned. */
+  RunNeighbours neighbours;
 };
 
 /** Identifies a run: a task and its attempt number. */
@@ -154,6 +157,8 @@
   double slowness = 1;
   /** Learned share of runs that failed, 0 to 1. */
   double failure_share = 0;
+  /** Empty unless interference is learned. */
+  NeighbourTimes neighbour_times;
 };
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -6,6 +6,7 @@
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/speed_learning.h"
@@ -42,6 +43,11 @@
 constexpr double kSuspectNeighbourWeight = 0.5;
 /** A rack other than the preferred one, where the data is. */
 constexpr double kRemoteRackWeight = 0.5;
+/** A run of a kind on the endpoint that is held apart from the task's. As much
+ * as the reserve of fast endpoints, so that it decides between endpoints that
+ * are in time, but no task waits for another one.
+ */
+constexpr double kInterferenceWeight = 0.5;
 /** Standard deviation of the logarithm of run times around the expected run
  * time: 0.28 between jobs combined with 0.15 between the tasks of a job.
  */
@@ -257,6 +263,7 @@
       ScaleRunTime(SlowestTaskFactor(job.job.steps[step_index].task_count),
                    expected_run_time);
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
+  const uint64_t held_apart = GetHeldApartKinds(scheduler, job);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
         !HasLeaseForStart(scheduler, endpoint, job.job.id, now) ||
@@ -270,7 +277,10 @@
         risk +
         ComputeCost(scheduler, endpoint, job.job.steps[step_index], task) +
         ComputeSuspicionCost(scheduler, endpoint,
-                             {job.job.id, step_index, task_index});
+                             {job.job.id, step_index, task_index}) +
+        ((endpoint.neighbour_times.kinds_present & held_apart) != 0
+             ? kInterferenceWeight
+             : 0);
     if (best == nullptr || cost < best_cost) {
       best = &endpoint;
       best_cost = cost;
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "core/scheduling/job_order_key.h"
+#include "core/scheduling/run_sample.h"
 #include "model/daemon_ref.h"
 #include "model/endpoint_group.h"
 #include "model/peer_message.h"
@@ -100,6 +101,8 @@
   std::vector<std::vector<TaskProgress>> tasks;
   uint32_t tasks_left = 0;
   uint32_t tasks_queued = 0;
+  /** Its successful runs; empty unless interference is learned. */
+  std::vector<RunSample> run_samples;
 };
 
 /** Returns when a job was received at the latest, from which its objective
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -16,6 +16,7 @@
  * - spillover.h chooses another group for a job
  * - run_review.h stops overdue runs and ends infeasible jobs
  * - run_relocation.h moves runs that would end too late to faster endpoints
+ * - interference.h keeps kinds of tasks apart that slow each other down
  * - speed_learning.h estimates run times and the speeds of endpoints
  * - crash_tracking.h gives up tasks that crash their endpoints
  *
@@ -42,6 +43,7 @@
 #include "core/scheduling/crash_record.h"
 #include "core/scheduling/ended_job.h"
 #include "core/scheduling/endpoint_loss.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
@@ -180,6 +182,7 @@
   /** Results and forwards that have not been sent to the receivers yet. */
   std::vector<FinishedJob> finished;
   SchedulingCounters counters;
+  Interference interference;
 };
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -39,6 +39,10 @@
   uint64_t given_up_tasks = 0;
   /** Ejections of endpoints whose runs kept failing. */
   uint64_t ejections = 0;
+  /** Findings that a kind of tasks is slowed by another one. */
+  uint64_t interference_found = 0;
+  /** Starts beside a kind that is held apart, for want of other room. */
+  uint64_t starts_beside_held_apart = 0;
 };
 
 }  // namespace dogwoodfall
--- a/tests/support/fake_endpoint.cc
+++ b/tests/support/fake_endpoint.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <variant>
 
 namespace dogwoodfall {
@@ -132,6 +133,20 @@
   }
 }
 
+/** Delays the runs by the factors of their run times since the last call. */
+void DelayRuns(FakeEndpoint& endpoint, Millis now) {
+  const Millis since = std::exchange(endpoint.advanced_at, now);
+  for (auto& [key, run] : endpoint.running) {
+    const auto elapsed_ms =
+        static_cast<double>((now - std::max(since, run.started_at)).count);
+    run.delay_ms +=
+        elapsed_ms * (1 - 1 / endpoint.run_time_factor(endpoint, key));
+    const double whole_ms = std::trunc(run.delay_ms);
+    run.delay_ms -= whole_ms;
+    run.run_time = run.run_time + Millis{std::llround(whole_ms)};
+  }
+}
+
 }  // namespace
 
 void ChangeCapacity(FakeEndpoint& endpoint,
@@ -149,6 +164,8 @@
 }
 
 void AdvanceFakeEndpoint(FakeEndpoint& endpoint, Millis now) {
+  if (endpoint.run_time_factor)
+    DelayRuns(endpoint, now);
   const bool is_lease_expired =
       endpoint.lease_until <= ReadClock(endpoint, now);
   std::vector<std::pair<RunKey, RunResult>> finished;
--- a/tests/support/fake_endpoint.h
+++ b/tests/support/fake_endpoint.h
@@ -2,6 +2,7 @@
 #define DOGWOODFALL_TESTS_SUPPORT_FAKE_ENDPOINT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,6 +36,8 @@
     RunResult result = RunResult::kDone;
     /** True when the run crashes the endpoint at its end. */
     bool crashes = false;
+    /** Part of the delay by run_time_factor that is below 1 ms. */
+    double delay_ms = 0;
   };
 
   EndpointEntry entry;
@@ -71,6 +74,11 @@
   /** Endpoint's clock at clock_set_at; none if it was right. */
   std::optional<Millis> clock_at_start;
   std::map<RunKey, FakeRun> running;
+  /** Factor by which a run takes longer, or shorter, at present than its
+   * run_time, for example because of its neighbours; none for 1.
+   */
+  std::function<double(const FakeEndpoint&, const RunKey&)> run_time_factor;
+  Millis advanced_at;
   /** For each task, the highest attempt that has ended or been stopped. A start
    * of this or an earlier attempt is refused as stale.
    */
