Share the kinds that slow each other between owners

A new owner of a group would have to learn anew which kinds of tasks slow each other down. Metrics and the state dump show the pairs held apart.

In the tests, the next owner of a group and the owner of another zone hold the pair apart, and runs that contradict a received pair end it.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -95,6 +95,15 @@
   AddCounter(families, "ejections_total",
              "Ejections of endpoints because of failed runs", "",
              {{"", counters.ejections}});
+  AddGauge(families, "kind_pairs_held_apart",
+           "Pairs of kinds of tasks that are held apart",
+           CountHeldApartPairs(scheduler.interference));
+  AddCounter(families, "interference_found_total",
+             "Kinds of tasks found to be slowed by another kind", "",
+             {{"", counters.interference_found}});
+  AddCounter(families, "starts_beside_held_apart_total",
+             "Starts beside a kind that is held apart, for want of other room",
+             "", {{"", counters.starts_beside_held_apart}});
 }
 
 }  // namespace
--- a/modules/adapters/operators/fleet_state_dump.cc
+++ b/modules/adapters/operators/fleet_state_dump.cc
@@ -54,18 +54,34 @@
   return rows;
 }
 
+Json DumpInterference(const Interference& interference) {
+  Json rows = Json::array();
+  for (const InterferenceKind& kind : interference.kinds) {
+    Json apart_from = Json::array();
+    for (const InterferenceKind& other : interference.kinds) {
+      if (IsHeldApart(interference, kind.name, other.name))
+        apart_from.push_back(other.name);
+    }
+    if (!apart_from.empty())
+      rows.push_back({{"kind", kind.name}, {"apart_from", apart_from}});
+  }
+  return rows;
+}
+
 }  // namespace
 
 std::string DumpFleetState(const FleetNode& node, Millis now) {
-  const Json json = {{"daemon", node.self.id.value},
-                     {"incarnation", node.self.incarnation.value},
-                     {"zone", node.zone.value},
-                     {"routes_version", node.routes.version},
-                     {"store_reachable", node.store.is_reachable},
-                     {"stopping", node.is_stopping},
-                     {"view", DumpView(node, now)},
-                     {"endpoints", DumpEndpoints(node.scheduler, now)},
-                     {"jobs", DumpJobs(node.scheduler, now)}};
+  const Json json = {
+      {"daemon", node.self.id.value},
+      {"incarnation", node.self.incarnation.value},
+      {"zone", node.zone.value},
+      {"routes_version", node.routes.version},
+      {"store_reachable", node.store.is_reachable},
+      {"stopping", node.is_stopping},
+      {"view", DumpView(node, now)},
+      {"endpoints", DumpEndpoints(node.scheduler, now)},
+      {"kinds_held_apart", DumpInterference(node.scheduler.interference)},
+      {"jobs", DumpJobs(node.scheduler, now)}};
   return json.dump(-1, ' ', true, Json::error_handler_t::replace);
 }
 
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -295,6 +295,20 @@
   archive(message.job, message.tasks, message.answered_again);
 }
 
+template <class Archive>
+void serialize(Archive& archive, InterferencePair& pair) {
+  archive(pair.kind, pair.neighbour, pair.log_ratio, pair.runs);
+  if (!(std::abs(pair.log_ratio) <= kMaxLogRatio))
+    throw cereal::Exception("ratio out of range");
+}
+
+template <class Archive>
+void serialize(Archive& archive, InterferenceNotice& message) {
+  archive(message.pairs);
+  if (message.pairs.size() > kMaxNoticePairs)
+    throw cereal::Exception("too many pairs");
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -10,12 +10,14 @@
 #include "core/fleet/cut_off_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
+#include "core/fleet/interference_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_order.h"
 
@@ -279,6 +281,8 @@
     HandleCancelAnswer(node, from, *answer, actions);
   } else if (const auto* losses = std::get_if<LostEndpointsReport>(&message)) {
     ApplyLostEndpointsReport(node.scheduler, *losses, now, actions);
+  } else if (const auto* found = std::get_if<InterferenceNotice>(&message)) {
+    ApplyInterferenceNotice(node.scheduler, *found, now);
   }
   ReportFinishedJobs(node, now, actions);
 }
@@ -464,6 +468,7 @@
   AssignJobs(node, now, actions);
   ReportFinishedJobs(node, now, actions);
   AnnounceLosses(node, now, actions);
+  SendInterference(node, now, actions);
   ReviewCancellations(node, now, actions);
   FinishShutdown(node, now, actions);
 }
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -12,6 +12,7 @@
  * - heartbeat_flow.h: which daemons exchange heartbeats
  * - confirmation_flow.h: receivers confirm the jobs that they wait for
  * - announcement_flow.h: schedulers announce jobs that may be sent again
+ * - interference_flow.h: which kinds of tasks slow each other down
  * - cancellation_flow.h: callers' requests to cancel jobs
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -14,6 +14,7 @@
 #include "model/endpoint_entry.h"
 #include "model/endpoint_group.h"
 #include "model/fleet_member.h"
+#include "model/interference_notice.h"
 #include "model/lost_endpoints_report.h"
 #include "model/route_table.h"
 #include "model/submission.h"
@@ -257,7 +258,8 @@
                                  JobProgress,
                                  ViewNotice,
                                  RoutesNotice,
-                                 LostEndpointsReport>;
+                                 LostEndpointsReport,
+                                 InterferenceNotice>;
 
 }  // namespace dogwoodfall
 
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -66,6 +67,27 @@
   EXPECT_TRUE(report.tasks[0].is_given_up);
 }
 
+// Guards against a message that fills the receiver's state: too many pairs, and
+// ratios that are no numbers, are rejected.
+TEST(PeerCodecTest, InterferenceNoticeRoundTripsAndIsBounded) {
+  PeerFrame frame = MakeSampleFrame();
+  InterferenceNotice notice{{{"a", "b", 0.4, 57}}};
+  frame.message = notice;
+  const std::string bytes = EncodeFrame(frame);
+  const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeFrame(*decoded), bytes);
+  const auto& pair = std::get<InterferenceNotice>(*decoded->message).pairs[0];
+  EXPECT_EQ(pair.neighbour, "b");
+  EXPECT_EQ(pair.runs, 57U);
+  notice.pairs[0].log_ratio = std::nan("");
+  frame.message = notice;
+  EXPECT_FALSE(DecodeFrame(EncodeFrame(frame)).has_value());
+  notice.pairs.assign(kMaxNoticePairs + 1, {"a", "b", 0.4, 57});
+  frame.message = notice;
+  EXPECT_FALSE(DecodeFrame(EncodeFrame(frame)).has_value());
+}
+
 // Whatever stretch the store may hold, messages with it can be sent.
 TEST(PeerCodecTest, RoutesOfTheStoreCanBeSentToPeers) {
   for (const char* stretch : {"2000", "1000000", "-0.5", "-1000000"}) {
--- a/tests/core/interference_test.cc
+++ b/tests/core/interference_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <variant>
 
+#include "fleet_world.h"
 #include "scheduler_world.h"
 
 namespace dogwoodfall {
@@ -281,6 +282,41 @@
             kMaxInterferenceKinds);
 }
 
+// Guards against estimates that die with the owner that has learned them: the
+// next owner of its group and the owner of another zone have them.
+TEST(InterferenceTest, OwnersShareTheirPairs) {
+  FleetWorld world;
+  for (const char* id : {"north1", "north2", "south1"}) {
+    world.StartDaemon(id, std::string(id, 5));
+    world.RunFor({500});
+    world.Node(id).scheduler.options.interference = true;
+  }
+  world.AddEndpoint("e1", "north");
+  world.AddEndpoint("e2", "south");
+  world.RunFor({1'000});
+  ASSERT_EQ(world.OwnerOf("north"), "north1");
+  // 100 runs of kind a beside kind b that have taken 1.5 times as long.
+  Interference& learned = world.Node("north1").scheduler.interference;
+  learned.kinds.resize(3);
+  learned.kinds[1].name = "a";
+  learned.kinds[2].name = "b";
+  learned.numbers = {{"a", 1}, {"b", 2}};
+  learned.kinds[1].sums[2] = {100, 100, 40, 18, 0};
+  learned.kinds[1].sums[1] = {100, 100, 0, 2, 0};
+  learned.kinds[1].slowed_by = uint64_t{1} << 2;
+  learned.reviewed_at = world.now;
+  world.RunFor({3'000});
+  for (const char* id : {"north1", "north2", "south1"}) {
+    EXPECT_TRUE(IsHeldApart(world.Node(id).scheduler.interference, "b", "a"))
+        << id;
+  }
+  world.KillDaemon("north1");
+  world.RunFor({4'000});
+  ASSERT_EQ(world.OwnerOf("north"), "north2");
+  EXPECT_TRUE(
+      IsHeldApart(world.Node("north2").scheduler.interference, "a", "b"));
+}
+
 // Guards against a wrong estimate of another daemon that stays in force
 // although the runs here contradict it.
 TEST(InterferenceTest, RunsContradictAReceivedEstimate) {
