--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -12,6 +12,7 @@
 #include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
+#include "core/fleet/interference_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -20,6 +21,7 @@
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/endpoint_replies.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_order.h"
 
@@ -294,6 +296,8 @@
     ApplyLostEndpointsReport(node.scheduler, *losses, now, actions);
   } else if (const auto* speeds = std::get_if<EndpointSpeedsNotice>(&message)) {
     ReceiveEndpointSpeeds(node.scheduler, *speeds, now);
+  } else if (const auto* found = std::get_if<InterferenceNotice>(&message)) {
+    ApplyInterferenceNotice(node.scheduler, *found, now);
   }
   ReportFinishedJobs(node, now, actions);
 }
@@ -482,6 +486,7 @@
   AssignJobs(node, now, actions);
   ReportFinishedJobs(node, now, actions);
   AnnounceLosses(node, now, actions);
+  SendInterference(node, now, actions);
   ReviewCancellations(node, now, actions);
   FinishShutdown(node, now, actions);
 }
--- a/modules/core/scheduling/endpoint_flow.cc
+++ b/modules/core/scheduling/endpoint_flow.cc
@@ -7,6 +7,7 @@
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/endpoint_kinds.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_flow.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/run_relocation.h"
@@ -200,6 +201,7 @@
   ReviewJobLeases(scheduler, now, actions);
   UpdateEndpointKinds(scheduler, now, actions);
   UpdateSpeeds(scheduler, now);
+  ReviewInterference(scheduler, now, actions);
   RelocateRuns(scheduler, now, actions);
   EndInfeasibleJobs(scheduler, now, actions);
   for (auto& [id, endpoint] : scheduler.endpoints) {
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -7,6 +7,7 @@
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_runs.h"
+#include "core/scheduling/interference.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/speed_learning.h"
@@ -43,6 +44,11 @@
 constexpr double kSuspectNeighbourWeight = 0.5;
 /** A rack other than the preferred one, where the data is. */
 constexpr double kRemoteRackWeight = 0.5;
+/** A run of a kind on the endpoint that is held apart from the task's. As much
+ * as the reserve of fast endpoints, so that it decides between endpoints that
+ * are in time, but no task waits for another one.
+ */
+constexpr double kInterferenceWeight = 0.5;
 /** Standard deviation of the logarithm of run times around the expected run
  * time: 0.28 between jobs combined with 0.15 between the tasks of a job.
  */
@@ -341,6 +347,11 @@
   const StepPrediction prediction =
       PredictStep(scheduler, job, step_index, expected_run_time, now);
   const double max_risk = ComputeMaxRisk(scheduler, prediction);
+  const Millis slowest_run_time =
+      ScaleRunTime(SlowestTaskFactor(job.job.steps[step_index].task_count),
+                   expected_run_time);
+  const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
+  const uint64_t held_apart = GetHeldApartKinds(scheduler, job);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(scheduler, endpoint, job, step_index, task, TaskResources(),
                    now) ||
@@ -353,7 +364,10 @@
         risk +
         ComputeCost(scheduler, endpoint, job.job.steps[step_index], task) +
         ComputeSuspicionCost(scheduler, endpoint,
-                             {job.job.id, step_index, task_index});
+                             {job.job.id, step_index, task_index}) +
+        ((endpoint.neighbour_times.kinds_present & held_apart) != 0
+             ? kInterferenceWeight
+             : 0);
     if (best == nullptr || cost < best_cost) {
       best = &endpoint;
       best_cost = cost;
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -15,6 +15,7 @@
 #include "model/endpoint_group.h"
 #include "model/endpoint_speeds_notice.h"
 #include "model/fleet_member.h"
+#include "model/interference_notice.h"
 #include "model/lost_endpoints_report.h"
 #include "model/route_table.h"
 #include "model/submission.h"
@@ -270,7 +271,8 @@
                                  RoutesNotice,
                                  LostEndpointsReport,
                                  EvacuationNotice,
-                                 EndpointSpeedsNotice>;
+                                 EndpointSpeedsNotice,
+                                 InterferenceNotice>;
 
 }  // namespace dogwoodfall
 
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -85,6 +85,11 @@
   PeerFrame frame = MakeSampleFrame();
   EndpointSpeedsNotice notice;
   notice.speeds = {{{EndpointId("e1"), 5}, 1.7, 9, true}};
+// Guards against a message that fills the receiver's state: too many pairs, and
+// ratios that are no numbers, are rejected.
+TEST(PeerCodecTest, InterferenceNoticeRoundTripsAndIsBounded) {
+  PeerFrame frame = MakeSampleFrame();
+  InterferenceNotice notice{{{"a", "b", 0.4, 57}}};
   frame.message = notice;
   const std::string bytes = EncodeFrame(frame);
   const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
@@ -101,6 +106,17 @@
   EXPECT_ANY_THROW(EncodeHeartbeat(heartbeat));
 }
 
+  const auto& pair = std::get<InterferenceNotice>(*decoded->message).pairs[0];
+  EXPECT_EQ(pair.neighbour, "b");
+  EXPECT_EQ(pair.runs, 57U);
+  notice.pairs[0].log_ratio = std::nan("");
+  frame.message = notice;
+  EXPECT_FALSE(DecodeFrame(EncodeFrame(frame)).has_value());
+  notice.pairs.assign(kMaxNoticePairs + 1, {"a", "b", 0.4, 57});
+  frame.message = notice;
+  EXPECT_FALSE(DecodeFrame(EncodeFrame(frame)).has_value());
+}
+
 // Whatever stretch the store may hold, messages with it can be sent.
 TEST(PeerCodecTest, RoutesOfTheStoreCanBeSentToPeers) {
   for (const char* stretch : {"2000", "1000000", "-0.5", "-1000000"}) {
