Packing: choose the tasks to start from the whole queue

Cause: with a long queue, jobs were started in order of latest start, one task at a time. More jobs were begun than could be completed, large tasks met remainders in which they don't fit, and the cost of a decision grew with the queue.

Change: with /scheduling/packing, while more than one job is queued, a decision looks at the first 64 queued tasks that fit (queue_packing.h): jobs that need fast endpoints, urgent ones (started jobs first, then large tasks), others by size, late ones. Up to 8 endpoints are reserved for the oldest urgent job of which no task fits.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -95,6 +95,12 @@
   AddCounter(families, "ejections_total",
              "Ejections of endpoints because of failed runs", "",
              {{"", counters.ejections}});
+  AddCounter(families, "packed_starts_total",
+             "Starts of tasks that were chosen from a queue of several jobs",
+             "", {{"", counters.packed_starts}});
+  AddCounter(families, "capacity_reservations_total",
+             "Urgent jobs that capacity was reserved for", "",
+             {{"", counters.reservations}});
 }
 
 }  // namespace
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -13,6 +13,7 @@
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
+#include "core/scheduling/queue_packing.h"
 #include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
@@ -118,7 +119,8 @@
                      });
 }
 
-/** Returns true while runs of a job may be active that are not known here. */
+}  // namespace
+
 bool MayHaveUnknownRuns(const Scheduler& scheduler,
                         const ScheduledJob& job,
                         Millis now) {
@@ -131,6 +133,8 @@
          HasUnlistedReportedRun(job, now);
 }
 
+namespace {
+
 /** Returns true when an endpoint does not answer this daemon. */
 bool IsSilent(const Scheduler& scheduler, const EndpointId& id) {
   const auto endpoint = scheduler.endpoints.find(id);
@@ -325,6 +329,44 @@
   }
 }
 
+/** Starts queued tasks of a job, unless runs of it may be active that are not
+ * known here. May end the job.
+ */
+void PlaceQueuedJob(Scheduler& scheduler,
+                    const SubmissionId& id,
+                    Millis now,
+                    Actions& actions) {
+  ScheduledJob& job = scheduler.jobs.at(id);
+  if (!MayStartTasks(scheduler, id, now) ||
+      MayHaveUnknownRuns(scheduler, job, now))
+    return;
+  RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
+  if (scheduler.jobs.count(id) == 0)
+    return;
+  PlaceJobTasks(scheduler, job, now, actions);
+  if (job.tasks_queued == 0)
+    scheduler.queue.erase(job.order_key);
+}
+
+/** Starts the queued tasks that fill the free capacity best.
+ * @see queue_packing.h
+ */
+void PackTasks(Scheduler& scheduler, Millis now, Actions& actions) {
+  const std::vector<const ManagedEndpoint*> endpoints =
+      FindEndpointsWithRoom(scheduler, now);
+  ReserveCapacity(scheduler, endpoints, now, actions);
+  for (const SubmissionId& id : ChooseJobsToPlace(scheduler, endpoints, now)) {
+    // An earlier job may have ended this one, or have used the capacity.
+    const auto job = scheduler.jobs.find(id);
+    if (job == scheduler.jobs.end() ||
+        !FitsFreeCapacity(endpoints, job->second))
+      continue;
+    const uint64_t starts = scheduler.counters.starts;
+    PlaceQueuedJob(scheduler, id, now, actions);
+    scheduler.counters.packed_starts += scheduler.counters.starts - starts;
+  }
+}
+
 }  // namespace
 
 void AcceptJob(Scheduler& scheduler,
@@ -653,6 +695,12 @@
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
   if (now < scheduler.starts_blocked_until)
     return;
+  // A single job leaves nothing to choose.
+  if (scheduler.options.packing && scheduler.queue.size() > 1) {
+    PackTasks(scheduler, now, actions);
+    return;
+  }
+  scheduler.reservations.clear();
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
@@ -662,18 +710,8 @@
                           return NeedsFastEndpoints(scheduler,
                                                     scheduler.jobs.at(id), now);
                         });
-  for (const SubmissionId& id : queued_jobs) {
-    ScheduledJob& job = scheduler.jobs.at(id);
-    if (!MayStartTasks(scheduler, id, now) ||
-        MayHaveUnknownRuns(scheduler, job, now))
-      continue;
-    RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
-    if (scheduler.jobs.count(id) == 0)
-      continue;
-    PlaceJobTasks(scheduler, job, now, actions);
-    if (job.tasks_queued == 0)
-      scheduler.queue.erase(job.order_key);
-  }
+  for (const SubmissionId& id : queued_jobs)
+    PlaceQueuedJob(scheduler, id, now, actions);
 }
 
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions) {
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -84,7 +84,14 @@
             Millis now,
             Actions& actions);
 
-/** Starts queued tasks on endpoints with free capacity, in queue order. */
+/** Returns true while runs of a job may be active that are not known here. */
+bool MayHaveUnknownRuns(const Scheduler& scheduler,
+                        const ScheduledJob& job,
+                        Millis now);
+
+/** Starts queued tasks on endpoints with free capacity, in queue order or as
+ * chosen from the whole queue (queue_packing.h).
+ */
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions);
 
 /** Performs the periodic work on jobs: updates the queue order, ends jobs that
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -8,6 +8,7 @@
 #include "core/scheduling/endpoint_runs.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
+#include "core/scheduling/queue_packing.h"
 #include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
@@ -259,6 +260,8 @@
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
+        IsReservedForOther(scheduler, endpoint, job.job.id,
+                           job.job.steps[step_index].resources) ||
         !HasLeaseForStart(scheduler, endpoint, job.job.id, now) ||
         now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
       continue;
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -13,6 +13,7 @@
  * - ended_jobs.h remembers jobs until their last runs have ended
  * - job_order.h orders the queue
  * - placement.h chooses the endpoint of a task
+ * - queue_packing.h fills free capacity from the whole queue
  * - spillover.h chooses another group for a job
  * - run_review.h stops overdue runs and ends infeasible jobs
  * - run_relocation.h moves runs that would end too late to faster endpoints
@@ -45,6 +46,7 @@
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/managed_endpoint.h"
+#include "core/scheduling/room_reservation.h"
 #include "core/scheduling/scheduled_job.h"
 #include "core/scheduling/scheduling_counters.h"
 #include "core/scheduling/scheduling_options.h"
@@ -140,6 +142,10 @@
   std::unordered_map<SubmissionId, EndedJob> ended_jobs;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
+  /** Capacity that is kept for the oldest urgent job in the queue. */
+  std::map<EndpointId, RoomReservation> reservations;
+  /** The job that capacity was last reserved for. */
+  SubmissionId last_reservation;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
   uint64_t last_command_id = 0;
   /** Learned run times by route. */
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -39,6 +39,10 @@
   uint64_t given_up_tasks = 0;
   /** Ejections of endpoints whose runs kept failing. */
   uint64_t ejections = 0;
+  /** Starts of tasks chosen from the whole queue. */
+  uint64_t packed_starts = 0;
+  /** Jobs that capacity was reserved for. */
+  uint64_t reservations = 0;
 };
 
 }  // namespace dogwoodfall
