--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "adapters/metrics/metric_families.h"
+#include "core/scheduling/load_trend.h"
 
 namespace dogwoodfall {
 namespace {
@@ -98,6 +99,12 @@
   AddCounter(families, "packed_starts_total",
              "Starts of tasks that were chosen from a queue of several jobs",
              "", {{"", counters.packed_starts}});
+  double rise_millicores = 0;
+  for (const auto& [group, trend] : scheduler.load_trends)
+    rise_millicores += ForecastRise(trend);
+  AddGauge(families, "load_rise_millicores",
+           "Rise of the load that is expected within the next second",
+           static_cast<uint64_t>(rise_millicores));
   AddCounter(families, "capacity_reservations_total",
              "Urgent jobs that capacity was reserved for", "",
              {{"", counters.reservations}});
--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -202,6 +202,14 @@
           load.tasks_waiting);
 }
 
+template <class Archive>
+void serialize(Archive& archive, GroupRoom& room) {
+  archive(room.group, room.mean_task_millicores);
+  for (uint32_t& tasks : room.fitting_tasks)
+    archive(tasks);
+  archive(room.waiting_millicores, room.kept_millicores);
+}
+
 template <class Archive>
 void serialize(Archive& archive, JobSubmission& message) {
   archive(message.job, message.group, message.sent_at, message.may_forward,
@@ -315,7 +323,7 @@
           heartbeat.leaving_endpoints, heartbeat.demands,
           heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at,
           heartbeat.confirmed_jobs, heartbeat.answered_sent_at,
-          heartbeat.acknowledged_jobs);
+          heartbeat.acknowledged_jobs, heartbeat.group_rooms);
 }
 
 namespace {
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -22,6 +22,8 @@
   heartbeat.draining = node.is_stopping;
   heartbeat.jobs_in_progress = ListAnnouncedJobs(node, now);
   heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
+  heartbeat.group_rooms =
+      ComputeOwnGroupRooms(node, heartbeat.group_loads, now);
   return heartbeat;
 }
 
--- a/modules/core/fleet/spillover_flow.h
+++ b/modules/core/fleet/spillover_flow.h
@@ -5,12 +5,21 @@
 
 #include "core/fleet/fleet_node.h"
 #include "model/group_load.h"
+#include "model/group_room.h"
 
 namespace dogwoodfall {
 
 /** Computes the load of all groups that this daemon owns, for heartbeats. */
 std::vector<GroupLoad> ComputeOwnGroupLoads(const FleetNode& node, Millis now);
 
+/** Computes the free capacity of groups that this daemon owns by the size of
+ * tasks, for heartbeats; empty unless SchedulingOptions::packing is set.
+ */
+std::vector<GroupRoom> ComputeOwnGroupRooms(
+    const FleetNode& node,
+    const std::vector<GroupLoad>& own_loads,
+    Millis now);
+
 /** Redirects a submission of a job whose earlier submission runs, or may run,
  * in another group: one that it was forwarded to shortly before, or one whose
  * scheduler lists it in its heartbeats. In a large fleet a receiver gets the
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -15,6 +15,7 @@
 #include "core/scheduling/placement.h"
 #include "core/scheduling/queue_packing.h"
 #include "core/scheduling/speed_learning.h"
+#include "core/scheduling/spillover.h"
 
 namespace dogwoodfall {
 namespace {
@@ -715,6 +716,8 @@
 }
 
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions) {
+  if (scheduler.options.packing)
+    UpdateLoadTrends(scheduler, now);
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -45,6 +45,7 @@
 #include "core/scheduling/endpoint_loss.h"
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
+#include "core/scheduling/load_trend.h"
 #include "core/scheduling/managed_endpoint.h"
 #include "core/scheduling/room_reservation.h"
 #include "core/scheduling/scheduled_job.h"
@@ -146,6 +147,8 @@
   std::map<EndpointId, RoomReservation> reservations;
   /** The job that capacity was last reserved for. */
   SubmissionId last_reservation;
+  /** Load of each group in millicores, running and waiting. */
+  std::map<EndpointGroup, LoadTrend> load_trends;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
   uint64_t last_command_id = 0;
   /** Learned run times by route. */
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -8,6 +8,7 @@
 #include "base/millis.h"
 #include "model/daemon_ref.h"
 #include "model/group_load.h"
+#include "model/group_room.h"
 #include "model/job_in_progress.h"
 
 namespace dogwoodfall {
@@ -69,6 +70,10 @@
    * sender will not take for new ones for a while. Part of such an answer.
    */
   std::vector<SubmissionId> acknowledged_jobs;
+  /** Free capacity of the groups in group_loads by the size of tasks; may be
+   * empty.
+   */
+  std::vector<GroupRoom> group_rooms;
 };
 
 /** Returns true for a heartbeat that answers another one. */
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -44,9 +44,13 @@
   heartbeat.leaving_endpoints = {EndpointId("e1"), EndpointId("e2")};
   heartbeat.demands = {{CustomerId("wharf"), 2, 3}};
   heartbeat.acknowledged_jobs = {SubmissionId("job")};
+  heartbeat.group_rooms = {{{ZoneId("a"), 1}, 32'000, {7, 5, 3}, 64'000, 9}};
   const std::string bytes = EncodeHeartbeat(heartbeat);
   const std::optional<Heartbeat> decoded = DecodeHeartbeat(bytes);
   ASSERT_TRUE(decoded.has_value());
+  ASSERT_EQ(decoded->group_rooms.size(), 1U);
+  EXPECT_EQ(decoded->group_rooms[0].fitting_tasks[2], 3U);
+  EXPECT_EQ(decoded->group_rooms[0].kept_millicores, 9U);
   EXPECT_EQ(EncodeHeartbeat(*decoded), bytes);
 }
 
