Refuse jobs by a forecast of the capacity, and spread their retries

Cause: when more arrives than can be served, jobs that have passed their latest start wait behind all others until they are too late. Their callers learn of it after some 900 ms and are all told to return after 1 s.

Change: with /scheduling/admission_forecast, the periodic review of the queue refuses jobs for which the capacity that becomes free in time is less than what the queue before them and the expected arrivals need (admission_forecast.h). Which ones follows from the share of their demand that their zone, kind and size were served. It refuses nothing that may have started or fits now, and nothing after pauses, while many endpoints are reconciled or with few samples. Retry-After follows from the rate of starts, is spread by the hash of the job's id, and depends on priority and the time waited.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -108,6 +108,9 @@
   AddCounter(families, "capacity_reservations_total",
              "Urgent jobs that capacity was reserved for", "",
              {{"", counters.reservations}});
+  AddCounter(families, "forecast_refusals_total",
+             "Jobs refused because no capacity was forecast for them in time",
+             "", {{"", counters.forecast_refusals}});
 }
 
 }  // namespace
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -90,6 +90,16 @@
   submission.job.time_left = submission.job.time_left - delay;
 }
 
+/** Lets admission know the zone of a receiver. */
+void RecordReceiverZone(FleetNode& node, const DaemonRef& receiver) {
+  if (!node.scheduler.options.admission_forecast)
+    return;
+  const auto member = node.view.members.find(receiver.id);
+  if (member != node.view.members.end())
+    node.scheduler.admission.daemon_zones[receiver.id] =
+        member->second.address.zone;
+}
+
 }  // namespace
 
 void ReceiveJob(FleetNode& node,
@@ -343,6 +353,7 @@
       ForwardToLessLoadedGroup(node, receiver, submission, now, actions))
     return;
   node.forwarded_jobs.erase(submission.job.id);
+  RecordReceiverZone(node, receiver);
   AcceptJob(node.scheduler, receiver, group, submission, now, actions);
   if (!is_known)
     AnnounceOldJob(node, submission.job.id, now, actions);
--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/scheduling/admission_forecast.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
 
@@ -32,6 +33,15 @@
       received_by + Millis{kMaxObjectiveMultiple * objective.count});
 }
 
+/** Returns the Retry-After of a job that can't be in time. */
+Millis GetRetryAfter(const Scheduler& scheduler,
+                     const ScheduledJob& job,
+                     Millis now) {
+  return scheduler.options.admission_forecast
+             ? ComputeRetryAfter(scheduler, job, now)
+             : kMinRetryAfter;
+}
+
 /** Which endpoints are searched for ones that can run a job. */
 enum class FitScope { kGroup, kAllKnown };
 
@@ -74,6 +84,16 @@
 
 }  // namespace
 
+Millis ComputeLatestUsefulStart(const Scheduler& scheduler,
+                                const ScheduledJob& job) {
+  const Millis expected_run_time =
+      EstimateJobRunTime(scheduler.run_times, job.job);
+  const Millis best_case_run_time{
+      std::llround(kBestCaseRunTimeShare * scheduler.fast_slowness *
+                   static_cast<double>(expected_run_time.count))};
+  return ComputeLatestUsefulEnd(job) - best_case_run_time;
+}
+
 std::optional<JobOutcome> DecideAdmission(const Scheduler& scheduler,
                                           const ScheduledJob& job,
                                           Millis now) {
@@ -106,14 +126,10 @@
       !HasFittingEndpoint(scheduler, job, FitScope::kGroup))
     return JobOutcome{JobResult::kRefused, kMinRetryAfter,
                       "fits_no_endpoint_now"};
-  const Millis expected_run_time =
-      EstimateJobRunTime(scheduler.run_times, job.job);
-  const Millis best_case_run_time{
-      std::llround(kBestCaseRunTimeShare * scheduler.fast_slowness *
-                   static_cast<double>(expected_run_time.count))};
-  if (now + best_case_run_time <= ComputeLatestUsefulEnd(job))
+  if (now <= ComputeLatestUsefulStart(scheduler, job))
     return std::nullopt;
-  return JobOutcome{JobResult::kRefused, kMinRetryAfter, "too_late"};
+  return JobOutcome{JobResult::kRefused, GetRetryAfter(scheduler, job, now),
+                    "too_late"};
 }
 
 }  // namespace dogwoodfall
--- a/modules/core/scheduling/admission.h
+++ b/modules/core/scheduling/admission.h
@@ -9,6 +9,12 @@
 
 namespace dogwoodfall {
 
+/** Returns the time by which a job has to start to be of use to its caller, if
+ * its tasks take less time than expected.
+ */
+Millis ComputeLatestUsefulStart(const Scheduler& scheduler,
+                                const ScheduledJob& job);
+
 /** Decides whether to accept a new job.
  *
  * @return the outcome to report when the job is rejected; none when it is
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -5,6 +5,7 @@
 
 #include "base/erase_if.h"
 #include "core/scheduling/admission.h"
+#include "core/scheduling/admission_forecast.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
@@ -368,6 +369,21 @@
   }
 }
 
+/** Refuses the jobs that can't start in time by the forecast. */
+void RefuseByForecast(Scheduler& scheduler, Millis now, Actions& actions) {
+  UpdateDrainRate(scheduler, now);
+  for (const SubmissionId& id : ChooseJobsToRefuse(scheduler, now)) {
+    const auto job = scheduler.jobs.find(id);
+    if (job == scheduler.jobs.end())
+      continue;
+    ++scheduler.counters.forecast_refusals;
+    EndJob(scheduler, id,
+           {JobResult::kRefused, ComputeRetryAfter(scheduler, job->second, now),
+            "no_room_in_time"},
+           now, actions);
+  }
+}
+
 }  // namespace
 
 void AcceptJob(Scheduler& scheduler,
@@ -439,6 +455,8 @@
   accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
+  if (scheduler.options.admission_forecast)
+    RecordDemand(scheduler, accepted, now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
     JobProgress progress = early->second.progress;
@@ -731,6 +749,8 @@
     else
       InsertIntoQueue(scheduler, job, now);
   }
+  if (scheduler.options.admission_forecast)
+    RefuseByForecast(scheduler, now, actions);
   EraseIf(scheduler.early_progress, [now](const EarlyProgress& early) {
     return now - early.received_at > kEarlyProgressRetention;
   });
@@ -783,6 +803,8 @@
   --job.tasks_left;
   if (job.tasks_left == 0) {
     LearnFromJob(scheduler, job, now);
+    if (scheduler.options.admission_forecast)
+      RecordService(scheduler, job, now);
     EndJob(scheduler, task.job, {JobResult::kCompleted, {}, "all_done"}, now,
            actions);
     return;
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -40,6 +40,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "core/dispatch/run_times.h"
+#include "core/scheduling/admission_state.h"
 #include "core/scheduling/crash_record.h"
 #include "core/scheduling/ended_job.h"
 #include "core/scheduling/endpoint_loss.h"
@@ -149,6 +150,7 @@
   SubmissionId last_reservation;
   /** Load of each group in millicores, running and waiting. */
   std::map<EndpointGroup, LoadTrend> load_trends;
+  AdmissionState admission;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
   uint64_t last_command_id = 0;
   /** Learned run times by route. */
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -43,6 +43,9 @@
   uint64_t packed_starts = 0;
   /** Jobs that capacity was reserved for. */
   uint64_t reservations = 0;
+  /** Jobs that were refused because no capacity was forecast for them in time.
+   */
+  uint64_t forecast_refusals = 0;
 };
 
 }  // namespace dogwoodfall
