--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "adapters/metrics/metric_families.h"
+#include "core/scheduling/load_trend.h"
 
 namespace dogwoodfall {
 namespace {
@@ -142,6 +143,30 @@
               {"abandoned", counters.abandoned}});
 }
 
+AddCounter(families,
+           "packed_starts_total",
+           "Starts of tasks that were chosen from a queue of several jobs",
+           "",
+           {{"", counters.packed_starts}});
+double rise_millicores = 0;
+for (const auto& [group, trend] : scheduler.load_trends)
+  rise_millicores += ForecastRise(trend);
+AddGauge(families,
+         "load_rise_millicores",
+         "Rise of the load that is expected within the next second",
+         static_cast<uint64_t>(rise_millicores));
+AddCounter(families,
+           "capacity_reservations_total",
+           "Urgent jobs that capacity was reserved for",
+           "",
+           {{"", counters.reservations}});
+AddCounter(families,
+           "forecast_refusals_total",
+           "Jobs refused because no capacity was forecast for them in time",
+           "",
+           {{"", counters.forecast_refusals}});
+}
+
 }  // namespace
 
 std::string FormatFleetMetrics(const FleetNode& node,
--- a/modules/adapters/operators/fleet_state_dump.cc
+++ b/modules/adapters/operators/fleet_state_dump.cc
@@ -92,19 +92,6 @@
 }  // namespace
 
 std::string DumpFleetState(const FleetNode& node, Millis now) {
-  const Json json = {{"daemon", node.self.id.value},
-                     {"incarnation", node.self.incarnation.value},
-                     {"zone", node.zone.value},
-                     {"routes_version", node.routes.version},
-                     {"store_reachable", node.store.is_reachable},
-                     {"stopping", node.is_stopping},
-                     {"evacuation", DumpEvacuation(node)},
-                     {"view", DumpView(node, now)},
-                     {"endpoints", DumpEndpoints(node.scheduler, now)},
-                     {"endpoint_kinds",
-                      {{"learned", DumpKinds(node.scheduler.kinds.learned)},
-                       {"reported", DumpKinds(node.scheduler.kinds.reported)}}},
-                     {"jobs", DumpJobs(node.scheduler, now)}};
   const Json json = {
       {"daemon", node.self.id.value},
       {"incarnation", node.self.incarnation.value},
@@ -112,8 +99,12 @@
       {"routes_version", node.routes.version},
       {"store_reachable", node.store.is_reachable},
       {"stopping", node.is_stopping},
+      {"evacuation", DumpEvacuation(node)},
       {"view", DumpView(node, now)},
       {"endpoints", DumpEndpoints(node.scheduler, now)},
+      {"endpoint_kinds",
+       {{"learned", DumpKinds(node.scheduler.kinds.learned)},
+        {"reported", DumpKinds(node.scheduler.kinds.reported)}}},
       {"kinds_held_apart", DumpInterference(node.scheduler.interference)},
       {"jobs", DumpJobs(node.scheduler, now)}};
   return json.dump(-1, ' ', true, Json::error_handler_t::replace);
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -25,6 +25,8 @@
   heartbeat.jobs_in_progress = ListAnnouncedJobs(node, now);
   heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
   heartbeat.kind_speeds = ListLearnedKinds(node.scheduler);
+  heartbeat.group_rooms =
+      ComputeOwnGroupRooms(node, heartbeat.group_loads, now);
   return heartbeat;
 }
 
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -5,6 +5,7 @@
 
 #include "base/erase_if.h"
 #include "core/scheduling/admission.h"
+#include "core/scheduling/admission_forecast.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/ended_jobs.h"
 #include "core/scheduling/endpoint_commands.h"
@@ -14,7 +15,9 @@
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
 #include "core/scheduling/placement.h"
+#include "core/scheduling/queue_packing.h"
 #include "core/scheduling/speed_learning.h"
+#include "core/scheduling/spillover.h"
 
 namespace dogwoodfall {
 namespace {
@@ -314,6 +317,59 @@
   }
 }
 
+/** Starts queued tasks of a job, unless runs of it may be active that are not
+ * known here. May end the job.
+ */
+void PlaceQueuedJob(Scheduler& scheduler,
+                    const SubmissionId& id,
+                    Millis now,
+                    Actions& actions) {
+  ScheduledJob& job = scheduler.jobs.at(id);
+  if (!MayStartTasks(scheduler, id, now) ||
+      MayHaveUnknownRuns(scheduler, job, now))
+    return;
+  RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
+  if (scheduler.jobs.count(id) == 0)
+    return;
+  PlaceJobTasks(scheduler, job, now, actions);
+  if (job.tasks_queued == 0)
+    scheduler.queue.erase(job.order_key);
+}
+
+/** Starts the queued tasks that fill the free capacity best.
+ * @see queue_packing.h
+ */
+void PackTasks(Scheduler& scheduler, Millis now, Actions& actions) {
+  const std::vector<const ManagedEndpoint*> endpoints =
+      FindEndpointsWithRoom(scheduler, now);
+  ReserveCapacity(scheduler, endpoints, now, actions);
+  for (const SubmissionId& id : ChooseJobsToPlace(scheduler, endpoints, now)) {
+    // An earlier job may have ended this one, or have used the capacity.
+    const auto job = scheduler.jobs.find(id);
+    if (job == scheduler.jobs.end() ||
+        !FitsFreeCapacity(endpoints, job->second))
+      continue;
+    const uint64_t starts = scheduler.counters.starts;
+    PlaceQueuedJob(scheduler, id, now, actions);
+    scheduler.counters.packed_starts += scheduler.counters.starts - starts;
+  }
+}
+
+/** Refuses the jobs that can't start in time by the forecast. */
+void RefuseByForecast(Scheduler& scheduler, Millis now, Actions& actions) {
+  UpdateDrainRate(scheduler, now);
+  for (const SubmissionId& id : ChooseJobsToRefuse(scheduler, now)) {
+    const auto job = scheduler.jobs.find(id);
+    if (job == scheduler.jobs.end())
+      continue;
+    ++scheduler.counters.forecast_refusals;
+    EndJob(scheduler, id,
+           {JobResult::kRefused, ComputeRetryAfter(scheduler, job->second, now),
+            "no_room_in_time"},
+           now, actions);
+  }
+}
+
 }  // namespace
 
 void AcceptJob(Scheduler& scheduler,
@@ -387,6 +443,8 @@
   accepted.has_changed_group = !(group == submission.group);
   accepted.start_blocked_until = now + submission.max_progress_wait;
   SetJobDeadlines(accepted, scheduler.run_times, scheduler.fast_slowness, now);
+  if (scheduler.options.admission_forecast)
+    RecordDemand(scheduler, accepted, now);
   const auto early = scheduler.early_progress.find(job.id);
   if (early != scheduler.early_progress.end()) {
     JobProgress progress = early->second.progress;
@@ -646,6 +704,12 @@
 void PlaceTasks(Scheduler& scheduler, Millis now, Actions& actions) {
   if (now < scheduler.starts_blocked_until)
     return;
+  // A single job leaves nothing to choose.
+  if (scheduler.options.packing && scheduler.queue.size() > 1) {
+    PackTasks(scheduler, now, actions);
+    return;
+  }
+  scheduler.reservations.clear();
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
@@ -655,21 +719,13 @@
                           return NeedsFastEndpoints(scheduler,
                                                     scheduler.jobs.at(id), now);
                         });
-  for (const SubmissionId& id : queued_jobs) {
-    ScheduledJob& job = scheduler.jobs.at(id);
-    if (!MayStartTasks(scheduler, id, now) ||
-        MayHaveUnknownRuns(scheduler, job, now))
-      continue;
-    RecordUnlistedReportedRuns(scheduler, job, now, now, actions);
-    if (scheduler.jobs.count(id) == 0)
-      continue;
-    PlaceJobTasks(scheduler, job, now, actions);
-    if (job.tasks_queued == 0)
-      scheduler.queue.erase(job.order_key);
-  }
+  for (const SubmissionId& id : queued_jobs)
+    PlaceQueuedJob(scheduler, id, now, actions);
 }
 
 void ReviewQueue(Scheduler& scheduler, Millis now, Actions& actions) {
+  if (scheduler.options.packing)
+    UpdateLoadTrends(scheduler, now);
   std::vector<SubmissionId> queued_jobs;
   for (const JobOrderKey& key : scheduler.queue)
     queued_jobs.push_back(key.second);
@@ -683,6 +739,8 @@
     else
       InsertIntoQueue(scheduler, job, now);
   }
+  if (scheduler.options.admission_forecast)
+    RefuseByForecast(scheduler, now, actions);
   EraseIf(scheduler.early_progress, [now](const EarlyProgress& early) {
     return now - early.received_at > kEarlyProgressRetention;
   });
@@ -748,6 +806,8 @@
   if (job.tasks_left == 0) {
     LearnInterference(scheduler, job);
     LearnFromJob(scheduler, job, now);
+    if (scheduler.options.admission_forecast)
+      RecordService(scheduler, job, now);
     EndJob(scheduler, task.job, {JobResult::kCompleted, {}, "all_done"}, now,
            actions);
     return;
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -10,6 +10,7 @@
 #include "core/scheduling/interference.h"
 #include "core/scheduling/job_lease.h"
 #include "core/scheduling/job_order.h"
+#include "core/scheduling/queue_packing.h"
 #include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
@@ -347,14 +348,12 @@
   const StepPrediction prediction =
       PredictStep(scheduler, job, step_index, expected_run_time, now);
   const double max_risk = ComputeMaxRisk(scheduler, prediction);
-  const Millis slowest_run_time =
-      ScaleRunTime(SlowestTaskFactor(job.job.steps[step_index].task_count),
-                   expected_run_time);
-  const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   const uint64_t held_apart = GetHeldApartKinds(scheduler, job);
   for (auto& [id, endpoint] : scheduler.endpoints) {
     if (!MayRunNow(scheduler, endpoint, job, step_index, task, TaskResources(),
                    now) ||
+        IsReservedForOther(scheduler, endpoint, job.job.id,
+                           job.job.steps[step_index].resources) ||
         !HasLeaseForStart(scheduler, endpoint, job.job.id, now))
       continue;
     const double risk = EstimateMissRisk(prediction, endpoint.slowness);
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -13,6 +13,7 @@
  * - ended_jobs.h remembers jobs until their last runs have ended
  * - job_order.h orders the queue
  * - placement.h chooses the endpoint of a task
+ * - queue_packing.h fills free capacity from the whole queue
  * - spillover.h chooses another group for a job
  * - run_review.h stops overdue runs and ends infeasible jobs
  * - run_relocation.h moves runs that would end too late to faster endpoints
@@ -41,6 +42,7 @@
 #include "base/ids.h"
 #include "base/millis.h"
 #include "core/dispatch/run_times.h"
+#include "core/scheduling/admission_state.h"
 #include "core/scheduling/crash_record.h"
 #include "core/scheduling/ended_job.h"
 #include "core/scheduling/endpoint_loss.h"
@@ -48,7 +50,9 @@
 #include "core/scheduling/job_lease_ends.h"
 #include "core/scheduling/job_order_key.h"
 #include "core/scheduling/kind_estimates.h"
+#include "core/scheduling/load_trend.h"
 #include "core/scheduling/managed_endpoint.h"
+#include "core/scheduling/room_reservation.h"
 #include "core/scheduling/scheduled_job.h"
 #include "core/scheduling/scheduling_counters.h"
 #include "core/scheduling/scheduling_options.h"
@@ -150,6 +154,13 @@
   std::unordered_map<SubmissionId, EndedJob> ended_jobs;
   /** Jobs with queued tasks, in the order in which they are started. */
   std::set<JobOrderKey> queue;
+  /** Capacity that is kept for the oldest urgent job in the queue. */
+  std::map<EndpointId, RoomReservation> reservations;
+  /** The job that capacity was last reserved for. */
+  SubmissionId last_reservation;
+  /** Load of each group in millicores, running and waiting. */
+  std::map<EndpointGroup, LoadTrend> load_trends;
+  AdmissionState admission;
   std::unordered_map<CommandId, PendingCommand> pending_commands;
   uint64_t last_command_id = 0;
   /** Learned run times by route. */
--- a/modules/core/scheduling/scheduling_counters.h
+++ b/modules/core/scheduling/scheduling_counters.h
@@ -45,6 +45,13 @@
   uint64_t interference_found = 0;
   /** Starts beside a kind that is held apart, for want of other room. */
   uint64_t starts_beside_held_apart = 0;
+  /** Starts of tasks chosen from the whole queue. */
+  uint64_t packed_starts = 0;
+  /** Jobs that capacity was reserved for. */
+  uint64_t reservations = 0;
+  /** Jobs that were refused because no capacity was forecast for them in time.
+   */
+  uint64_t forecast_refusals = 0;
 };
 
 }  // namespace dogwoodfall
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -8,6 +8,7 @@
 #include "base/millis.h"
 #include "model/daemon_ref.h"
 #include "model/group_load.h"
+#include "model/group_room.h"
 #include "model/job_in_progress.h"
 #include "model/kind_speed.h"
 
@@ -78,6 +79,10 @@
    * at most 16.
    */
   std::vector<KindSpeed> kind_speeds;
+  /** Free capacity of the groups in group_loads by the size of tasks; may be
+   * empty.
+   */
+  std::vector<GroupRoom> group_rooms;
 };
 
 /** Returns true for a heartbeat that answers another one. */
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -46,9 +46,13 @@
   heartbeat.demands = {{CustomerId("wharf"), 2, 3}};
   heartbeat.acknowledged_jobs = {SubmissionId("job")};
   heartbeat.evacuation_revision = 41;
+  heartbeat.group_rooms = {{{ZoneId("a"), 1}, 32'000, {7, 5, 3}, 64'000, 9}};
   const std::string bytes = EncodeHeartbeat(heartbeat);
   const std::optional<Heartbeat> decoded = DecodeHeartbeat(bytes);
   ASSERT_TRUE(decoded.has_value());
+  ASSERT_EQ(decoded->group_rooms.size(), 1U);
+  EXPECT_EQ(decoded->group_rooms[0].fitting_tasks[2], 3U);
+  EXPECT_EQ(decoded->group_rooms[0].kept_millicores, 9U);
   EXPECT_EQ(EncodeHeartbeat(*decoded), bytes);
 }
 
@@ -85,11 +89,6 @@
   PeerFrame frame = MakeSampleFrame();
   EndpointSpeedsNotice notice;
   notice.speeds = {{{EndpointId("e1"), 5}, 1.7, 9, true}};
-// Guards against a message that fills the receiver's state: too many pairs, and
-// ratios that are no numbers, are rejected.
-TEST(PeerCodecTest, InterferenceNoticeRoundTripsAndIsBounded) {
-  PeerFrame frame = MakeSampleFrame();
-  InterferenceNotice notice{{{"a", "b", 0.4, 57}}};
   frame.message = notice;
   const std::string bytes = EncodeFrame(frame);
   const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
@@ -106,6 +105,16 @@
   EXPECT_ANY_THROW(EncodeHeartbeat(heartbeat));
 }
 
+// Guards against a message that fills the receiver's state: too many pairs, and
+// ratios that are no numbers, are rejected.
+TEST(PeerCodecTest, InterferenceNoticeRoundTripsAndIsBounded) {
+  PeerFrame frame = MakeSampleFrame();
+  InterferenceNotice notice{{{"a", "b", 0.4, 57}}};
+  frame.message = notice;
+  const std::string bytes = EncodeFrame(frame);
+  const std::optional<PeerFrame> decoded = DecodeFrame(bytes);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_EQ(EncodeFrame(*decoded), bytes);
   const auto& pair = std::get<InterferenceNotice>(*decoded->message).pairs[0];
   EXPECT_EQ(pair.neighbour, "b");
   EXPECT_EQ(pair.runs, 57U);
