Check a configuration of routes before it is written

Cause: a fault in the configuration that operators write to op/config shows only once daemons ignore it or answer 404: an entry that can't be decoded, a route that never matches, a version that is not higher.

--- a/apps/ctl/commands.h
+++ b/apps/ctl/commands.h
@@ -27,6 +27,9 @@
 /** Commands for the configuration: config get, config check, config apply. */
 std::vector<Command> MakeConfigurationCommands();
 
+/** Command for the configuration of the platform's routes: routes check. */
+std::vector<Command> MakeRoutesCommands();
+
 /** Prints JSON indented, or as a table of paths and values. Prints text that
  * isn't JSON unchanged.
  *
--- a/apps/ctl/main.cc
+++ b/apps/ctl/main.cc
@@ -18,7 +18,8 @@
 std::vector<Command> MakeAllCommands() {
   std::vector<Command> commands = dogwoodfall::MakeSubmissionCommands();
   for (auto* group : {&dogwoodfall::MakeDaemonCommands,
-                      &dogwoodfall::MakeConfigurationCommands}) {
+                      &dogwoodfall::MakeConfigurationCommands,
+                      &dogwoodfall::MakeRoutesCommands}) {
     for (Command& command : group())
       commands.push_back(std::move(command));
   }
