Complete the merge of the counters, and raise the protocol version of peers

Cause: heartbeats have new fields at their end, so that daemons of the former version can't read them; with the same version number they would count as malformed.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -119,6 +119,21 @@
   AddCounter(families, "starts_beside_held_apart_total",
              "Starts beside a kind that is held apart, for want of other room",
              "", {{"", counters.starts_beside_held_apart}});
+  AddCounter(families, "packed_starts_total",
+             "Starts of tasks that were chosen from a queue of several jobs",
+             "", {{"", counters.packed_starts}});
+  double rise_millicores = 0;
+  for (const auto& [group, trend] : scheduler.load_trends)
+    rise_millicores += ForecastRise(trend);
+  AddGauge(families, "load_rise_millicores",
+           "Rise of the load that is expected within the next second",
+           static_cast<uint64_t>(rise_millicores));
+  AddCounter(families, "capacity_reservations_total",
+             "Urgent jobs that capacity was reserved for", "",
+             {{"", counters.reservations}});
+  AddCounter(families, "forecast_refusals_total",
+             "Jobs refused because no capacity was forecast for them in time",
+             "", {{"", counters.forecast_refusals}});
 }
 
 void AddEvacuation(MetricFamilies& families, const FleetNode& node) {
@@ -143,30 +158,6 @@
               {"abandoned", counters.abandoned}});
 }
 
-AddCounter(families,
-           "packed_starts_total",
-           "Starts of tasks that were chosen from a queue of several jobs",
-           "",
-           {{"", counters.packed_starts}});
-double rise_millicores = 0;
-for (const auto& [group, trend] : scheduler.load_trends)
-  rise_millicores += ForecastRise(trend);
-AddGauge(families,
-         "load_rise_millicores",
-         "Rise of the load that is expected within the next second",
-         static_cast<uint64_t>(rise_millicores));
-AddCounter(families,
-           "capacity_reservations_total",
-           "Urgent jobs that capacity was reserved for",
-           "",
-           {{"", counters.reservations}});
-AddCounter(families,
-           "forecast_refusals_total",
-           "Jobs refused because no capacity was forecast for them in time",
-           "",
-           {{"", counters.forecast_refusals}});
-}
-
 }  // namespace
 
 std::string FormatFleetMetrics(const FleetNode& node,
--- a/modules/adapters/peers/peer_codec.h
+++ b/modules/adapters/peers/peer_codec.h
@@ -12,7 +12,7 @@
 
 /** Version of the format of frames and heartbeats. Other versions are rejected.
  */
-inline constexpr uint16_t kPeerProtocolVersion = 3;
+inline constexpr uint16_t kPeerProtocolVersion = 4;
 
 /** Encodes a frame, without a length prefix. */
 std::string EncodeFrame(const PeerFrame& frame);
