--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -14,18 +14,31 @@
 namespace dogwoodfall {
 namespace {
 
-constexpr uint16_t kPort = 25'611;
 /** Rounds of the event loop in which a test waits for what must happen. */
 constexpr int kMaxRounds = 20'000;
 
+/** Returns a port that no process listens on. */
+uint16_t FindFreePort() {
+  const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address = {};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* socket_address = reinterpret_cast<sockaddr*>(&address);
+  socklen_t length = sizeof(address);
+  bind(socket, socket_address, length);
+  getsockname(socket, socket_address, &length);
+  close(socket);
+  return ntohs(address.sin_port);
+}
+
 /** A connection to the server of the test. Reads and writes do not block. */
 class Client {
  public:
-  Client() {
+  explicit Client(uint16_t port) {
     this->socket = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
-    address.sin_port = htons(kPort);
+    address.sin_port = htons(port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     EXPECT_EQ(connect(this->socket, reinterpret_cast<sockaddr*>(&address),
                       sizeof(address)),
@@ -64,7 +77,7 @@
 
   void Listen(const HttpServerLimits& limits) {
     auto created = HttpServer::Create(
-        this->base.get(), "127.0.0.1", kPort, limits,
+        this->base.get(), "127.0.0.1", this->port, limits,
         [this](HttpToken token, HttpRequest request) {
           this->tokens.push_back(token);
           this->requests.push_back(std::move(request));
@@ -100,6 +113,7 @@
   }
 
   std::unique_ptr<event_base, decltype(&event_base_free)> base;
+  const uint16_t port = FindFreePort();
   std::unique_ptr<HttpServer> server;
   std::vector<HttpToken> tokens;
   std::vector<HttpRequest> requests;
@@ -118,7 +132,7 @@
   limits.captured_headers = {"host"};
   limits.max_held_bytes = 15'000'000;
   this->Listen(limits);
-  Client client;
+  Client client(this->port);
   std::string head = Head(262'144);
   while (head.size() + 6 < 16'384)
     head += "a:\r\n";
@@ -151,7 +165,7 @@
     empty_lines += "\r\n";
   for (const std::string& text :
        {Head(0) + lines + "\r\n", Head(0) + long_lines + "\r\n", empty_lines}) {
-    Client client;
+    Client client(this->port);
     this->SendAll(client, text);
     EXPECT_TRUE(
         this->WaitUntil(client, [&client] { return client.is_closed; }));
@@ -169,14 +183,14 @@
   limits.max_held_bytes = 300'000;
   limits.on_caller_disconnected = [](HttpToken) {};
   this->Listen(limits);
-  Client passed_on;
+  Client passed_on(this->port);
   this->SendAll(passed_on, Head(100'000) + "\r\n" + std::string(100'000, 'x'));
   ASSERT_TRUE(this->WaitUntil(passed_on,
                               [this] { return this->requests.size() == 1; }));
-  Client stalled;
+  Client stalled(this->port);
   this->SendAll(stalled, Head(150'000) + "\r\n" + std::string(149'999, 'x'));
   usleep(600'000);
-  Client next;
+  Client next(this->port);
   this->SendAll(next, Head(100'000) + "\r\n" + std::string(100'000, 'x'));
   EXPECT_TRUE(
       this->WaitUntil(next, [this] { return this->requests.size() == 2; }));
@@ -193,8 +207,8 @@
 TEST_F(HttpServerTest, HeldBytesReturnToZero) {
   this->Listen(HttpServerLimits());
   {
-    Client answered;
-    Client incomplete;
+    Client answered(this->port);
+    Client incomplete(this->port);
     this->SendAll(incomplete, Head(9) + "a:b\r\n\r\n1234");
     for (size_t i = 1; i <= 3; ++i) {
       this->SendAll(answered, Head(4) + "a:b\r\n\r\n1234");
