Correct the sum of the shares of memory in a comment

Cause: the comment gave 1.1 of the memory in the worst case. Result: comment only; no test was run for it.

--- a/modules/settings/memory_shares.cc
+++ b/modules/settings/memory_shares.cc
@@ -11,7 +11,7 @@
 
 constexpr size_t kBytesPerMb = 1'000'000;
 /** Buffers take up to twice the bytes that they hold, so these shares take at
- * most 1.1 of the memory in the worst case of all at once, and 0.25 for the
+ * most 1.2 of the memory in the worst case of all at once, and 0.25 for the
  * listeners that clients reach.
  */
 constexpr size_t kCallersDivisor = 8;
