Start nothing in zones that operators have evacuated

Requests to evacuate a zone (op/evacuate/ZONE) were not read, so daemons went on starting tasks there.

The watch of op/config has the prefix op/ now, at the cost of no additional call. Daemons keep the evacuated zones with the revision of the latest change, ignore older changes and lists, and send the state to peers whose heartbeats show an older one. Every start, also one that waits for a reading of an endpoint's clock, checks the zone of the endpoint's entry. Receivers assign new jobs of the zone to the groups of other zones, by a hash of the job's id. Schedulers move jobs that have not started, and end those that have and can't go on. If no zone is left, jobs are refused at once. A daemon that has just started starts nothing before it knows the evacuated zones.

Heartbeats have a field at their end and peer messages an alternative at their end; existing fields are encoded as before.

In the tests, starts in the zone end within the bound after cut and silent connections, compacted history, lost, malformed and rejected answers and stale lists.

--- a/modules/adapters/peers/peer_codec.cc
+++ b/modules/adapters/peers/peer_codec.cc
@@ -295,6 +295,16 @@
   archive(message.job, message.tasks, message.answered_again);
 }
 
+template <class Archive>
+void serialize(Archive& archive, ZoneEvacuation& evacuation) {
+  archive(evacuation.zone, evacuation.revision);
+}
+
+template <class Archive>
+void serialize(Archive& archive, EvacuationNotice& message) {
+  archive(message.revision, message.zones);
+}
+
 template <class Archive>
 void serialize(Archive& archive, PeerFrame& frame) {
   archive(frame.from, frame.to, frame.sequence, frame.acknowledged,
@@ -315,7 +325,7 @@
           heartbeat.leaving_endpoints, heartbeat.demands,
           heartbeat.jobs_in_progress, heartbeat.group_loads, heartbeat.sent_at,
           heartbeat.confirmed_jobs, heartbeat.answered_sent_at,
-          heartbeat.acknowledged_jobs);
+          heartbeat.acknowledged_jobs, heartbeat.evacuation_revision);
 }
 
 namespace {
--- a/modules/core/fleet/assignment_flow.cc
+++ b/modules/core/fleet/assignment_flow.cc
@@ -6,6 +6,7 @@
 
 #include "core/fleet/announcement_flow.h"
 #include "core/fleet/cut_off_flow.h"
+#include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -26,6 +27,8 @@
 constexpr const char* kTooOld = "too_old";
 /** Reason of the end of a job whose callers have stopped waiting. */
 constexpr const char* kTimeLimit = "time_limit";
+/** Reason of the refusal of a job while all zones are evacuated. */
+constexpr const char* kAllZonesEvacuated = "all_zones_evacuated";
 
 /** Computes the maximum wait for the progress of a job from its previous
  * scheduler: the time for which runs that it has started may go on. It is
@@ -146,6 +149,31 @@
   return true;
 }
 
+/** Assigns a pending job to a group or, when that is in an evacuated zone and
+ * nothing of the job has started, to a group of another zone.
+ *
+ * @return false when all zones are evacuated
+ */
+bool AssignOutsideEvacuation(FleetNode& node,
+                             PendingJob& pending,
+                             const EndpointGroup& requested_group,
+                             Millis now,
+                             Actions& actions) {
+  if (pending.may_have_started || !IsEvacuated(node, requested_group.zone)) {
+    AssignToGroup(node, pending, requested_group, now, actions);
+    return true;
+  }
+  const std::optional<EndpointGroup> group =
+      ChooseGroupOutsideEvacuation(node, pending.job.id, now);
+  if (!group) {
+    ++node.evacuation_counters.refused;
+    return false;
+  }
+  if (AssignToGroup(node, pending, *group, now, actions))
+    ++node.evacuation_counters.assigned_elsewhere;
+  return true;
+}
+
 /** Requests the handover of a job from a scheduler that no longer owns its
  * group.
  */
@@ -229,10 +257,10 @@
     AbandonJob(node, now, job, is_too_old ? kTooOld : kTimeLimit, actions);
     return;
   }
-  AssignToGroup(
-      node, pending,
-      running ? running->group : GroupOfJob(node.view, node.zone, job), now,
-      actions);
+  const EndpointGroup group =
+      running ? running->group : GroupOfJob(node.view, node.zone, job);
+  if (!AssignOutsideEvacuation(node, pending, group, now, actions))
+    AbandonJob(node, now, job, kAllZonesEvacuated, actions);
 }
 
 void RedirectJob(FleetNode& node,
@@ -276,10 +304,14 @@
   pending.announced_group = redirect.group;
   pending.was_spilled_over |= redirect.is_spillover;
   pending.required_view_revision = redirect.view_revision;
-  if (MayRunElsewhere(pending, now))
+  if (MayRunElsewhere(pending, now)) {
     AbandonJob(node, now, redirect.job, kTooOld, actions);
-  else if (node.view.revision >= redirect.view_revision)
-    AssignToGroup(node, pending, redirect.group, now, actions);
+    return;
+  }
+  if (node.view.revision < redirect.view_revision)
+    return;
+  if (!AssignOutsideEvacuation(node, pending, redirect.group, now, actions))
+    AbandonJob(node, now, redirect.job, kAllZonesEvacuated, actions);
 }
 
 void AssignJobs(FleetNode& node, Millis now, Actions& actions) {
@@ -318,10 +350,10 @@
       RequestHandover(node, pending, now, actions);
     }
     const bool has_group = !pending.group.zone.value.empty();
-    AssignToGroup(
-        node, pending,
-        has_group ? pending.group : GroupOfJob(node.view, node.zone, id), now,
-        actions);
+    const EndpointGroup group =
+        has_group ? pending.group : GroupOfJob(node.view, node.zone, id);
+    if (!AssignOutsideEvacuation(node, pending, group, now, actions))
+      ended.emplace_back(id, kAllZonesEvacuated);
   }
   for (const auto& [id, reason] : ended)
     AbandonJob(node, now, id, reason, actions);
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -8,11 +8,13 @@
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/confirmation_flow.h"
 #include "core/fleet/cut_off_flow.h"
+#include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
 #include "core/fleet/pause_flow.h"
 #include "core/fleet/reception_flow.h"
+#include "core/fleet/zone_evacuation.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_flow.h"
 #include "core/scheduling/endpoint_replies.h"
@@ -49,8 +51,9 @@
  * them at once.
  */
 constexpr Millis kStoppingRetryAfter{1'000};
-/** Time for which a peer's view or routes may be outdated before this daemon
- * sends its own. A peer that reaches the store has them within 400 ms.
+/** Time for which a peer's view, routes or evacuated zones may be outdated
+ * before this daemon sends its own. A peer that reaches the store has them
+ * within 400 ms.
  */
 constexpr Millis kUpdatePeerAfter{600};
 
@@ -223,8 +226,9 @@
   actions.push_back(ExitProcess{is_idle});
 }
 
-/** Sends a peer the view or routes that it has lacked for kUpdatePeerAfter: it
- * may not get them from the store, which may be rejecting its calls.
+/** Sends a peer the view, routes or evacuated zones that it has lacked for
+ * kUpdatePeerAfter: it may not get them from the store, which may be rejecting
+ * its calls.
  */
 void SendMissingUpdates(FleetNode& node,
                         PeerStatus& peer_status,
@@ -234,7 +238,9 @@
       peer_status.last_heartbeat.store_revision < node.view.revision;
   const bool lacks_routes =
       peer_status.last_heartbeat.revision < node.routes.version;
-  if (!lacks_view && !lacks_routes) {
+  const bool lacks_evacuations =
+      peer_status.last_heartbeat.evacuation_revision < node.evacuation.revision;
+  if (!lacks_view && !lacks_routes && !lacks_evacuations) {
     peer_status.outdated_since = Millis();
     return;
   }
@@ -248,6 +254,9 @@
   if (lacks_routes)
     Send(node.sessions, peer_status.last_heartbeat.from,
          RoutesNotice{node.routes}, SessionLimits(), now, actions);
+  if (lacks_evacuations)
+    Send(node.sessions, peer_status.last_heartbeat.from,
+         MakeEvacuationNotice(node.evacuation), SessionLimits(), now, actions);
 }
 
 void HandlePeerMessage(FleetNode& node,
@@ -269,6 +278,8 @@
     ApplyViewNotice(node, *view, now, actions);
   } else if (const auto* routes = std::get_if<RoutesNotice>(&message)) {
     ApplyRoutesNotice(node, *routes, actions);
+  } else if (const auto* notice = std::get_if<EvacuationNotice>(&message)) {
+    HandleEvacuationNotice(node, *notice, now, actions);
   } else if (const auto* progress = std::get_if<JobProgress>(&message)) {
     HandleJobProgress(node, from, *progress, now, actions);
   } else if (const auto* redirect = std::get_if<JobRedirect>(&message)) {
@@ -292,6 +303,7 @@
   node.sessions.self = node.self;
   node.store.self.address = self;
   node.store.self.incarnation = incarnation;
+  node.scheduler.are_evacuations_known = false;
   return node;
 }
 
@@ -459,6 +471,7 @@
   RequestConfirmations(node, now, actions);
   RemoveUnconfirmedEarlyJobs(node, now, actions);
   StopOrphanedRuns(node, now, actions);
+  ReviewEvacuatedJobs(node, now, actions);
   ReviewQueue(node.scheduler, now, actions);
   ReviewEndpoints(node.scheduler, now, actions);
   AssignJobs(node, now, actions);
--- a/modules/core/fleet/fleet_node.h
+++ b/modules/core/fleet/fleet_node.h
@@ -15,6 +15,8 @@
  * - cancellation_flow.h: callers' requests to cancel jobs
  * - handover_flow.h: transfers a job's progress to its next scheduler
  * - spillover_flow.h: forwards jobs to less loaded groups
+ * - zone_evacuation.h: which zones operators have evacuated
+ * - evacuation_flow.h: keeps jobs away from these zones
  * - peer_clock.h: bounds the age of messages
  * - pause_flow.h: suspends starts after the process was paused
  * - cut_off_flow.h: requests that a network cut has held up
@@ -30,6 +32,7 @@
 
 #include "base/ids.h"
 #include "base/millis.h"
+#include "core/fleet/evacuation_counters.h"
 #include "core/fleet/fleet_view.h"
 #include "core/fleet/peer_clock.h"
 #include "core/fleet/pending_cancellation.h"
@@ -37,6 +40,7 @@
 #include "core/fleet/store_session.h"
 #include "core/peers/peer_session.h"
 #include "core/scheduling/scheduler.h"
+#include "model/evacuation_state.h"
 #include "model/heartbeat.h"
 #include "model/route_table.h"
 
@@ -70,8 +74,8 @@
   bool is_eviction_requested = false;
   /** True from the log line about its silence until its next message. */
   bool is_silence_logged = false;
-  /** Time since which its view or routes are known to be outdated; zero while
-   * they are current.
+  /** Time since which its view, routes or evacuated zones are known to be
+   * outdated; zero while they are current.
    */
   Millis outdated_since;
 };
@@ -129,6 +133,8 @@
   ZoneId zone;
   FleetView view;
   RouteTable routes;
+  EvacuationState evacuation;
+  EvacuationCounters evacuation_counters;
   /** Entries of all endpoints in the store. */
   std::map<EndpointId, EndpointEntry> entries;
   StoreSession store;
--- a/modules/core/fleet/heartbeat_flow.cc
+++ b/modules/core/fleet/heartbeat_flow.cc
@@ -19,6 +19,7 @@
   heartbeat.number = node.heartbeat_number;
   heartbeat.revision = node.routes.version;
   heartbeat.store_revision = node.view.revision;
+  heartbeat.evacuation_revision = node.evacuation.revision;
   heartbeat.draining = node.is_stopping;
   heartbeat.jobs_in_progress = ListAnnouncedJobs(node, now);
   heartbeat.group_loads = ComputeOwnGroupLoads(node, now);
--- a/modules/core/fleet/ownership_flow.cc
+++ b/modules/core/fleet/ownership_flow.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/reception_flow.h"
@@ -342,6 +343,7 @@
       has_view_changed |= ApplyChange(node, change, now, actions);
     }
   }
+  ApplyStoredEvacuations(node, update, now, actions);
   if (has_view_changed || update.is_snapshot || !update.changes.empty())
     UpdateAfterChanges(node, has_view_changed, now, actions);
 }
--- a/modules/core/fleet/reception_flow.cc
+++ b/modules/core/fleet/reception_flow.cc
@@ -9,6 +9,7 @@
 #include "core/fleet/assignment_flow.h"
 #include "core/fleet/cancellation_flow.h"
 #include "core/fleet/cut_off_flow.h"
+#include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/fleet/heartbeat_flow.h"
 #include "core/fleet/ownership_flow.h"
@@ -339,6 +340,9 @@
   }
   if (!is_known && RedirectToRunningGroup(node, receiver, submission, now))
     return;
+  if (!is_known &&
+      RedirectFromEvacuatedZone(node, receiver, submission, now, actions))
+    return;
   if (!is_known &&
       ForwardToLessLoadedGroup(node, receiver, submission, now, actions))
     return;
--- a/modules/core/fleet/spillover_flow.cc
+++ b/modules/core/fleet/spillover_flow.cc
@@ -5,6 +5,7 @@
 
 #include "base/hash.h"
 #include "core/fleet/assignment_flow.h"
+#include "core/fleet/evacuation_flow.h"
 #include "core/fleet/handover_flow.h"
 #include "core/scheduling/spillover.h"
 
@@ -16,7 +17,10 @@
  */
 constexpr Millis kLoadValidity{450};
 
-/** Returns the load of other daemons' groups from their last heartbeats. */
+/** Returns the load of other daemons' groups from their last heartbeats. A
+ * heartbeat may have been sent before its sender knew of an evacuation, so
+ * groups of evacuated zones are left out.
+ */
 std::vector<GroupLoad*> CollectPeerLoads(FleetNode& node, Millis now) {
   std::vector<GroupLoad*> loads;
   for (auto& [id, peer_status] : node.peers) {
@@ -24,7 +28,8 @@
         peer_status.last_heartbeat.draining)
       continue;
     for (GroupLoad& load : peer_status.last_heartbeat.group_loads) {
-      if (IsOwnerOf(node.view, peer_status.last_heartbeat.from, load.group))
+      if (IsOwnerOf(node.view, peer_status.last_heartbeat.from, load.group) &&
+          !IsEvacuated(node, load.group.zone))
         loads.push_back(&load);
     }
   }
--- a/modules/core/scheduling/endpoint_commands.cc
+++ b/modules/core/scheduling/endpoint_commands.cc
@@ -142,7 +142,7 @@
                      const RunKey& key,
                      const Run& run,
                      Millis now) {
-  return run.is_start_withdrawn || !AcceptsWork(endpoint, now) ||
+  return run.is_start_withdrawn || !AcceptsWork(scheduler, endpoint, now) ||
          !HasLeaseForRun(scheduler, endpoint, now) ||
          now - run.start_sent_at >= kCommandTimeout ||
          !IsCurrentRun(scheduler, endpoint.entry.id, key);
--- a/modules/core/scheduling/job_flow.cc
+++ b/modules/core/scheduling/job_flow.cc
@@ -78,6 +78,7 @@
   scheduled.group = group;
   scheduled.receiver = receiver;
   scheduled.may_have_started = submission.may_have_started;
+  scheduled.submission_sent_at = submission.sent_at_sender;
   for (const JobStep& step : scheduled.job.steps) {
     scheduled.tasks.emplace_back(step.task_count);
     scheduled.tasks_left += step.task_count;
@@ -118,19 +119,6 @@
                      });
 }
 
-/** Returns true while runs of a job may be active that are not known here. */
-bool MayHaveUnknownRuns(const Scheduler& scheduler,
-                        const ScheduledJob& job,
-                        Millis now) {
-  if (GetFormerRunsEnd(scheduler, job.job.id, now) != Millis())
-    return true;
-  if (!job.may_have_started)
-    return false;
-  return now < job.start_blocked_until ||
-         HasReconcilingEndpoint(scheduler, job.group, now) ||
-         HasUnlistedReportedRun(job, now);
-}
-
 /** Returns true when an endpoint does not answer this daemon. */
 bool IsSilent(const Scheduler& scheduler, const EndpointId& id) {
   const auto endpoint = scheduler.endpoints.find(id);
@@ -338,6 +326,8 @@
   if (known != scheduler.jobs.end()) {
     GrantJobLease(scheduler, job.id, submission.sent_at);
     known->second.may_have_started |= submission.may_have_started;
+    if (receiver == known->second.receiver)
+      known->second.submission_sent_at = submission.sent_at_sender;
     known->second.has_changed_group |=
         !(known->second.group == submission.group);
     std::vector<DaemonRef>& others = known->second.other_receivers;
@@ -716,6 +706,18 @@
   }
 }
 
+bool MayHaveUnknownRuns(const Scheduler& scheduler,
+                        const ScheduledJob& job,
+                        Millis now) {
+  if (GetFormerRunsEnd(scheduler, job.job.id, now) != Millis())
+    return true;
+  if (!job.may_have_started)
+    return false;
+  return now < job.start_blocked_until ||
+         HasReconcilingEndpoint(scheduler, job.group, now) ||
+         HasUnlistedReportedRun(job, now);
+}
+
 TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task) {
   const auto job = scheduler.jobs.find(task.job);
   if (job == scheduler.jobs.end() || task.step >= job->second.tasks.size() ||
--- a/modules/core/scheduling/job_flow.h
+++ b/modules/core/scheduling/job_flow.h
@@ -158,6 +158,11 @@
                            const RunKey& run,
                            Millis now);
 
+/** Returns true while runs of a job may be active that are not known here. */
+bool MayHaveUnknownRuns(const Scheduler& scheduler,
+                        const ScheduledJob& job,
+                        Millis now);
+
 /** Returns the progress of a task, or null when the job is not known. */
 TaskProgress* FindTask(Scheduler& scheduler, const JobTask& task);
 
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -201,13 +201,22 @@
   return false;
 }
 
-bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now) {
+bool IsClosedByEvacuation(const Scheduler& scheduler,
+                          const ManagedEndpoint& endpoint) {
+  return !scheduler.are_evacuations_known ||
+         scheduler.evacuated_zones.count(endpoint.entry.zone) > 0;
+}
+
+bool AcceptsWork(const Scheduler& scheduler,
+                 const ManagedEndpoint& endpoint,
+                 Millis now) {
   // It is not known how much of the capacity an unclaimed run occupies.
   return endpoint.status == EndpointStatus::kUsable && endpoint.is_registered &&
          endpoint.clock_offset.has_value() &&
          !endpoint.is_held_for_reported_runs && !endpoint.entry.draining &&
          endpoint.backoff_until <= now && endpoint.unanswered == 0 &&
-         HasCurrentEntry(endpoint) && !HasUnclaimedRun(endpoint);
+         HasCurrentEntry(endpoint) && !HasUnclaimedRun(endpoint) &&
+         !IsClosedByEvacuation(scheduler, endpoint);
 }
 
 bool HasRejected(const EndpointId& endpoint, const TaskProgress& task) {
@@ -224,14 +233,15 @@
           HasLabel(endpoint, step.required_label));
 }
 
-bool MayRunNow(const ManagedEndpoint& endpoint,
+bool MayRunNow(const Scheduler& scheduler,
+               const ManagedEndpoint& endpoint,
                const ScheduledJob& job,
                uint32_t step_index,
                const TaskProgress& task,
                const TaskResources& planned_use,
                Millis now) {
   const JobStep& step = job.job.steps[step_index];
-  return AcceptsWork(endpoint, now) && endpoint.group == job.group &&
+  return AcceptsWork(scheduler, endpoint, now) && endpoint.group == job.group &&
          IsEligibleFor(endpoint, task) &&
          !HasRejected(endpoint.entry.id, task) &&
          CanEverRun(endpoint.entry, job.job, step) &&
@@ -258,7 +268,8 @@
                    expected_run_time);
   const double max_risk = ComputeMaxRisk(scheduler, job, slowest_run_time, now);
   for (auto& [id, endpoint] : scheduler.endpoints) {
-    if (!MayRunNow(endpoint, job, step_index, task, TaskResources(), now) ||
+    if (!MayRunNow(scheduler, endpoint, job, step_index, task, TaskResources(),
+                   now) ||
         !HasLeaseForStart(scheduler, endpoint, job.job.id, now) ||
         now + ScaleRunTime(endpoint.slowness, expected_run_time) > target_end)
       continue;
--- a/modules/core/scheduling/placement.h
+++ b/modules/core/scheduling/placement.h
@@ -8,10 +8,18 @@
 
 namespace dogwoodfall {
 
+/** Returns true when nothing may be started on an endpoint because of an
+ * evacuation of its zone, or because the evacuated zones are not known.
+ */
+bool IsClosedByEvacuation(const Scheduler& scheduler,
+                          const ManagedEndpoint& endpoint);
+
 /** Returns true when an endpoint may get work now, regardless of its free
  * capacity.
  */
-bool AcceptsWork(const ManagedEndpoint& endpoint, Millis now);
+bool AcceptsWork(const Scheduler& scheduler,
+                 const ManagedEndpoint& endpoint,
+                 Millis now);
 
 /** Returns true when an endpoint without other runs could run tasks of a step.
  */
@@ -27,7 +35,8 @@
  * @param planned_use resources that are about to be occupied there besides the
  *        runs
  */
-bool MayRunNow(const ManagedEndpoint& endpoint,
+bool MayRunNow(const Scheduler& scheduler,
+               const ManagedEndpoint& endpoint,
                const ScheduledJob& job,
                uint32_t step_index,
                const TaskProgress& task,
--- a/modules/core/scheduling/run_relocation.cc
+++ b/modules/core/scheduling/run_relocation.cc
@@ -75,8 +75,8 @@
     const auto use = planned.find(id);
     const TaskResources additional_use =
         use == planned.end() ? TaskResources() : use->second;
-    if (MayRunNow(endpoint, job, task.step, job.tasks[task.step][task.index],
-                  additional_use, now))
+    if (MayRunNow(scheduler, endpoint, job, task.step,
+                  job.tasks[task.step][task.index], additional_use, now))
       return &endpoint;
   }
   return nullptr;
--- a/modules/core/scheduling/run_review.cc
+++ b/modules/core/scheduling/run_review.cc
@@ -6,6 +6,7 @@
 
 #include "core/scheduling/endpoint_commands.h"
 #include "core/scheduling/job_flow.h"
+#include "core/scheduling/placement.h"
 #include "core/scheduling/speed_learning.h"
 
 namespace dogwoodfall {
@@ -137,6 +138,9 @@
                      ManagedEndpoint& endpoint,
                      Millis now,
                      Actions& actions) {
+  // A stopped task could not be started again.
+  if (IsClosedByEvacuation(scheduler, endpoint))
+    return;
   std::vector<std::pair<RunKey, RunTiming>> overdue;
   for (const auto& [key, run] : endpoint.runs) {
     // Until its progress is reported, nothing shows that a run is slow. Its
--- a/modules/core/scheduling/scheduled_job.h
+++ b/modules/core/scheduling/scheduled_job.h
@@ -60,6 +60,8 @@
   std::vector<DaemonRef> other_receivers;
   /** When the receiver got the job, on this daemon's clock. */
   Millis received_at;
+  /** When the receiver sent its latest submission, on its clock. */
+  Millis submission_sent_at;
   /** When this daemon accepted it. */
   Millis accepted_at;
   /** Answers after this time miss the job's objective. */
--- a/modules/core/scheduling/scheduler.h
+++ b/modules/core/scheduling/scheduler.h
@@ -131,6 +131,12 @@
    * endpoints until then.
    */
   bool are_endpoints_known = false;
+  /** Zones whose endpoints get no starts. */
+  std::set<ZoneId> evacuated_zones;
+  /** False while it is not known which zones are evacuated. Nothing is started
+   * until then.
+   */
+  bool are_evacuations_known = true;
   std::unordered_map<SubmissionId, ScheduledJob> jobs;
   /** When the lease of each job ends; also of jobs that have ended or were
    * handed over, whose runs may still be managed here.
--- a/modules/core/scheduling/spillover.cc
+++ b/modules/core/scheduling/spillover.cc
@@ -54,7 +54,8 @@
   load.group = group;
   for (const auto& [id, endpoint] : scheduler.endpoints) {
     const bool is_usable = endpoint.group == group &&
-                           AcceptsWork(endpoint, now) && !endpoint.is_ejected &&
+                           AcceptsWork(scheduler, endpoint, now) &&
+                           !endpoint.is_ejected &&
                            endpoint.slowness < kMaxUsableSlownessFactor *
                                                    scheduler.median_slowness;
     if (!is_usable)
--- a/modules/model/heartbeat.h
+++ b/modules/model/heartbeat.h
@@ -69,6 +69,10 @@
    * sender will not take for new ones for a while. Part of such an answer.
    */
   std::vector<SubmissionId> acknowledged_jobs;
+  /** Revision of the evacuated zones known to the sender; 0 if it doesn't know
+   * them.
+   */
+  uint64_t evacuation_revision = 0;
 };
 
 /** Returns true for a heartbeat that answers another one. */
--- a/modules/model/peer_message.h
+++ b/modules/model/peer_message.h
@@ -20,6 +20,7 @@
 #include "model/task_assignment.h"
 #include "model/task_report.h"
 #include "model/transient_job.h"
+#include "model/zone_evacuation.h"
 
 namespace dogwoodfall {
 
@@ -236,6 +237,15 @@
   RouteTable routes;
 };
 
+/** The evacuated zones known to the sender, for a peer that knows an older
+ * state of them.
+ */
+struct EvacuationNotice {
+  /** Revision of the latest change of the requests. */
+  uint64_t revision = 0;
+  std::vector<ZoneEvacuation> zones;
+};
+
 /** Any message that daemons send each other over TCP. */
 using PeerMessage = std::variant<SubmitForward,
                                  StatusForward,
@@ -257,7 +267,8 @@
                                  JobProgress,
                                  ViewNotice,
                                  RoutesNotice,
-                                 LostEndpointsReport>;
+                                 LostEndpointsReport,
+                                 EvacuationNotice>;
 
 }  // namespace dogwoodfall
 
--- a/modules/ports/store_change.h
+++ b/modules/ports/store_change.h
@@ -38,6 +38,22 @@
   uint64_t revision = 0;
 };
 
+/** An operator requests the evacuation of a zone. */
+struct EvacuationRequested {
+  ZoneId zone;
+  /** 0 if it can't be parsed. */
+  uint64_t revision = 0;
+  /** False if the value can't be parsed; the request holds all the same. */
+  bool is_readable = true;
+};
+
+/** An operator has removed the request to evacuate a zone. */
+struct EvacuationWithdrawn {
+  ZoneId zone;
+  /** 0 if it can't be parsed. */
+  uint64_t revision = 0;
+};
+
 /** An item that can't be parsed and is ignored. */
 struct UnreadableItem {
   std::string key;
@@ -49,7 +65,9 @@
                                  RoutesChanged,
                                  MemberChanged,
                                  MemberRemoved,
-                                 UnreadableItem>;
+                                 UnreadableItem,
+                                 EvacuationRequested,
+                                 EvacuationWithdrawn>;
 
 }  // namespace dogwoodfall
 
--- a/tests/adapters/peer_codec_test.cc
+++ b/tests/adapters/peer_codec_test.cc
@@ -44,12 +44,26 @@
   heartbeat.leaving_endpoints = {EndpointId("e1"), EndpointId("e2")};
   heartbeat.demands = {{CustomerId("wharf"), 2, 3}};
   heartbeat.acknowledged_jobs = {SubmissionId("job")};
+  heartbeat.evacuation_revision = 41;
   const std::string bytes = EncodeHeartbeat(heartbeat);
   const std::optional<Heartbeat> decoded = DecodeHeartbeat(bytes);
   ASSERT_TRUE(decoded.has_value());
   EXPECT_EQ(EncodeHeartbeat(*decoded), bytes);
 }
 
+// A daemon that can't reach the store gets the evacuated zones in this message.
+TEST(PeerCodecTest, EvacuationNoticeRoundTrips) {
+  PeerFrame frame = MakeSampleFrame();
+  frame.message = EvacuationNotice{41, {{ZoneId("south"), 40}}};
+  const std::optional<PeerFrame> decoded = DecodeFrame(EncodeFrame(frame));
+  ASSERT_TRUE(decoded.has_value());
+  const auto& notice = std::get<EvacuationNotice>(*decoded->message);
+  EXPECT_EQ(notice.revision, 41U);
+  ASSERT_EQ(notice.zones.size(), 1U);
+  EXPECT_EQ(notice.zones[0].zone, ZoneId("south"));
+  EXPECT_EQ(notice.zones[0].revision, 40U);
+}
+
 TEST(PeerCodecTest, LostEndpointsReportRoundTrips) {
   PeerFrame frame = MakeSampleFrame();
   frame.message = LostEndpointsReport{SubmissionId("job"),
--- a/tests/adapters/platform_test.cc
+++ b/tests/adapters/platform_test.cc
@@ -188,6 +188,44 @@
   EXPECT_TRUE(std::holds_alternative<UnreadableItem>(*change));
 }
 
+// The key of a request names the zone, so that an operator's request holds even
+// if its value can't be parsed.
+TEST(ItemCodecTest, DecodesRequestsToEvacuateAZone) {
+  for (const std::string& value :
+       {std::string("{}"), std::string("\xff"), std::string("[1]")}) {
+    const auto change = DecodeItem(MakeItem("op/evacuate/a/b", value));
+    ASSERT_TRUE(change.has_value());
+    const auto* request = std::get_if<EvacuationRequested>(&*change);
+    ASSERT_NE(request, nullptr);
+    EXPECT_EQ(request->zone, ZoneId("a/b"));
+    EXPECT_EQ(request->revision, 9U);
+    EXPECT_EQ(request->is_readable, value == "{}");
+  }
+  const auto odd =
+      DecodeItem({{"key", "op/evacuate/a"}, {"value", 7}, {"revision", "x"}});
+  EXPECT_TRUE(std::holds_alternative<EvacuationRequested>(odd.value()));
+  const auto removal = DecodeItem(
+      {{"key", "op/evacuate/a"}, {"removed", true}, {"revision", 12}});
+  const auto* withdrawal = std::get_if<EvacuationWithdrawn>(&removal.value());
+  ASSERT_NE(withdrawal, nullptr);
+  EXPECT_EQ(withdrawal->revision, 12U);
+}
+
+// Other items of the operators appear in the watch as well. They must be
+// ignored, and the removal of the configuration must not change the routes.
+TEST(ItemCodecTest, IgnoresOtherItemsOfTheOperators) {
+  for (const char* key : {"op/", "op/config2", "op/evacuate", "op/evacuate/",
+                          "op/evacuation/a", "op/else"}) {
+    EXPECT_FALSE(DecodeItem(MakeItem(key, "{}")).has_value()) << key;
+    EXPECT_FALSE(DecodeItem({{"key", key}, {"removed", true}}).has_value())
+        << key;
+    EXPECT_FALSE(DecodeItem({{"key", key}, {"value", 7}}).has_value()) << key;
+  }
+  const auto removal =
+      DecodeItem({{"key", "op/config"}, {"removed", true}, {"revision", 12}});
+  EXPECT_TRUE(std::holds_alternative<UnreadableItem>(removal.value()));
+}
+
 TEST(ItemCodecTest, DecodesRoutesAndIgnoresOlderVersions) {
   const auto change = DecodeItem(MakeItem(
       "op/config",
--- a/tests/support/fleet_world.cc
+++ b/tests/support/fleet_world.cc
@@ -18,8 +18,11 @@
   if (std::holds_alternative<MemberChanged>(change) ||
       std::holds_alternative<MemberRemoved>(change))
     return ItemScope::kDaemons;
-  return std::holds_alternative<RoutesChanged>(change) ? ItemScope::kRoutes
-                                                       : ItemScope::kEndpoints;
+  const bool is_of_operators =
+      std::holds_alternative<RoutesChanged>(change) ||
+      std::holds_alternative<EvacuationRequested>(change) ||
+      std::holds_alternative<EvacuationWithdrawn>(change);
+  return is_of_operators ? ItemScope::kRoutes : ItemScope::kEndpoints;
 }
 
 }  // namespace
@@ -40,6 +43,8 @@
       member_news_delay([](const DaemonId&) { return Millis(); }),
       store_execution_delay(
           [](const DaemonId&, const KeyValueCall&) { return Millis(); }),
+      alter_store_reply(
+          [](const DaemonId&, const KeyValueCall&, KeyValueReply&) {}),
       is_store_unreachable([](const DaemonId&) { return false; }),
       is_renewed_while_paused([](const std::string&) { return false; }) {
   RouteTable routes;
@@ -88,6 +93,26 @@
   this->history.emplace_back(++this->revision, RoutesChanged{routes});
 }
 
+void FleetWorld::EvacuateZone(const std::string& zone) {
+  EvacuationRequested request{ZoneId(zone), ++this->revision, true};
+  this->evacuations[request.zone] = request;
+  this->history.emplace_back(this->revision, request);
+}
+
+void FleetWorld::TakeZoneBack(const std::string& zone) {
+  this->evacuations.erase(ZoneId(zone));
+  ++this->revision;
+  this->history.emplace_back(this->revision,
+                             EvacuationWithdrawn{ZoneId(zone), this->revision});
+}
+
+std::map<std::string, uint64_t> FleetWorld::CountStartsByZone() const {
+  std::map<std::string, uint64_t> starts;
+  for (const auto& [id, endpoint] : this->endpoints)
+    starts[endpoint.entry.zone.value] += endpoint.starts;
+  return starts;
+}
+
 void FleetWorld::SilenceStoreConnections(int idle_connections) {
   for (const Watch& watch : std::exchange(this->watches, {})) {
     this->LeaveStoreCallUnanswered(watch.daemon, watch.incarnation, watch.token,
@@ -333,6 +358,7 @@
       this->CallStore(daemon, *store);
     } else if (const auto* answer = std::get_if<AnswerJob>(&action)) {
       this->results[this->callers[answer->caller]] = answer->outcome.result;
+      this->outcomes[this->callers[answer->caller]] = answer->outcome;
     } else if (const auto* cancellation =
                    std::get_if<AnswerCancellation>(&action)) {
       this->cancellations[cancellation->caller] = cancellation->result;
@@ -448,6 +474,7 @@
 
 void FleetWorld::CallStore(const std::string& daemon,
                            const CallKeyValue& call) {
+  ++this->store_call_count;
   const uint64_t incarnation = this->incarnations.at(daemon);
   const Millis timeout_at = this->now + call.timeout;
   int& silent = this->silent_connections[daemon];
@@ -469,8 +496,9 @@
   }
   const Millis delay = kStoreLatency + this->store_delay(DaemonId(daemon));
   this->Schedule(delay, [this, daemon, incarnation, call]() {
-    this->DeliverStoreReply(daemon, incarnation, call.token,
-                            this->AnswerStoreCall(call));
+    KeyValueReply reply = this->AnswerStoreCall(call);
+    this->alter_store_reply(DaemonId(daemon), call.call, reply);
+    this->DeliverStoreReply(daemon, incarnation, call.token, reply);
   });
 }
 
@@ -504,8 +532,11 @@
       for (const auto& [id, entry] : this->endpoint_entries)
         reply.changes.push_back(EndpointChanged{entry});
     }
-    if (read->scope == ItemScope::kRoutes)
+    if (read->scope == ItemScope::kRoutes) {
       reply.changes.push_back(this->history.front().second);
+      for (const auto& [zone, request] : this->evacuations)
+        reply.changes.push_back(request);
+    }
   } else if (const auto* open = std::get_if<OpenLease>(&call.call)) {
     reply.lease = ++this->last_lease;
     this->leases[reply.lease] = this->now + open->length;
@@ -610,6 +641,7 @@
       pending.push_back(watch);
       continue;
     }
+    this->alter_store_reply(DaemonId(watch.daemon), watch.request, reply);
     Millis delay = kStoreLatency + this->store_delay(DaemonId(watch.daemon));
     if (watch.request.scope == ItemScope::kDaemons && !reply.changes.empty())
       delay = delay + this->member_news_delay(DaemonId(watch.daemon));
--- a/tests/support/fleet_world.h
+++ b/tests/support/fleet_world.h
@@ -27,6 +27,10 @@
   void AddEndpoint(const std::string& id, const std::string& zone);
   /** Writes a configuration without routes to the store. */
   void ChangeRoutes(uint64_t version);
+  /** Writes the request to evacuate a zone to the store. */
+  void EvacuateZone(const std::string& zone);
+  /** Removes the request to evacuate a zone from the store. */
+  void TakeZoneBack(const std::string& zone);
   /** Silences connections to the store: the watches that wait get no answer,
    * and neither do the given number of later calls of each daemon, which are
    * sent on idle connections.
@@ -71,6 +75,10 @@
   void Disconnect(const std::string& daemon, CallerToken caller);
   /** Returns the number of runs of a job that are active on endpoints. */
   size_t CountRuns(const std::string& job) const;
+  /** Returns the number of starts that the endpoints of each zone have executed
+   * so far.
+   */
+  std::map<std::string, uint64_t> CountStartsByZone() const;
   /** Advances the clock. */
   void RunFor(Millis duration);
 
@@ -85,6 +93,10 @@
   bool prints_log;
   /** Number of heartbeats sent so far. */
   uint64_t heartbeat_count = 0;
+  /** Number of calls to the store so far. */
+  uint64_t store_call_count = 0;
+  /** Outcomes by job id. */
+  std::map<std::string, JobOutcome> outcomes;
   /** Results by job id. */
   std::map<std::string, JobResult> results;
   /** Results of the requests to cancel jobs. */
@@ -124,6 +136,9 @@
    */
   std::function<Millis(const DaemonId&, const KeyValueCall&)>
       store_execution_delay;
+  /** Changes an answer of the store before it is sent. */
+  std::function<void(const DaemonId&, const KeyValueCall&, KeyValueReply&)>
+      alter_store_reply;
   /** True for daemons that the store does not answer. */
   std::function<bool(const DaemonId&)> is_store_unreachable;
   /** Whether daemons are told how long a request has waited for them. */
@@ -204,6 +219,8 @@
   std::map<std::string, uint64_t> incarnations;
   std::map<DaemonId, StoredMember> members;
   std::map<EndpointId, EndpointEntry> endpoint_entries;
+  /** Requests to evacuate zones. */
+  std::map<ZoneId, EvacuationRequested> evacuations;
   /** All changes of the store, with their revisions. */
   std::vector<std::pair<uint64_t, StoreChange>> history;
   /** Expiry times of the leases. */
