Show evacuated zones in metrics and in the state dump

On-call operators could not see whether a daemon knows of an evacuation. Each daemon reports a gauge for each zone, the revision that it knows, and counters of the jobs that were assigned elsewhere, moved, refused and abandoned; /state lists the zones.

--- a/modules/adapters/metrics/fleet_metrics.cc
+++ b/modules/adapters/metrics/fleet_metrics.cc
@@ -97,6 +97,28 @@
              {{"", counters.ejections}});
 }
 
+void AddEvacuation(MetricFamilies& families, const FleetNode& node) {
+  std::map<std::string, uint64_t> zones;
+  for (const auto& [zone, groups] : node.view.group_counts)
+    zones[zone.value] = 0;
+  for (const auto& [zone, revision] : node.evacuation.zones)
+    zones[zone.value] = 1;
+  AddLabelledGauge(families, "zone_evacuated",
+                   "1 for each zone that operators have evacuated, 0 for "
+                   "other zones with daemons",
+                   "zone", zones);
+  AddGauge(families, "evacuation_revision",
+           "Revision of the evacuated zones that are known; 0 for none",
+           node.evacuation.revision);
+  const EvacuationCounters& counters = node.evacuation_counters;
+  AddCounter(families, "evacuation_jobs_total",
+             "Jobs that an evacuation has affected, by what was done", "what",
+             {{"assigned_elsewhere", counters.assigned_elsewhere},
+              {"moved", counters.moved},
+              {"refused", counters.refused},
+              {"abandoned", counters.abandoned}});
+}
+
 }  // namespace
 
 std::string FormatFleetMetrics(const FleetNode& node,
@@ -107,6 +129,7 @@
   MetricFamilies families;
   AddReception(families, node.reception);
   AddScheduler(families, node.scheduler);
+  AddEvacuation(families, node);
   AddGauge(families, "routes_version", "Version of the active routes",
            node.routes.version);
   AddGauge(families, "view_revision", "Revision of the membership view",
--- a/modules/adapters/metrics/metric_families.cc
+++ b/modules/adapters/metrics/metric_families.cc
@@ -57,6 +57,18 @@
             {{"", static_cast<double>(value)}});
 }
 
+void AddLabelledGauge(MetricFamilies& families,
+                      const std::string& name,
+                      const std::string& help,
+                      const std::string& label,
+                      const std::map<std::string, uint64_t>& values) {
+  ValuesByLabel by_label;
+  for (const auto& [label_value, value] : values)
+    by_label[label_value] = static_cast<double>(value);
+  AddFamily(families, prometheus::MetricType::Gauge, name, help, label,
+            by_label);
+}
+
 void AddCounter(MetricFamilies& families,
                 const std::string& name,
                 const std::string& help,
--- a/modules/adapters/metrics/metric_families.h
+++ b/modules/adapters/metrics/metric_families.h
@@ -26,6 +26,16 @@
               const std::string& help,
               uint64_t value);
 
+/** Adds a gauge with one label.
+ *
+ * @param values value of the gauge by label value
+ */
+void AddLabelledGauge(MetricFamilies& families,
+                      const std::string& name,
+                      const std::string& help,
+                      const std::string& label,
+                      const std::map<std::string, uint64_t>& values);
+
 /** Adds a counter with one label, or without labels when the label is empty.
  *
  * @param counts value of the counter by label value
--- a/modules/adapters/operators/fleet_state_dump.cc
+++ b/modules/adapters/operators/fleet_state_dump.cc
@@ -23,6 +23,13 @@
   return {{"revision", node.view.revision}, {"members", members}};
 }
 
+Json DumpEvacuation(const FleetNode& node) {
+  Json zones = Json::array();
+  for (const auto& [zone, revision] : node.evacuation.zones)
+    zones.push_back({{"zone", zone.value}, {"revision", revision}});
+  return {{"revision", node.evacuation.revision}, {"zones", zones}};
+}
+
 Json DumpEndpoints(const Scheduler& scheduler, Millis now) {
   Json rows = Json::array();
   for (const auto& [id, endpoint] : scheduler.endpoints) {
@@ -63,6 +70,7 @@
                      {"routes_version", node.routes.version},
                      {"store_reachable", node.store.is_reachable},
                      {"stopping", node.is_stopping},
+                     {"evacuation", DumpEvacuation(node)},
                      {"view", DumpView(node, now)},
                      {"endpoints", DumpEndpoints(node.scheduler, now)},
                      {"jobs", DumpJobs(node.scheduler, now)}};
