Recognise long jobs by the first reports of all their tasks, and describe them

Cause: the other tasks of a job only counted from 5 % of their work on, so that a job of 6,000 ms was given up after more than 450 ms; LongJobsTest. JobThatIsTooLongIsEndedByItsFirstReports failed. Change: a run counts from its first percent on if the least run time that it allows is beyond the expected one.

--- a/modules/core/scheduling/managed_endpoint.h
+++ b/modules/core/scheduling/managed_endpoint.h
@@ -38,6 +38,8 @@
    * claims it.
    */
   bool is_claimed = true;
+  /** True when the run was stopped before its start was sent. */
+  bool is_start_withdrawn = false;
   /** Not known, and all zero, for a run that no job has claimed. */
   TaskResources resources;
   /** Incarnation of the endpoint that runs it: its start in ms since 1970, or 0
@@ -48,8 +50,6 @@
    * the start is sent, when the run was placed.
    */
   Millis start_sent_at;
-  /** True when the run was stopped before its start was sent. */
-  bool is_start_withdrawn = false;
   /** When its start was found to be unanswered; zero if it was not. */
   Millis start_unanswered_at;
   /** When the endpoint confirmed the start or stop. Only a list that was
@@ -62,10 +62,9 @@
   int percent = 0;
   Millis percent_updated_at;
 
+  Millis stop_sent_at;
   /** True once it was found to take long because its job is long. */
   bool is_of_long_job = false;
-
-  Millis stop_sent_at;
   /** True when the last stop has failed or was not answered. */
   bool has_failed_stop = false;
   /** True when the task goes back to the queue if the run ends without success.
--- a/modules/core/scheduling/slow_run_cause.cc
+++ b/modules/core/scheduling/slow_run_cause.cc
@@ -25,15 +25,31 @@
   double Get() const { return this->sum / std::max(this->count, 1); }
 };
 
-bool ShowsSpeed(const Run& run) {
-  return run.state == RunState::kRunning && run.percent >= kMinSpeedPercent;
+/** Returns the run time, in ms, that the progress of a run shows: the projected
+ * one, or at first the least one if it is beyond the expected one already; 0
+ * while it shows neither.
+ */
+double GetShownRunTime(const Run& run, double expected_ms) {
+  if (run.state != RunState::kRunning)
+    return 0;
+  if (run.percent >= kMinSpeedPercent)
+    return std::max(ProjectRunTime(run), 1.0);
+  const double min_run_time_ms = ProjectMinRunTime(run);
+  return min_run_time_ms > expected_ms ? min_run_time_ms : 0;
 }
 
-void AddRun(LogMean& mean, const ManagedEndpoint& endpoint, const Run& run) {
+/** Adds a run that shows its speed. */
+void AddRun(LogMean& mean,
+            const ManagedEndpoint& endpoint,
+            const Run& run,
+            Millis expected_run_time) {
   const double expected_ms =
       endpoint.slowness *
-      static_cast<double>(std::max<int64_t>(run.expected_run_time.count, 1));
-  mean.sum += std::log(std::max(ProjectRunTime(run), 1.0) / expected_ms);
+      static_cast<double>(std::max<int64_t>(expected_run_time.count, 1));
+  const double shown_ms = GetShownRunTime(run, expected_ms);
+  if (shown_ms <= 0)
+    return;
+  mean.sum += std::log(shown_ms / expected_ms);
   ++mean.count;
 }
 
@@ -54,18 +70,18 @@
       continue;
     Run run;
     if (task.phase == TaskPhase::kDone && task.run_time > Millis()) {
+      run.state = RunState::kRunning;
       run.percent = 100;
       run.percent_updated_at = task.run_time;
     } else {
       const auto found = endpoint->second.runs.find(
           {{key.first.job, key.first.step, index}, task.attempt});
       if (task.phase != TaskPhase::kPlaced ||
-          found == endpoint->second.runs.end() || !ShowsSpeed(found->second))
+          found == endpoint->second.runs.end())
         continue;
       run = found->second;
     }
-    run.expected_run_time = expected_run_time;
-    AddRun(mean, endpoint->second, run);
+    AddRun(mean, endpoint->second, run, expected_run_time);
   }
   return mean;
 }
@@ -74,8 +90,8 @@
 LogMean MeasureNeighbours(const ManagedEndpoint& endpoint, const RunKey& key) {
   LogMean mean;
   for (const auto& [other, run] : endpoint.runs) {
-    if (other.first.job != key.first.job && ShowsSpeed(run))
-      AddRun(mean, endpoint, run);
+    if (other.first.job != key.first.job)
+      AddRun(mean, endpoint, run, run.expected_run_time);
   }
   return mean;
 }
