--- a/modules/core/scheduling/scheduling_options.h
+++ b/modules/core/scheduling/scheduling_options.h
@@ -17,7 +17,9 @@
   bool admission_forecast = false;
   /** Keeps kinds of tasks apart that slow each other down. */
   bool interference = false;
-  /** Loads cold endpoints, and zones that return to service, in steps. */
+  /** Reserved for loading cold endpoints, and zones that return to service, in
+   * steps; has no effect yet.
+   */
   bool warm_up = false;
 };
 
