Keep the least chance of a job in one place

Cause: admission and placement each had a constant of the same name and value for the probability below which a job is not tried; a change of one alone would let jobs wait that nothing starts. Result: the core builds; no behaviour changes.

--- a/modules/core/scheduling/admission.cc
+++ b/modules/core/scheduling/admission.cc
@@ -25,11 +25,6 @@
  */
 constexpr Millis kLargerEndpointRetryAfter{10'000};
 
-/** Minimum probability of being in time for a job to be accepted, where the
- * distribution of run times is known.
- */
-constexpr double kMinChance = 0.05;
-
 Millis ComputeLatestUsefulEnd(const ScheduledJob& job) {
   const Millis received_by = ReceivedBy(job);
   const Millis objective = job.objective_deadline - received_by;
--- a/modules/core/scheduling/admission.h
+++ b/modules/core/scheduling/admission.h
@@ -15,6 +15,11 @@
 Millis ComputeLatestUsefulStart(const Scheduler& scheduler,
                                 const ScheduledJob& job);
 
+/** Minimum probability of being in time for a job to be accepted and for a task
+ * to be started, where the distribution of run times is known.
+ */
+inline constexpr double kMinChance = 0.05;
+
 /** Decides whether to accept a new job.
  *
  * @return the outcome to report when the job is rejected; none when it is
--- a/modules/core/scheduling/placement.cc
+++ b/modules/core/scheduling/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <optional>
 
+#include "core/scheduling/admission.h"
 #include "core/scheduling/crash_tracking.h"
 #include "core/scheduling/endpoint_ejection.h"
 #include "core/scheduling/endpoint_runs.h"
@@ -54,10 +55,6 @@
  * time: 0.28 between jobs combined with 0.15 between the tasks of a job.
  */
 constexpr double kRunTimeLogDeviation = 0.32;
-/** Minimum probability of being in time for the start of a task, where the
- * distribution of run times is known.
- */
-constexpr double kMinChance = 0.05;
 /** Maximum risk in excess of the risk on a fast endpoint, while there is time
  * to wait for a fast endpoint.
  */
