Apply late replies to watches that were replaced, and keep those that arrive

A change that adds 868 or more routes is an answer of some 500 kB. Change: the reply to a replaced watch counts if it is newer than what is known, and a watch of whose reply 8 kB have arrived is not replaced: its connection is not silent. Changes that are known already are not applied again, so that no older one follows a newer one. Tests: LateReplyToAReplacedWatchIsApplied fails on the code before (no change applied, and the older one applied after the newer one), WatchWhoseReplyIsArrivingIsKept.

--- a/apps/daemon/fleet_daemon.cc
+++ b/apps/daemon/fleet_daemon.cc
@@ -311,6 +311,9 @@
           this->CallCore([&](Millis now, Actions& actions) {
             OnKeyValueReply(this->node, now, token, reply, actions);
           });
+        },
+        [this, token = store_call->token]() {
+          OnKeyValueReplyArriving(this->node, token);
         });
   } else if (const auto* answer = std::get_if<AnswerJob>(&action)) {
     CallerGateway::Answer(*this->caller_server, answer->caller.value,
--- a/modules/adapters/http/http_client.cc
+++ b/modules/adapters/http/http_client.cc
@@ -7,6 +7,13 @@
 #include "adapters/http/http_client_connection.h"
 
 namespace dogwoodfall {
+namespace {
+
+/** Size from which on a response counts as large. Smaller ones arrive at once.
+ */
+constexpr size_t kLargeResponseBytes = 8'192;
+
+}  // namespace
 
 HttpClient::HttpClient(event_base* base, const HttpClientLimits& limits)
     : base(base), limits(limits) {}
@@ -18,9 +25,10 @@
                       const std::string& path,
                       const std::string& body,
                       Millis timeout,
-                      Callback callback) {
+                      Callback callback,
+                      ArrivalCallback on_arriving) {
   this->SendWithHeaders(address, method, path, body, {}, timeout,
-                        std::move(callback));
+                        std::move(callback), std::move(on_arriving));
 }
 
 void HttpClient::SendWithHeaders(const HttpAddress& address,
@@ -29,7 +37,8 @@
                                  const std::string& body,
                                  const HttpClientHeaders& headers,
                                  Millis timeout,
-                                 Callback callback) {
+                                 Callback callback,
+                                 ArrivalCallback on_arriving) {
   auto& idle_connections = this->idle[address];
   std::unique_ptr<HttpClientConnection> connection;
   if (idle_connections.empty()) {
@@ -43,6 +52,7 @@
   HttpClientConnection* raw = connection.get();
   this->busy.emplace(raw, std::move(connection));
   raw->SetRequestNumber(++this->requests);
+  raw->SetArrivalCallback(std::move(on_arriving));
   raw->Send(method, path, body, headers, timeout, std::move(callback));
 }
 
@@ -88,6 +98,8 @@
     return;
   this->held_bytes += bytes;
   connection->AddReceivedBytes(bytes);
+  if (connection->ReceivedBytes() >= kLargeResponseBytes)
+    connection->NotifyArrival();
   if (this->limits.max_held_bytes == 0 || this->is_giving_up_scheduled ||
       this->held_bytes <= this->limits.max_held_bytes)
     return;
--- a/modules/adapters/http/http_client.h
+++ b/modules/adapters/http/http_client.h
@@ -56,6 +56,8 @@
    * when the client is destroyed.
    */
   using Callback = std::function<void(const HttpResponse&)>;
+  /** Called once when the first part of a large response has arrived. */
+  using ArrivalCallback = std::function<void()>;
 
   /** @param base the event loop; must outlive the client */
   explicit HttpClient(event_base* base, const HttpClientLimits& limits = {});
@@ -73,7 +75,8 @@
             const std::string& path,
             const std::string& body,
             Millis timeout,
-            Callback callback);
+            Callback callback,
+            ArrivalCallback on_arriving = nullptr);
 
   /** Sends a request with additional headers. */
   void SendWithHeaders(const HttpAddress& address,
@@ -82,7 +85,8 @@
                        const std::string& body,
                        const HttpClientHeaders& headers,
                        Millis timeout,
-                       Callback callback);
+                       Callback callback,
+                       ArrivalCallback on_arriving = nullptr);
 
   /** Number of open connections to all servers, in use or idle. */
   size_t Connections() const;
--- a/modules/adapters/http/http_client_connection.cc
+++ b/modules/adapters/http/http_client_connection.cc
@@ -128,6 +128,12 @@
   self->client.Finish(self, response);
 }
 
+void HttpClientConnection::NotifyArrival() {
+  const auto notify = std::exchange(this->on_arriving, nullptr);
+  if (notify)
+    notify();
+}
+
 void HttpClientConnection::Cancel() {
   evtimer_del(this->connect_timer);
   evhttp_cancel_request(this->request);
--- a/modules/adapters/http/http_client_connection.h
+++ b/modules/adapters/http/http_client_connection.h
@@ -55,6 +55,12 @@
   /** Returns ReceivedBytes() and sets it to 0. */
   size_t TakeReceivedBytes() { return std::exchange(this->received_bytes, 0); }
 
+  void SetArrivalCallback(HttpClient::ArrivalCallback on_arriving) {
+    this->on_arriving = std::move(on_arriving);
+  }
+  /** Calls the arrival callback of the pending request, if it has one, once. */
+  void NotifyArrival();
+
   /** Cancels the pending request, which closes the connection. */
   void Cancel();
 
@@ -78,6 +84,7 @@
   evhttp_request* request = nullptr;
   event* connect_timer = nullptr;
   HttpClient::Callback callback;
+  HttpClient::ArrivalCallback on_arriving;
   size_t bytes_written = 0;
   size_t received_bytes = 0;
   uint64_t request_number = 0;
--- a/modules/core/fleet/fleet_events.cc
+++ b/modules/core/fleet/fleet_events.cc
@@ -371,6 +371,10 @@
   ReportFinishedJobs(node, now, actions);
 }
 
+void OnKeyValueReplyArriving(FleetNode& node, StoreToken token) {
+  NoteReplyArriving(node.store, token);
+}
+
 void OnKeyValueReply(FleetNode& node,
                      Millis now,
                      StoreToken token,
--- a/modules/core/fleet/fleet_events.h
+++ b/modules/core/fleet/fleet_events.h
@@ -47,6 +47,9 @@
                      const EndpointReply& reply,
                      Actions& actions);
 
+/** Handles the first part of a large reply of the store. */
+void OnKeyValueReplyArriving(FleetNode& node, StoreToken token);
+
 /** Handles the reply of the store to a call, or its time-out. */
 void OnKeyValueReply(FleetNode& node,
                      Millis now,
--- a/modules/core/fleet/store_session.cc
+++ b/modules/core/fleet/store_session.cc
@@ -109,6 +109,7 @@
 void Follow(StoreSession& session, StoreFollower& follower, Actions& actions) {
   const StoreCallPurpose purpose = PurposeOf(follower.scope);
   follower.is_call_pending = true;
+  follower.is_reply_arriving = false;
   if (!follower.is_following) {
     follower.last_call = Call(session, purpose,
                               ReadItems{follower.scope, follower.last_page_key},
@@ -133,12 +134,11 @@
                            Actions& actions) {
   for (StoreFollower* follower :
        {&session.daemons, &session.routes, &session.endpoints}) {
-    const bool is_in_doubt = follower->is_call_pending &&
-                             follower->is_following &&
-                             follower->last_call < unanswered;
+    const bool is_in_doubt =
+        follower->is_call_pending && follower->is_following &&
+        !follower->is_reply_arriving && follower->last_call < unanswered;
     if (!is_in_doubt)
       continue;
-    session.calls.erase(follower->last_call);
     follower->is_call_pending = false;
     follower->is_in_doubt = true;
     follower->next_call_at = Millis();
@@ -194,6 +194,18 @@
   return update;
 }
 
+/** Returns the update in the late reply to a watch that was replaced; empty
+ * when its changes are known already, or a list is being read.
+ */
+StoreUpdate HandleReplacedWatchReply(StoreFollower& follower,
+                                     const KeyValueReply& reply) {
+  if (!follower.is_following || reply.outcome != KeyValueOutcome::kDone ||
+      reply.store_revision <= follower.followed_to)
+    return {};
+  follower.followed_to = reply.store_revision;
+  return {follower.scope, false, follower.followed_to, reply.changes};
+}
+
 StoreUpdate HandleFollowReply(const StoreSession& session,
                               StoreFollower& follower,
                               const KeyValueReply& reply,
@@ -233,7 +245,10 @@
     return HandlePage(follower, reply);
   if (follower.scope == ItemScope::kEndpoints)
     follower.next_call_at = now + kPollPeriod;
-  follower.followed_to = std::max(follower.followed_to, reply.store_revision);
+  // A replaced watch may have been answered with all of it and more.
+  if (reply.store_revision <= follower.followed_to)
+    return {follower.scope, false, follower.followed_to, {}};
+  follower.followed_to = reply.store_revision;
   return {follower.scope, false, follower.followed_to, reply.changes};
 }
 
@@ -247,6 +262,20 @@
   return {};
 }
 
+/** Returns the follower that makes calls for a purpose; null for others. */
+StoreFollower* FindFollower(StoreSession& session, StoreCallPurpose purpose) {
+  switch (purpose) {
+    case StoreCallPurpose::kFollowDaemons:
+      return &session.daemons;
+    case StoreCallPurpose::kFollowEndpoints:
+      return &session.endpoints;
+    case StoreCallPurpose::kFollowRoutes:
+      return &session.routes;
+    default:
+      return nullptr;
+  }
+}
+
 void HandleRegisterReply(StoreSession& session,
                          const KeyValueReply& reply,
                          Millis now) {
@@ -349,6 +378,14 @@
     Register(session, actions);
 }
 
+void NoteReplyArriving(StoreSession& session, StoreToken token) {
+  for (StoreFollower* follower :
+       {&session.daemons, &session.routes, &session.endpoints}) {
+    if (follower->is_call_pending && follower->last_call == token)
+      follower->is_reply_arriving = true;
+  }
+}
+
 StoreUpdate HandleKeyValueReply(StoreSession& session,
                                 StoreToken token,
                                 const KeyValueReply& reply,
@@ -359,6 +396,9 @@
     return {};
   const StoreCallPurpose purpose = call->second;
   session.calls.erase(call);
+  StoreFollower* follower = FindFollower(session, purpose);
+  if (follower != nullptr && follower->last_call != token)
+    return HandleReplacedWatchReply(*follower, reply);
   UpdateReachability(session, reply, actions);
   if (reply.outcome == KeyValueOutcome::kUnanswered)
     ReplaceEarlierWatches(session, token, actions);
--- a/modules/core/fleet/store_session.h
+++ b/modules/core/fleet/store_session.h
@@ -58,6 +58,8 @@
    * connection or the one before may be silent.
    */
   bool is_in_doubt = false;
+  /** True once a part of the reply to the pending call has arrived. */
+  bool is_reply_arriving = false;
 };
 
 /** A daemon's session with the platform's store.
@@ -72,7 +74,10 @@
  * Open connections may become silent while new ones work. A watch on one of
  * them looks like one without changes. Therefore a call without an answer
  * replaces the watches that were sent before it, and the wait of a watch is
- * limited so that a silent one is replaced within max_silence.
+ * limited so that a silent one is replaced within max_silence. A watch whose
+ * reply is arriving is not silent and is kept, and the reply to a replaced one
+ * counts if it comes after all: on a slow link, large replies take longer than
+ * the timeout of a call, and would be requested again and again.
  */
 struct StoreSession {
   /** The item to keep; the store sets its revisions. */
@@ -131,6 +136,11 @@
 /** Issues the calls that are due. */
 void AdvanceStoreSession(StoreSession& session, Millis now, Actions& actions);
 
+/** Takes note that a part of the reply to a call has arrived, and that the rest
+ * will take time.
+ */
+void NoteReplyArriving(StoreSession& session, StoreToken token);
+
 /** Handles the reply to a call and issues the calls that are due then.
  * @return the update that the reply contains; empty when it has none
  */
--- a/tests/core/store_session_test.cc
+++ b/tests/core/store_session_test.cc
@@ -401,5 +401,59 @@
   EXPECT_EQ(session.routes.last_call, watch);
 }
 
+/** Lets a call of a session that was sent after its watch of the routes get no
+ * answer, and returns the token of that watch.
+ */
+StoreToken LoseCallAfterWatch(StoreSession& session, Actions& actions) {
+  const StoreToken watch = session.routes.last_call;
+  const StoreToken lost(++session.last_token);
+  session.calls[lost] = StoreCallPurpose::kRegister;
+  HandleKeyValueReply(session, lost, KeyValueReply(), kStart, actions);
+  return watch;
+}
+
+/** A reply to a watch, with one change. */
+KeyValueReply MakeWatchReply(uint64_t revision, uint64_t version) {
+  KeyValueReply reply = MakeDoneReply();
+  reply.store_revision = revision;
+  RouteTable routes;
+  routes.version = version;
+  reply.changes.push_back(RoutesChanged{routes});
+  return reply;
+}
+
+// On a slow link a large reply takes longer than the timeout of a call. Ignored
+// after its watch was replaced, it would be requested again and again.
+TEST(StoreSessionTest, LateReplyToAReplacedWatchIsApplied) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = FollowItems(calls);
+  Actions actions;
+  const StoreToken replaced = LoseCallAfterWatch(session, actions);
+  const StoreToken next = session.routes.last_call;
+  ASSERT_NE(next, replaced);
+  const StoreUpdate late = HandleKeyValueReply(
+      session, replaced, MakeWatchReply(12, 3), kStart, actions);
+  EXPECT_EQ(late.changes.size(), 1U);
+  EXPECT_EQ(session.routes.followed_to, 12U);
+  // The next watch was answered earlier, so that its changes are older.
+  const StoreUpdate older =
+      HandleKeyValueReply(session, next, MakeWatchReply(9, 2), kStart, actions);
+  EXPECT_TRUE(older.changes.empty());
+  EXPECT_EQ(session.routes.followed_to, 12U);
+}
+
+// Each of several copies of a large reply would slow down the others.
+TEST(StoreSessionTest, WatchWhoseReplyIsArrivingIsKept) {
+  std::vector<CallKeyValue> calls;
+  StoreSession session = FollowItems(calls);
+  Actions actions;
+  NoteReplyArriving(session, session.routes.last_call);
+  const StoreToken watch = LoseCallAfterWatch(session, actions);
+  EXPECT_EQ(session.routes.last_call, watch);
+  const StoreUpdate update = HandleKeyValueReply(
+      session, watch, MakeWatchReply(12, 3), kStart, actions);
+  EXPECT_EQ(update.changes.size(), 1U);
+}
+
 }  // namespace
 }  // namespace dogwoodfall
