Close connections that send too many requests ahead

Operators saw that clients which send requests and read no answers end a process: it runs out of memory, and nothing limits it. Cause: libevhtp parses a request only when the response to the previous one is sent, and one for each part that arrives, but reads on. What has been read and not parsed wasn't counted towards the bound on a listener. Change: bytes that are not parsed count towards the bound. Beyond the size of a head and one read (16 kB) the connection is closed, as too_many_requests_ahead in the log and in clients_refused_total. A client that waits for its answers has at most one read there. Test: process_untrusted_own_unread and _fleet_unread, beside the tests that stand, whose crowd and bounds are unchanged; HttpServerTest.ConnectionWithTooManyRequestsAheadIsClosed.

--- a/modules/adapters/http/http_connection_state.h
+++ b/modules/adapters/http/http_connection_state.h
@@ -53,6 +53,8 @@
    * connection is closed.
    */
   size_t parser_bytes = 0;
+  /** Bytes that were received and have not been parsed. */
+  size_t input_bytes = 0;
   /** Bytes of responses that have not been sent. */
   size_t output_bytes = 0;
   /** Header line that is not kept, freed when the parser has moved on. */
--- a/modules/adapters/http/http_refusal.h
+++ b/modules/adapters/http/http_refusal.h
@@ -20,9 +20,10 @@
   kTooManyConnections = 6,
   kMemoryFull = 7,
   kOutputNotRead = 8,
+  kTooManyRequestsAhead = 9,
 };
 
-inline constexpr size_t kHttpRefusalCount = 9;
+inline constexpr size_t kHttpRefusalCount = 10;
 
 /** Number of refusals by kind since the listener was created. */
 using HttpRefusalCounts = std::array<uint64_t, kHttpRefusalCount>;
@@ -36,9 +37,10 @@
 /** Returns the name of a kind of refusal in logs and metrics. */
 constexpr const char* NameOf(HttpRefusal refusal) {
   constexpr std::array<const char*, kHttpRefusalCount> kNames = {
-      "head_too_large",       "too_many_header_lines", "too_many_empty_lines",
-      "head_too_slow",        "body_too_large",        "body_too_slow",
-      "too_many_connections", "memory_full",           "output_not_read"};
+      "head_too_large",         "too_many_header_lines", "too_many_empty_lines",
+      "head_too_slow",          "body_too_large",        "body_too_slow",
+      "too_many_connections",   "memory_full",           "output_not_read",
+      "too_many_requests_ahead"};
   return kNames[static_cast<size_t>(refusal)];
 }
 
--- a/modules/adapters/http/http_server.cc
+++ b/modules/adapters/http/http_server.cc
@@ -39,6 +39,8 @@
  * head.
  */
 constexpr size_t kParserBufferBytes = 8'192;
+/** Bytes that libevent reads from a connection at once. */
+constexpr size_t kMaxReadBytes = 16'384;
 /** Parts of a body below this size are copied behind the previous part. In
  * buffers of their own, parts of one byte would take hundreds of times their
  * size.
@@ -284,6 +286,7 @@
   HttpServer* self = state->server;
   --self->connections;
   self->SetCharge(*state, 0);
+  self->input_bytes -= state->input_bytes;
   self->output_bytes -= state->output_bytes;
   self->parser_bytes -= state->parser_bytes;
   if (connection->bev != nullptr) {
@@ -303,8 +306,13 @@
                          const evbuffer_cb_info* info,
                          void* argument) {
   auto* state = static_cast<HttpConnectionState*>(argument);
+  HttpServer* self = state->server;
+  state->input_bytes += info->n_added;
+  self->input_bytes += info->n_added;
+  state->input_bytes -= info->n_deleted;
+  self->input_bytes -= info->n_deleted;
   if (info->n_added > 0 && !state->is_closing)
-    state->server->HandleInput(*state, input, *info);
+    self->HandleInput(*state, input, *info);
 }
 
 void HttpServer::OnOutput(evbuffer*,
@@ -324,6 +332,13 @@
                              evbuffer* input,
                              const evbuffer_cb_info& info) {
   state.progressed = this->clock.Now();
+  // libevhtp parses a request only when the response to the previous one has
+  // been sent, but reads on.
+  if (state.phase != HttpConnectionPhase::kPassedOn &&
+      state.input_bytes > this->limits.max_head_bytes + kMaxReadBytes) {
+    this->Refuse(state, HttpRefusal::kTooManyRequestsAhead);
+    return;
+  }
   if (state.phase == HttpConnectionPhase::kIdle) {
     const bool has_begun =
         CountEmptyLines(input, info.orig_size, state.empty_lines);
@@ -588,8 +603,8 @@
 }
 
 size_t HttpServer::HeldBytes() const {
-  return this->charged_bytes + this->output_bytes + this->parser_bytes +
-         this->states.size() * kConnectionBytes;
+  return this->charged_bytes + this->input_bytes + this->output_bytes +
+         this->parser_bytes + this->states.size() * kConnectionBytes;
 }
 
 void HttpServer::ChargeParser(HttpConnectionState& state, size_t token_bytes) {
--- a/modules/adapters/http/http_server.h
+++ b/modules/adapters/http/http_server.h
@@ -172,6 +172,7 @@
   std::vector<evhtp_connection*> closing;
   /** Sums over all connections, see HttpConnectionState. */
   size_t charged_bytes = 0;
+  size_t input_bytes = 0;
   size_t output_bytes = 0;
   size_t parser_bytes = 0;
   HttpRefusalCounts refusals = {};
--- a/tests/adapters/http_server_test.cc
+++ b/tests/adapters/http_server_test.cc
@@ -81,6 +81,8 @@
         [this](HttpToken token, HttpRequest request) {
           this->tokens.push_back(token);
           this->requests.push_back(std::move(request));
+          if (this->replies_at_once)
+            this->server->Reply(token, 200, "{}");
         },
         [](ResultCode) { return "{}"; });
     ASSERT_TRUE(created.ok());
@@ -117,6 +119,7 @@
   std::unique_ptr<HttpServer> server;
   std::vector<HttpToken> tokens;
   std::vector<HttpRequest> requests;
+  bool replies_at_once = false;
 };
 
 std::string Head(size_t body_bytes) {
@@ -202,6 +205,32 @@
       passed_on, [&passed_on] { return !passed_on.received.empty(); }));
 }
 
+// Requests that wait until the answers to former ones are sent must not take
+// memory without a bound.
+TEST_F(HttpServerTest, ConnectionWithTooManyRequestsAheadIsClosed) {
+  this->replies_at_once = true;
+  this->Listen(HttpServerLimits());
+  const std::string request = "GET /jobs/1 HTTP/1.1\r\nHost: a\r\n\r\n";
+  Client ordinary(this->port);
+  this->SendAll(ordinary, request);
+  EXPECT_TRUE(
+      this->WaitUntil(ordinary, [this] { return this->requests.size() == 1; }));
+  Client many(this->port);
+  std::string text;
+  while (text.size() < 1'000'000)
+    text += request;
+  for (size_t i = 0; i < text.size() && !many.is_closed; i += 16'384) {
+    this->SendAll(many, text.substr(i, 16'384));
+    many.Read();
+  }
+  EXPECT_TRUE(this->WaitUntil(many, [&many] { return many.is_closed; }));
+  EXPECT_EQ(this->Refusals(HttpRefusal::kTooManyRequestsAhead), 1U);
+  const size_t before = this->requests.size();
+  this->SendAll(ordinary, request);
+  EXPECT_TRUE(this->WaitUntil(
+      ordinary, [&] { return this->requests.size() == before + 1; }));
+}
+
 // What a connection has held must be given back, or the bound would be reached
 // by ordinary requests in the long run.
 TEST_F(HttpServerTest, HeldBytesReturnToZero) {
--- a/tests/process/untrusted_clients.py
+++ b/tests/process/untrusted_clients.py
@@ -1,14 +1,16 @@
 """Clients that are not controlled, against one running daemon.
 
-Usage: untrusted_clients.py own|fleet lines|heads|bodies|fuzz PID CALLERS
-                            OPERATORS
+Usage: untrusted_clients.py own|fleet lines|heads|bodies|unread|fuzz PID
+                            CALLERS OPERATORS [OTHER PORTS]
 
 With `fuzz`, only checks the daemon, after fuzz_requests.py.
 
 Fails if the process has ended, if its peak resident memory or its number of
 open descriptors has exceeded a bound, or if an ordinary request is not answered
-while the clients' connections are open and after they have closed. Checks
-neither times nor the share of requests served.
+while the clients' connections are open and after they have closed. With
+`unread`, also if a listener doesn't answer the first ordinary request that it
+gets while the connections are open. Checks neither times nor the share of
+requests served.
 """
 
 import http.client
@@ -30,6 +32,12 @@
 # Only so that a test of a process that hangs ends.
 MAX_WAIT_SECONDS = 60
 PIECE = 16_384
+# Clients that read no answers: connections to the callers' listener and to each
+# other one, and requests on each of them.
+UNREAD_CALLER_CONNECTIONS = 100
+UNREAD_CALLER_REQUESTS = 20_000
+UNREAD_OTHER_CONNECTIONS = 50
+UNREAD_OTHER_REQUESTS = 2_000
 
 
 def lines_requests(rng):
@@ -100,6 +108,20 @@
             yield [head + length + b"x" * (size - 1)]
 
 
+def unread_requests(callers, others):
+    """Small requests one after the other, whose answers are not read.
+
+    Yields the port of each connection with its pieces.
+    """
+    lines = b" HTTP/1.1\r\nHost: desk.example\r\n\r\n"
+    job = b"GET /jobs/0000000000000001" + lines
+    for _ in range(UNREAD_CALLER_CONNECTIONS):
+        yield callers, [job * UNREAD_CALLER_REQUESTS]
+    for port in others:
+        for _ in range(UNREAD_OTHER_CONNECTIONS):
+            yield port, [(b"GET /metrics" + lines) * UNREAD_OTHER_REQUESTS]
+
+
 class Client:
     """A connection that sends its pieces and never reads an answer."""
 
@@ -121,13 +143,18 @@
             self.pieces = []  # Closed by the daemon.
 
 
-def run_clients(requests, callers, operators):
-    """Sends all requests by turns, every fourth one to the operators."""
-    clients = []
+def add_ports(requests, callers, operators):
+    """Sends every fourth of the requests to the operators."""
     for number, pieces in enumerate(requests):
+        yield (operators if number % 4 == 0 else callers), pieces
+
+
+def run_clients(requests):
+    """Sends all requests, each on a connection to its port, by turns."""
+    clients = []
+    for port, pieces in requests:
         try:
-            clients.append(Client(operators if number % 4 == 0 else callers,
-                                  pieces))
+            clients.append(Client(port, pieces))
         except OSError:
             pass  # Refused by the daemon.
     while True:
@@ -176,6 +203,29 @@
     return False
 
 
+def answers_get(port):
+    """Returns true if a listener answers a request without an error."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        connection.request("GET", "/metrics")
+        response = connection.getresponse()
+        response.read()
+        return response.status == 200
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+def check_first_answers(kind, callers, others, rng):
+    """Returns what listeners did not answer at the first attempt."""
+    failures = [f"no first answer of port {port}"
+                for port in others if not answers_get(port)]
+    if not send_ordinary(kind, callers, rng.getrandbits(64)):
+        failures.append("no first answer to a caller")
+    return failures
+
+
 def peak_memory_kb(pid):
     with open(f"/proc/{pid}/status", encoding="ascii") as status:
         for line in status:
@@ -186,19 +236,25 @@
 
 def main():
     kind, attack = sys.argv[1:3]
-    pid, callers, operators = map(int, sys.argv[3:])
+    pid, callers, *others = map(int, sys.argv[3:])
     rng = random.Random(1)
     failures = []
     if not wait_for_answer(kind, callers, rng):
         sys.exit("the daemon answers no request before the attack")
     before = peak_memory_kb(pid)
-    requests = {"lines": lines_requests, "heads": heads_requests,
-                "bodies": bodies_requests,
-                "fuzz": lambda _: []}[attack](rng)
-    clients = run_clients(requests, callers, operators)
+    if attack == "unread":
+        requests = unread_requests(callers, others)
+    else:
+        requests = add_ports({"lines": lines_requests, "heads": heads_requests,
+                              "bodies": bodies_requests,
+                              "fuzz": lambda _: []}[attack](rng),
+                             callers, others[0])
+    clients = run_clients(requests)
     descriptors = 0
     try:
         descriptors = len(os.listdir(f"/proc/{pid}/fd"))
+        if attack == "unread":
+            failures += check_first_answers(kind, callers, others, rng)
         if not wait_for_answer(kind, callers, rng):
             failures.append("no answer while the connections are open")
         for client in clients:
--- a/tests/process/untrusted_clients.sh
+++ b/tests/process/untrusted_clients.sh
@@ -3,7 +3,7 @@
 # process must live, its memory and descriptors stay under a bound, and an
 # ordinary request must be answered afterwards. No times are checked.
 # With `fuzz`, sends malformed requests instead, which depend on the seed only.
-# Usage: untrusted_clients.sh BUILD own|fleet lines|heads|bodies
+# Usage: untrusted_clients.sh BUILD own|fleet lines|heads|bodies|unread
 #        untrusted_clients.sh BUILD own|fleet fuzz SEED ROUNDS
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -50,8 +50,10 @@
   python3 tests/process/fuzz_requests.py "$4" "$5" "$(callers_port 1)"
   python3 tests/process/fuzz_requests.py "$4" "$(($5 / 4))" "$(operators_port 1)"
 fi
+other_ports=("$(operators_port 1)")
+[ "$kind" = own ] || other_ports+=($((first_port + 3)))
 python3 tests/process/untrusted_clients.py "$kind" "$attack" "${daemon_pid[1]}" \
-  "$(callers_port 1)" "$(operators_port 1)" || {
+  "$(callers_port 1)" "${other_ports[@]}" || {
   tail -20 "$work/d1.log" | cut -c1-300
   exit 1
 }
